--- /dev/null
+++ b/adapter/src/terms.rs
@@ -0,0 +1,154 @@
+//! Decodes the settings text of an instance into the module's charter.
+
+use reedferry::{Charter, Circle, Effect, Gauge, Nanos, Offering};
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+struct Terms {
+    balancers: u32,
+    index: u32,
+    #[serde(default)]
+    zone: u16,
+    #[serde(default)]
+    round: f64,
+    offerings: Vec<Kind>,
+    #[serde(default)]
+    charges: Charges,
+    contract: Contract,
+    policy_limits: Limits,
+    #[serde(default)]
+    registry_mode: String,
+    #[serde(default)]
+    reporting: Reporting,
+    #[serde(default)]
+    extra: Extra,
+    #[serde(default = "one")]
+    overage_payoff: f64,
+}
+#[derive(Deserialize)]
+struct Kind {
+    contract_time: f64,
+    effect: String,
+    #[serde(default)]
+    group: String,
+    payoff: f64,
+    #[serde(default)]
+    repeat_window: f64,
+}
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Charges {
+    cross_zone: f64,
+    moves: f64,
+}
+#[derive(Deserialize)]
+struct Contract {
+    #[serde(default)]
+    ask_within: f64,
+    cold: f64,
+    cold_from: f64,
+    tip_after: f64,
+    tip_multiple: f64,
+}
+#[derive(Deserialize)]
+struct Limits {
+    #[serde(default)]
+    cancel: bool,
+    #[serde(default)]
+    max_retry_after: f64,
+    #[serde(default)]
+    may_probe: bool,
+    most_hand_offs: u32,
+    #[serde(default)]
+    retry_after: bool,
+}
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Reporting {
+    fields: Vec<String>,
+}
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Extra {
+    groups: bool,
+    message_aim: Vec<f64>,
+    mode: String,
+    tenant_quota_connections: Vec<f64>,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// A null says the same as a missing key.
+fn strip_nulls(value: &mut serde_json::Value) {
+    match value {
+        serde_json::Value::Object(map) => {
+            map.retain(|_, v| !v.is_null());
+            map.values_mut().for_each(strip_nulls);
+        }
+        serde_json::Value::Array(list) => list.iter_mut().for_each(strip_nulls),
+        _ => {}
+    }
+}
+
+/// Milliseconds as whole nanoseconds; nothing below zero, nothing past what can be added up.
+pub fn nanos(ms: f64) -> Nanos {
+    (ms * 1e6).round().clamp(0.0, 9e18) as Nanos
+}
+
+pub fn charter(text: &[u8]) -> Result<Charter, String> {
+    let mut value: serde_json::Value = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    strip_nulls(&mut value);
+    let terms: Terms = serde_json::from_value(value).map_err(|e| format!("settings: {e}"))?;
+    let mut offerings = Vec::new();
+    for (n, kind) in terms.offerings.iter().enumerate() {
+        offerings.push(Offering {
+            effect: match kind.effect.as_str() {
+                "free" => Effect::Redoable,
+                "guarded" => Effect::Labelled,
+                "single_shot" => Effect::Irreversible,
+                other => return Err(format!("settings: offering {n} has the unknown effect {other:?}")),
+            },
+            circle: match kind.group.as_str() {
+                "zone" => Circle::Zone,
+                "cell" => Circle::Cell,
+                _ => Circle::All,
+            },
+            window: nanos(kind.repeat_window),
+            payoff: kind.payoff,
+            contract_time: nanos(kind.contract_time),
+            message_time: nanos(terms.extra.message_aim.get(n).copied().unwrap_or(kind.contract_time)),
+        });
+    }
+    let field = |name: &String| match name.as_str() {
+        "x0" | "util" => Gauge::Load,
+        "x1" => Gauge::Backlog,
+        _ => Gauge::Other,
+    };
+    let limits = &terms.policy_limits;
+    Ok(Charter {
+        node: terms.index,
+        nodes: terms.balancers.max(1),
+        zone: terms.zone,
+        round: nanos(terms.round),
+        offerings,
+        tenant_shares: terms.extra.tenant_quota_connections,
+        overage_payoff: terms.overage_payoff,
+        most_hand_offs: limits.most_hand_offs,
+        may_probe: limits.may_probe,
+        may_call_off: limits.cancel,
+        longest_advice: if limits.retry_after { nanos(limits.max_retry_after) } else { 0 },
+        roll_on_request: terms.registry_mode == "on_request",
+        ask_within: nanos(terms.contract.ask_within),
+        cold: nanos(terms.contract.cold),
+        cold_from: terms.contract.cold_from,
+        tip_multiple: terms.contract.tip_multiple,
+        tip_after: nanos(terms.contract.tip_after),
+        pass: terms.extra.mode == "pass",
+        groups: terms.extra.groups,
+        cross_zone_charge: terms.charges.cross_zone,
+        move_charge: terms.charges.moves,
+        gauges: terms.reporting.fields.iter().map(field).collect(),
+    })
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,950 @@
+//! All decisions of a reedferry node.
+//!
+//! How to call it: make one [`Balancer`] a node, hand each event to [`Balancer::handle`] with the
+//! caller's clock and carry out the actions it appends, in their order. The interface is in
+//! `types.rs`; why things are as they are stands in `docs/design.md`.
+//!
+//! Inside, the desk, the helm, the ledger, the roll and every host are parts with an inbox each.
+//! They talk only by notes, which `Balancer::run` carries and has read until none is left. A part
+//! may look at another's record; only the part itself changes it.
+
+use crate::types::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{HashMap, VecDeque};
+
+/// Look-ahead steps, the paper's setting, and their length.
+const STEPS: u64 = 10;
+const STEP: Nanos = 3 * SECOND;
+const HORIZON: f64 = (STEPS * STEP) as f64;
+/// How often the node looks around by itself.
+const PULSE: Nanos = SECOND / 2;
+const MASK: Nanos = 3 * SECOND;
+const TABLE_SIZE: usize = 8192;
+const TABLE_AGE: Nanos = 3600 * SECOND;
+/// Placements that a weight vector must show before it is judged.
+const JUDGED_AFTER: u32 = 12;
+const MUTATION: (f64, f64) = (0.25, 0.05);
+/// What a host's first connection of a group costs, in usual loads, and a crossing, in mean own loads.
+const GROUP_PRICE: f64 = 2.0;
+const CROSSING: f64 = 6.0;
+
+enum To {
+    Host(usize),
+    Desk,
+    Helm,
+    Ledger,
+    Roll,
+}
+
+enum Note {
+    Listed(Listing, bool),
+    Unlisted,
+    Sent(Conn),
+    Begun { slot: usize, took: Nanos },
+    Ended { slot: usize, ending: Ending },
+    LoadNow { slot: usize, load: f64 },
+    Slow(Nanos),
+    Gauged { load: Option<f64>, backlog: Option<f64> },
+    Step { mean: f64 },
+    Pulse { refuge: f64 },
+    Arrived(Arrival),
+    Standing(Arrival, usize),
+    Returned { slot: usize, over: bool, ending: Ending },
+    Left { slot: usize },
+    Shift { slot: usize },
+    Judged { vector: usize, spread: f64, longest: f64 },
+    Lived { key: Option<u64>, length: Nanos },
+    Weighed { offering: usize, load: f64 },
+    SetUp(Nanos),
+    Told(RollKind),
+}
+
+type Post = VecDeque<(To, Note)>;
+
+/// A connection, or a hand-off that may become one, on its host's record.
+struct Conn {
+    slot: usize,
+    offering: usize,
+    key: Option<u64>,
+    group: Option<u64>,
+    load: Option<f64>,
+    since: Nanos,
+    begun: bool,
+    end: Nanos,
+    /// Its part of the host's own load over the look-ahead steps.
+    ahead: f64,
+    vector: Option<usize>,
+}
+
+#[derive(Default)]
+struct Host {
+    id: HostId,
+    inbox: VecDeque<Note>,
+    listing: Listing,
+    listed: bool,
+    conns: Vec<Conn>,
+    groups: HashMap<u64, u32>,
+    ahead: f64,
+    longest: Nanos,
+    /// Hand-offs out that have not begun.
+    pending: u32,
+    /// Counts at the others' mean until its own load reaches that.
+    newcomer: bool,
+    masked_until: Nanos,
+    strikes: u32,
+    /// Back from a mask and not yet proven: one hand-off at a time.
+    trial: bool,
+    /// Message time over what is wanted, and when that was told.
+    slowness: f64,
+    slow_told: Nanos,
+    /// What a cold host may still be sent, and the turn up to which that was counted.
+    credit: f64,
+    turn: u64,
+}
+
+impl Host {
+    fn ready(&self) -> bool {
+        self.listed && self.listing.standing == Standing::Ready
+    }
+
+    fn cold(&self, now: Nanos, charter: &Charter) -> bool {
+        self.listing.started.is_some_and(|t| now < t.saturating_add(charter.cold))
+    }
+
+    fn own(&self) -> f64 {
+        self.ahead / self.listing.size
+    }
+
+    fn remaining(&self, now: Nanos) -> Nanos {
+        self.longest.saturating_sub(now)
+    }
+
+    /// How late its messages are, by what was last told; old word fades.
+    fn slow(&self, now: Nanos) -> f64 {
+        if now < self.slow_told + 5 * PULSE {
+            self.slowness
+        } else {
+            0.0
+        }
+    }
+
+    /// Whether the budget of a cold host has room for one more from this node. Nodes take turns of
+    /// `tip_after` by their number, and a turn gives half the budget, so that a window spanning two
+    /// turns stays within it (guards: a host pushed over at the seam of two nodes' turns).
+    fn cold_room(&self, now: Nanos, mean_count: f64, charter: &Charter) -> bool {
+        !self.cold(now, charter) || self.credit_at(now, mean_count, charter).0 >= 1.0
+    }
+
+    fn credit_at(&self, now: Nanos, mean_count: f64, charter: &Charter) -> (f64, u64) {
+        let nodes = u64::from(charter.nodes);
+        let turn = now / charter.tip_after.max(MILLI);
+        if turn % nodes != u64::from(charter.node) || turn == self.turn {
+            return (if turn == self.turn { self.credit } else { 0.0 }, self.turn);
+        }
+        let age = now.saturating_sub(self.listing.started.unwrap_or(0)) as f64;
+        let cold = charter.cold.max(1) as f64;
+        let share = charter.cold_from + (1.0 - charter.cold_from) * (age / cold).min(1.0);
+        let fill = (mean_count + 1.0) * self.listing.size * charter.nodes as f64 / (cold / SECOND as f64);
+        let budget = charter.tip_multiple * share * fill * charter.tip_after as f64 / SECOND as f64;
+        let missed = if self.turn == 0 { 1 } else { ((turn - self.turn) / nodes).clamp(1, 8) };
+        let half = budget / 2.0;
+        ((self.credit.min(1.0) + half * missed as f64).min(half.max(1.0)), turn)
+    }
+
+    fn count(&mut self, at: usize, now: Nanos, ledger: &Ledger) {
+        let conn = &mut self.conns[at];
+        if conn.end <= now {
+            // It outlived its prediction: what lasts tends to last, so the mean again.
+            conn.end = now + ledger.mean_length();
+        }
+        let steps = ((conn.end - now).div_ceil(STEP)).min(STEPS);
+        let ahead = ledger.load(conn.offering, conn.load) * steps as f64 / STEPS as f64;
+        self.ahead += ahead - conn.ahead;
+        conn.ahead = ahead;
+        self.longest = self.longest.max(conn.end);
+    }
+
+    fn drop_conn(&mut self, at: usize) -> Conn {
+        let conn = self.conns.swap_remove(at);
+        self.ahead = if self.conns.is_empty() { 0.0 } else { self.ahead - conn.ahead };
+        if let Some(group) = conn.group {
+            if let Some(held) = self.groups.get_mut(&group) {
+                *held -= 1;
+                if *held == 0 {
+                    self.groups.remove(&group);
+                }
+            }
+        }
+        if conn.end >= self.longest {
+            self.longest = self.conns.iter().map(|c| c.end).max().unwrap_or(0);
+        }
+        if !conn.begun {
+            self.pending -= 1;
+        }
+        conn
+    }
+
+    fn mask(&mut self, now: Nanos, chance: f64, why: &str, out: &mut Vec<Action>) {
+        let length = MASK << self.strikes.min(2);
+        if now >= self.masked_until {
+            self.strikes += 1;
+            let (own, conns) = (self.own(), self.conns.len());
+            out.push(Action::Log(format!(
+                "mask host={:x} why={why} strikes={} own={own:.2} conns={conns}",
+                self.id.0, self.strikes
+            )));
+        }
+        // Spread, so that nodes do not let a host back in step.
+        self.masked_until = now + (length as f64 * (0.75 + 0.5 * chance)) as Nanos;
+        self.trial = true;
+    }
+
+    fn read(&mut self, note: Note, now: Nanos, at: &mut Room) {
+        match note {
+            Note::Listed(listing, first) => {
+                let restarted = self.listed && listing.started != self.listing.started;
+                let fresh = !self.listed || restarted;
+                if fresh && listing.standing == Standing::Ready {
+                    (self.newcomer, self.credit, self.turn) = (!first, 0.0, 0);
+                    (self.masked_until, self.trial, self.strikes) = (0, false, 0);
+                    self.slowness = 0.0;
+                }
+                self.listed = listing.standing != Standing::Gone;
+                self.listing = listing;
+                self.listing.size = if listing.size > 0.0 { listing.size } else { 1.0 };
+            }
+            Note::Unlisted => self.listed = false,
+            Note::Sent(conn) => {
+                if self.cold(now, at.charter) {
+                    (self.credit, self.turn) = self.credit_at(now, at.mean_count, at.charter);
+                    self.credit -= 1.0;
+                }
+                if !conn.begun {
+                    self.pending += 1;
+                }
+                if let Some(group) = conn.group {
+                    *self.groups.entry(group).or_insert(0) += 1;
+                }
+                self.conns.push(conn);
+                self.count(self.conns.len() - 1, now, at.ledger);
+            }
+            Note::Begun { slot, took } => {
+                at.post.push_back((To::Ledger, Note::SetUp(took)));
+                self.pending -= 1;
+                if self.trial && now >= self.masked_until {
+                    (self.trial, self.newcomer) = (false, true);
+                    at.out.push(Action::Log(format!("host={:x} back strikes={}", self.id.0, self.strikes)));
+                }
+                if let Some(conn) = self.conns.iter_mut().find(|c| c.slot == slot) {
+                    (conn.begun, conn.since) = (true, now);
+                }
+            }
+            Note::Ended { slot, ending } => {
+                let Some(found) = self.conns.iter().position(|c| c.slot == slot) else { return };
+                let conn = self.drop_conn(found);
+                let length = now - conn.since;
+                if conn.begun && matches!(ending, Ending::Done | Ending::CalledOff) {
+                    at.post.push_back((To::Ledger, Note::Lived { key: conn.key, length }));
+                    self.strikes = self.strikes.min(1);
+                }
+                if ending == Ending::TimedOut {
+                    at.post.push_back((To::Ledger, Note::SetUp(length)));
+                }
+                let why = match ending {
+                    Ending::Refused => "refused",
+                    Ending::Unconnected => "unconnected",
+                    Ending::TimedOut => "silent",
+                    Ending::Error => "error",
+                    Ending::Broken => "broken",
+                    _ => return,
+                };
+                // Guards: a host that fails fast looks empty and draws the clients.
+                self.mask(now, at.chance, why, at.out);
+            }
+            Note::LoadNow { slot, load } => {
+                if let Some(found) = self.conns.iter().position(|c| c.slot == slot) {
+                    self.conns[found].load = Some(load);
+                    let offering = self.conns[found].offering;
+                    at.post.push_back((To::Ledger, Note::Weighed { offering, load }));
+                    self.count(found, now, at.ledger);
+                }
+            }
+            Note::Slow(time) => {
+                let wanted = at.charter.offerings.iter().map(|o| o.message_time).min().unwrap_or(SECOND);
+                self.slowness = time as f64 / wanted.max(1) as f64;
+                self.slow_told = now;
+            }
+            Note::Gauged { load, backlog } => {
+                let wanted = at.charter.offerings.iter().map(|o| o.message_time).min().unwrap_or(SECOND);
+                let late = backlog.unwrap_or(0.0) * SECOND as f64 / wanted.max(1) as f64;
+                let full = load.map_or(0.0, |l| if l > 0.9 { l } else { 0.0 });
+                (self.slowness, self.slow_told) = (late.max(full), now);
+            }
+            Note::Step { mean } => {
+                (self.ahead, self.longest) = (0.0, 0);
+                for n in 0..self.conns.len() {
+                    self.conns[n].ahead = 0.0;
+                    self.count(n, now, at.ledger);
+                }
+                if self.own() >= mean {
+                    self.newcomer = false;
+                }
+                let spread = if mean > 0.0 { (self.own() / mean - 1.0).powi(2) } else { 0.0 };
+                let longest = self.remaining(now) as f64;
+                for conn in &mut self.conns {
+                    if conn.begun && now >= conn.since + STEP {
+                        if let Some(vector) = conn.vector.take() {
+                            at.post.push_back((To::Helm, Note::Judged { vector, spread, longest }));
+                        }
+                    }
+                }
+            }
+            Note::Pulse { refuge } => self.shift(now, refuge, at),
+            _ => {}
+        }
+    }
+
+    /// Moves connections off a host whose messages come late while others have room.
+    fn shift(&mut self, now: Nanos, refuge: f64, at: &mut Room) {
+        let slow = self.slow(now);
+        if slow < 1.0 || refuge < 0.5 || at.charter.pass {
+            return;
+        }
+        let begun = self.conns.iter().filter(|c| c.begun).count();
+        let most = if slow > 4.0 { (begun / 4).max(2) } else { 1 };
+        let mut order: Vec<usize> = (0..self.conns.len()).filter(|&n| self.conns[n].begun).collect();
+        order.sort_by(|&a, &b| self.conns[b].ahead.total_cmp(&self.conns[a].ahead));
+        for &n in order.iter().take(most) {
+            at.post.push_back((To::Desk, Note::Shift { slot: self.conns[n].slot }));
+        }
+    }
+}
+
+/// What a host sees of the rest while it reads a note.
+struct Room<'a> {
+    charter: &'a Charter,
+    ledger: &'a Ledger,
+    post: &'a mut Post,
+    out: &'a mut Vec<Action>,
+    chance: f64,
+    mean_count: f64,
+}
+
+/// Past lengths by client key, usual loads by offering, and how long set-ups take.
+#[derive(Default)]
+struct Ledger {
+    inbox: VecDeque<Note>,
+    lengths: HashMap<u64, (f64, Nanos)>,
+    order: VecDeque<(u64, Nanos)>,
+    mean: Option<f64>,
+    usual: Vec<Option<f64>>,
+    unit: Option<f64>,
+    set_up: f64,
+}
+
+impl Ledger {
+    fn length(&self, key: Option<u64>, now: Nanos) -> Option<f64> {
+        let known = key.and_then(|k| self.lengths.get(&k)).filter(|(_, t)| now < t + TABLE_AGE);
+        known.map(|&(length, _)| length).or(self.mean)
+    }
+
+    fn mean_length(&self) -> Nanos {
+        (self.mean.unwrap_or(HORIZON) as Nanos).max(STEP)
+    }
+
+    fn load(&self, offering: usize, known: Option<f64>) -> f64 {
+        known.or(self.usual[offering]).or(self.unit).unwrap_or(1.0)
+    }
+
+    fn read(&mut self, note: Note, now: Nanos) {
+        match note {
+            Note::Lived { key, length } => {
+                let length = length as f64;
+                self.mean = Some(self.mean.map_or(length, |m| m + (length - m) / 32.0));
+                let Some(key) = key else { return };
+                let entry = self.lengths.entry(key).or_insert((length, now));
+                *entry = (entry.0 + (length - entry.0) / 2.0, now);
+                self.order.push_back((key, now));
+                while self.order.len() > TABLE_SIZE {
+                    let Some((old, seen)) = self.order.pop_front() else { break };
+                    if self.lengths.get(&old).is_some_and(|&(_, t)| t == seen) {
+                        self.lengths.remove(&old);
+                    }
+                }
+            }
+            Note::Weighed { offering, load } => {
+                let blend = |old: Option<f64>| Some(old.map_or(load, |m| m + (load - m) / 32.0));
+                self.usual[offering] = blend(self.usual[offering]);
+                self.unit = blend(self.unit);
+            }
+            Note::SetUp(took) => self.set_up += (took as f64 - self.set_up) / 16.0,
+            _ => {}
+        }
+    }
+}
+
+#[derive(Clone, Copy, Default)]
+struct Vector {
+    balance: f64,
+    gap: f64,
+    spread: f64,
+    longest: f64,
+    judged: u32,
+}
+
+impl Vector {
+    fn dominates(&self, other: &Vector) -> bool {
+        let (a, b) = (self.judged as f64, other.judged as f64);
+        let spread = (self.spread / a, other.spread / b);
+        let longest = (self.longest / a, other.longest / b);
+        spread.0 <= spread.1 && longest.0 <= longest.1 && (spread.0 < spread.1 || longest.0 < longest.1)
+    }
+}
+
+/// The weight vectors, used in turns.
+struct Helm {
+    inbox: VecDeque<Note>,
+    vectors: [Vector; 4],
+    next: usize,
+}
+
+impl Helm {
+    fn read(&mut self, note: Note, rng: &mut ChaCha8Rng, out: &mut Vec<Action>) {
+        let Note::Judged { vector, spread, longest } = note else { return };
+        let v = &mut self.vectors[vector];
+        (v.spread, v.longest, v.judged) = (v.spread + spread, v.longest + longest, v.judged + 1);
+        if self.vectors.iter().any(|v| v.judged < JUDGED_AFTER) {
+            return;
+        }
+        let old = self.vectors;
+        let beaten = (0..4).find(|&b| (0..4).any(|a| old[a].dominates(&old[b])));
+        for v in &mut self.vectors {
+            *v = Vector { balance: v.balance, gap: v.gap, ..Vector::default() };
+        }
+        let Some(beaten) = beaten else { return };
+        // Two parents of the rest, crossed at one point; then each weight may mutate.
+        let mother = (beaten + rng.random_range(1..4)) % 4;
+        let father = (beaten + rng.random_range(1..4)) % 4;
+        let mut weights = [old[mother].balance, old[father].gap];
+        for weight in &mut weights {
+            if rng.random::<f64>() < MUTATION.0 {
+                let (u, v): (f64, f64) = (rng.random(), rng.random());
+                let normal = (-2.0 * (1.0 - u).ln()).sqrt() * (std::f64::consts::TAU * v).cos();
+                *weight += MUTATION.1 * normal;
+            }
+        }
+        let balance = weights[0].max(0.1);
+        let gap = weights[1].clamp(0.0, balance);
+        self.vectors[beaten] = Vector { balance, gap, ..Vector::default() };
+        out.push(Action::Log(format!("vector {beaten} replaced balance={balance:.2} gap={gap:.2}")));
+    }
+}
+
+/// Following the roll where it comes only when asked for.
+#[derive(Default)]
+struct Roll {
+    inbox: VecDeque<Note>,
+    following: bool,
+    called: Option<Nanos>,
+    failures: u32,
+    next: Nanos,
+}
+
+impl Roll {
+    fn read(&mut self, note: Note, now: Nanos, chance: f64, ask_within: Nanos, out: &mut Vec<Action>) {
+        match note {
+            Note::Told(RollKind::Failed) => {
+                (self.following, self.called) = (false, None);
+                self.failures += 1;
+                // Spread and growing, so that the nodes do not storm the one list service.
+                let wait = ((SECOND / 2) << self.failures.min(4)).min(ask_within / 4);
+                self.next = now + (wait as f64 * (0.5 + chance)) as Nanos;
+                out.push(Action::Log(format!("roll lost failures={}", self.failures)));
+            }
+            Note::Told(RollKind::Changes | RollKind::Full) => {
+                if self.called.take().is_some() && self.failures > 0 {
+                    out.push(Action::Log(format!("roll followed again after failures={}", self.failures)));
+                }
+                (self.following, self.failures) = (true, 0);
+            }
+            Note::Pulse { .. } => {
+                let waiting = self.called.is_some_and(|t| now < t + ask_within);
+                if !self.following && !waiting && now >= self.next {
+                    self.called = Some(now);
+                    out.push(Action::FollowRoll);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+struct Attachment {
+    id: AttachmentId,
+    arrival: Arrival,
+    expiry: Nanos,
+    hand_offs: u32,
+    /// The host a hand-off is out to, or the connection stands on.
+    at: Option<usize>,
+    begun: bool,
+    answered: bool,
+    /// The first hand-off that may have run: its host and when it was sent.
+    may_have_run: Option<(usize, Nanos)>,
+    sent: Nanos,
+    tried: Vec<usize>,
+}
+
+#[derive(Default)]
+struct Desk {
+    inbox: VecDeque<Note>,
+    slots: Vec<Option<Attachment>>,
+    free: Vec<usize>,
+    names: HashMap<AttachmentId, usize>,
+    open: Vec<u32>,
+}
+
+/// Mixes two words; the same at every node, so that nodes agree without talking.
+fn draw(a: u64, b: u64) -> f64 {
+    let mut x = a.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ b.wrapping_add(0xD1B5_4A32_D192_ED03);
+    x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    x ^= x >> 31;
+    ((x >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
+
+/// One node's decisions.
+pub struct Balancer {
+    charter: Charter,
+    rng: ChaCha8Rng,
+    hosts: Vec<Host>,
+    known: HashMap<HostId, usize>,
+    desk: Desk,
+    helm: Helm,
+    ledger: Ledger,
+    roll: Roll,
+    post: Post,
+    pulses: u64,
+    listed_once: bool,
+}
+
+impl Balancer {
+    pub fn new(charter: Charter, seed: u64, now: Nanos, out: &mut Vec<Action>) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let start = |gap| Vector { balance: 1.0, gap, ..Vector::default() };
+        let vectors = [start(0.0), start(0.05), start(0.1), start(0.2)];
+        let usual = vec![None; charter.offerings.len()];
+        let set_up = charter.offerings.iter().map(|o| o.contract_time).min().unwrap_or(SECOND) as f64 / 12.0;
+        let open = vec![0; charter.tenant_shares.len()];
+        // The first look-around comes at a moment of the node's own.
+        let first = now + (PULSE as f64 * rng.random::<f64>()) as Nanos;
+        out.push(Action::WakeAt { time: first, mark: 0 });
+        Balancer {
+            charter,
+            rng,
+            hosts: Vec::new(),
+            known: HashMap::new(),
+            desk: Desk { open, ..Desk::default() },
+            helm: Helm { inbox: VecDeque::new(), vectors, next: 0 },
+            ledger: Ledger { usual, set_up, ..Ledger::default() },
+            roll: Roll::default(),
+            post: VecDeque::new(),
+            pulses: 0,
+            listed_once: false,
+        }
+    }
+
+    /// Takes one event in and appends what is to be done.
+    pub fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
+        let post = &mut self.post;
+        let slot = |id: &AttachmentId| self.desk.names.get(id).copied();
+        let host = |id: &HostId| self.known.get(id).copied();
+        let at = |slot: usize| self.desk.slots[slot].as_ref().and_then(|a| a.at);
+        match event {
+            Event::Roll { kind, hosts } => self.list(kind, hosts),
+            Event::Arrived(arrival) => post.push_back((To::Desk, Note::Arrived(arrival))),
+            Event::Standing(arrival, id) => {
+                if let Some(host) = host(&id) {
+                    post.push_back((To::Desk, Note::Standing(arrival, host)));
+                }
+            }
+            Event::Begun { id, took } => {
+                if let Some((slot, host)) = slot(&id).and_then(|s| Some((s, at(s)?))) {
+                    post.push_back((To::Host(host), Note::Begun { slot, took }));
+                    post.push_back((To::Desk, Note::Begun { slot, took }));
+                }
+            }
+            Event::Ended { id, host: name, over, ending, gauges, .. } => {
+                if let Some(host) = host(&name) {
+                    let slot = slot(&id).filter(|&s| at(s) == Some(host));
+                    self.gauge(host, &gauges);
+                    if let Some(slot) = slot {
+                        self.post.push_back((To::Host(host), Note::Ended { slot, ending }));
+                        self.post.push_back((To::Desk, Note::Returned { slot, over, ending }));
+                    }
+                }
+            }
+            Event::LoadNow { id, load } => {
+                if let Some((slot, host)) = slot(&id).and_then(|s| Some((s, at(s)?))) {
+                    post.push_back((To::Host(host), Note::LoadNow { slot, load }));
+                }
+            }
+            Event::MessageTime { host: id, time } => {
+                if let Some(host) = host(&id) {
+                    post.push_back((To::Host(host), Note::Slow(time)));
+                }
+            }
+            Event::Left { id } => {
+                if let Some(slot) = slot(&id) {
+                    post.push_back((To::Desk, Note::Left { slot }));
+                }
+            }
+            Event::Timer { .. } => self.pulse(now, out),
+            Event::Probed { host: id, gauges, .. } => {
+                if let Some(host) = host(&id) {
+                    self.gauge(host, &gauges);
+                }
+            }
+        }
+        self.run(now, out);
+    }
+
+    fn gauge(&mut self, host: usize, values: &[f64]) {
+        let find =
+            |what| self.charter.gauges.iter().position(|&g| g == what).and_then(|n| values.get(n).copied());
+        let (load, backlog) = (find(Gauge::Load), find(Gauge::Backlog));
+        if load.is_some() || backlog.is_some() {
+            self.post.push_back((To::Host(host), Note::Gauged { load, backlog }));
+        }
+    }
+
+    fn list(&mut self, kind: RollKind, listings: Vec<Listing>) {
+        self.post.push_back((To::Roll, Note::Told(kind)));
+        if kind == RollKind::Failed {
+            return;
+        }
+        let mut named = vec![false; self.hosts.len()];
+        for listing in listings {
+            let host = *self.known.entry(listing.id).or_insert_with(|| {
+                self.hosts.push(Host { id: listing.id, ..Host::default() });
+                self.hosts.len() - 1
+            });
+            if let Some(n) = named.get_mut(host) {
+                *n = true;
+            }
+            self.post.push_back((To::Host(host), Note::Listed(listing, !self.listed_once)));
+        }
+        if kind != RollKind::Changes {
+            for host in (0..named.len()).filter(|&h| !named[h]) {
+                self.post.push_back((To::Host(host), Note::Unlisted));
+            }
+        }
+        self.listed_once = true;
+    }
+
+    fn pulse(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        out.push(Action::WakeAt { time: now + PULSE, mark: 0 });
+        self.pulses += 1;
+        let ready = self.hosts.iter().filter(|h| h.ready());
+        let (mut all, mut well) = (0.0, 0.0);
+        for host in ready {
+            all += host.listing.size;
+            if host.slow(now) < 1.0 && now >= host.masked_until {
+                well += host.listing.size;
+            }
+        }
+        let refuge = if all > 0.0 { well / all } else { 0.0 };
+        let mean = self.mean_own(now);
+        if self.charter.roll_on_request {
+            self.post.push_back((To::Roll, Note::Pulse { refuge }));
+        }
+        for host in 0..self.hosts.len() {
+            if self.pulses % (STEP / PULSE) == 0 {
+                self.post.push_back((To::Host(host), Note::Step { mean }));
+            }
+            self.post.push_back((To::Host(host), Note::Pulse { refuge }));
+        }
+    }
+
+    /// The mean own load of the ready hosts that are no newcomers.
+    fn mean_own(&self, now: Nanos) -> f64 {
+        let (mut sum, mut n) = (0.0, 0);
+        for host in self.hosts.iter().filter(|h| h.ready() && !h.newcomer && now >= h.masked_until) {
+            (sum, n) = (sum + host.own(), n + 1);
+        }
+        if n > 0 {
+            sum / n as f64
+        } else {
+            0.0
+        }
+    }
+
+    /// Mean own connections a size on the warm hosts.
+    fn mean_count(&self, now: Nanos) -> f64 {
+        let (mut conns, mut size) = (0, 0.0);
+        for host in self.hosts.iter().filter(|h| h.ready() && !h.cold(now, &self.charter)) {
+            (conns, size) = (conns + host.conns.len(), size + host.listing.size);
+        }
+        if size > 0.0 {
+            conns as f64 / size
+        } else {
+            0.0
+        }
+    }
+
+    /// Carries notes to their inboxes and has them read until none is left.
+    fn run(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        while let Some((to, note)) = self.post.pop_front() {
+            match to {
+                To::Host(host) => {
+                    self.hosts[host].inbox.push_back(note);
+                    let mean_count = self.mean_count(now);
+                    while let Some(note) = self.hosts[host].inbox.pop_front() {
+                        let chance = self.rng.random();
+                        let (charter, ledger, post) = (&self.charter, &self.ledger, &mut self.post);
+                        let mut room = Room { charter, ledger, post, out, chance, mean_count };
+                        self.hosts[host].read(note, now, &mut room);
+                    }
+                }
+                To::Desk => {
+                    self.desk.inbox.push_back(note);
+                    while let Some(note) = self.desk.inbox.pop_front() {
+                        self.attend(now, note, out);
+                    }
+                }
+                To::Helm => {
+                    self.helm.inbox.push_back(note);
+                    while let Some(note) = self.helm.inbox.pop_front() {
+                        self.helm.read(note, &mut self.rng, out);
+                    }
+                }
+                To::Ledger => {
+                    self.ledger.inbox.push_back(note);
+                    while let Some(note) = self.ledger.inbox.pop_front() {
+                        self.ledger.read(note, now);
+                    }
+                }
+                To::Roll => {
+                    self.roll.inbox.push_back(note);
+                    while let Some(note) = self.roll.inbox.pop_front() {
+                        self.roll.read(note, now, self.rng.random(), self.charter.ask_within, out);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The desk reads a note: it owns the attachments and gives the final answers.
+    fn attend(&mut self, now: Nanos, note: Note, out: &mut Vec<Action>) {
+        match note {
+            Note::Arrived(arrival) => {
+                let slot = self.admit(now, arrival);
+                self.place(now, slot, out);
+            }
+            Note::Standing(arrival, host) => {
+                let slot = self.admit(now, arrival);
+                let Some(attachment) = self.desk.slots[slot].as_mut() else { return };
+                (attachment.begun, attachment.answered, attachment.at) = (true, true, Some(host));
+                let conn = self.conn(now, slot, &arrival, true, None);
+                self.post.push_back((To::Host(host), Note::Sent(conn)));
+            }
+            Note::Begun { slot, .. } => {
+                if let Some(attachment) = self.desk.slots[slot].as_mut() {
+                    (attachment.begun, attachment.answered) = (true, true);
+                }
+            }
+            Note::Returned { slot, over, ending } => {
+                let Some(attachment) = self.desk.slots[slot].as_mut() else { return };
+                let host = attachment.at.take();
+                attachment.answered |= over;
+                if attachment.answered {
+                    return self.forget(slot);
+                }
+                if let Some(host) = host {
+                    attachment.tried.push(host);
+                    if !ending.never_ran() && attachment.may_have_run.is_none() {
+                        attachment.may_have_run = Some((host, attachment.sent));
+                    }
+                }
+                self.place(now, slot, out);
+            }
+            Note::Left { slot } => {
+                let Some(attachment) = self.desk.slots[slot].as_mut() else { return };
+                attachment.answered = true;
+                if attachment.at.is_none() {
+                    self.forget(slot);
+                } else if self.charter.may_call_off && !attachment.begun {
+                    out.push(Action::CallOff { id: attachment.id, hand_off: attachment.hand_offs - 1 });
+                }
+            }
+            Note::Shift { slot } => {
+                if let Some(attachment) = self.desk.slots[slot].as_ref().filter(|a| a.begun) {
+                    out.push(Action::Move { id: attachment.id });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn admit(&mut self, now: Nanos, arrival: Arrival) -> usize {
+        let mut arrival = arrival;
+        arrival.offering = arrival.offering.min(self.charter.offerings.len().saturating_sub(1));
+        let attachment = Attachment {
+            id: arrival.id,
+            arrival,
+            expiry: now.saturating_add(arrival.time_left),
+            hand_offs: 0,
+            at: None,
+            begun: false,
+            answered: false,
+            may_have_run: None,
+            sent: now,
+            tried: Vec::new(),
+        };
+        if let Some(open) = self.desk.open.get_mut(arrival.tenant) {
+            *open += 1;
+        }
+        let slot = self.desk.free.pop().unwrap_or_else(|| {
+            self.desk.slots.push(None);
+            self.desk.slots.len() - 1
+        });
+        self.desk.slots[slot] = Some(attachment);
+        self.desk.names.insert(arrival.id, slot);
+        slot
+    }
+
+    fn forget(&mut self, slot: usize) {
+        if let Some(attachment) = self.desk.slots[slot].take() {
+            self.desk.names.remove(&attachment.id);
+            self.desk.free.push(slot);
+            if let Some(open) = self.desk.open.get_mut(attachment.arrival.tenant) {
+                *open -= 1;
+            }
+        }
+    }
+
+    fn conn(&self, now: Nanos, slot: usize, arrival: &Arrival, begun: bool, vector: Option<usize>) -> Conn {
+        let length = self.ledger.length(arrival.key, now).unwrap_or(HORIZON);
+        Conn {
+            slot,
+            offering: arrival.offering,
+            key: arrival.key,
+            group: arrival.group,
+            load: arrival.usual_load,
+            since: now,
+            begun,
+            end: now + length as Nanos,
+            ahead: 0.0,
+            vector,
+        }
+    }
+
+    /// Hands the attachment to the best host, or gives its final answer at once.
+    fn place(&mut self, now: Nanos, slot: usize, out: &mut Vec<Action>) {
+        let (tie, luck): (u64, f64) = (self.rng.random(), self.rng.random());
+        let Some(attachment) = self.desk.slots[slot].as_ref() else { return };
+        let offering = &self.charter.offerings[attachment.arrival.offering];
+        let ran = attachment.may_have_run;
+        let last = attachment.expiry.saturating_sub(2 * self.charter.round);
+        let late = now >= last || attachment.hand_offs >= self.charter.most_hand_offs;
+        let again = match (offering.effect, ran) {
+            (Effect::Irreversible, Some(_)) => false,
+            (Effect::Labelled, Some((_, sent))) => now < sent + offering.window,
+            _ => true,
+        };
+        let vector = self.helm.next;
+        let chosen = if late || !again { None } else { self.choose(now, attachment, vector, tie) };
+        let Some(host) = chosen else {
+            let harmless = match offering.effect {
+                Effect::Redoable => true,
+                Effect::Labelled => ran.is_none() || offering.circle == Circle::All,
+                Effect::Irreversible => ran.is_none(),
+            };
+            let id = attachment.id;
+            let wait = self.charter.longest_advice as f64 * (0.25 + 0.75 * luck);
+            out.push(if harmless {
+                Action::Dismiss { id, wait: wait as Nanos }
+            } else {
+                Action::GiveUp { id }
+            });
+            return self.forget(slot);
+        };
+        // An irreversible hand-off that timed out could not be followed by anything: it gets all the time.
+        let patience = (offering.contract_time as f64 / 3.0).max(5.0 * self.ledger.set_up) as Nanos;
+        let only = attachment.hand_offs + 1 >= self.charter.most_hand_offs
+            || offering.effect == Effect::Irreversible;
+        let until = if only { last } else { last.min(now + patience) };
+        self.helm.next = (vector + 1) % self.helm.vectors.len();
+        out.push(Action::HandOff { id: attachment.id, host: self.hosts[host].id, until });
+        let conn = self.conn(now, slot, &attachment.arrival, false, Some(vector));
+        self.post.push_back((To::Host(host), Note::Sent(conn)));
+        if let Some(attachment) = self.desk.slots[slot].as_mut() {
+            (attachment.hand_offs, attachment.at, attachment.sent) =
+                (attachment.hand_offs + 1, Some(host), now);
+        }
+    }
+
+    /// The design's two-part score over the ready hosts; lowest wins, ties at random.
+    fn choose(&self, now: Nanos, attachment: &Attachment, vector: usize, tie: u64) -> Option<usize> {
+        let (charter, arrival) = (&self.charter, &attachment.arrival);
+        let weights = &self.helm.vectors[vector];
+        let (mean, mean_count) = (self.mean_own(now), self.mean_count(now));
+        let length = self.ledger.length(arrival.key, now);
+        let load = self.ledger.load(arrival.offering, arrival.usual_load);
+        let steps = length.map_or(1.0, |l| (l / STEP as f64).ceil().clamp(1.0, STEPS as f64) / STEPS as f64);
+        let scale = if mean > 0.0 { mean } else { load.max(f64::MIN_POSITIVE) };
+        let home = if charter.pass { arrival.key } else { arrival.group.filter(|_| charter.groups) };
+        // Midway packets go where every node would look for them.
+        let price = if arrival.midway { 1e6 } else { GROUP_PRICE * self.ledger.unit.unwrap_or(1.0) };
+        let (ready, masked) = self
+            .hosts
+            .iter()
+            .filter(|h| h.ready())
+            .fold((0, 0), |(ready, masked), h| (ready + 1, masked + usize::from(now < h.masked_until)));
+        // Guards: a trouble that hits most hosts must not leave the rest to carry all.
+        let lapse = 2 * masked > ready;
+        let circle = charter.offerings[arrival.offering].circle;
+        let labelled = charter.offerings[arrival.offering].effect == Effect::Labelled;
+        let held = attachment.may_have_run.filter(|_| labelled).map(|(h, _)| &self.hosts[h].listing);
+        for lenient in [false, true] {
+            let mut best: Option<(f64, f64, usize)> = None;
+            for (n, host) in self.hosts.iter().enumerate() {
+                let place = &host.listing;
+                if !host.ready() || !host.cold_room(now, mean_count, charter) {
+                    continue;
+                }
+                if held.is_some_and(|first| match circle {
+                    Circle::All => false,
+                    Circle::Zone => first.zone != place.zone,
+                    Circle::Cell => first.cell != place.cell,
+                }) {
+                    continue;
+                }
+                let masked = now < host.masked_until || (host.trial && host.pending > 0);
+                if !lenient && ((masked && !lapse) || attachment.tried.contains(&n)) {
+                    continue;
+                }
+                let own = if host.newcomer { host.own().max(mean) } else { host.own() };
+                let mut more = load * steps;
+                if let Some(home) = home.filter(|g| !host.groups.contains_key(g)) {
+                    let far = -draw(home, host.id.0).ln() / place.size;
+                    more += price * far.min(1.0);
+                }
+                let balance = (own + more / place.size) * (1.0 + host.slow(now)) / scale;
+                let gap = length.map_or(0.0, |l| ((host.remaining(now) as f64 - l).abs() / HORIZON).min(1.0));
+                let mut score = weights.balance * balance + weights.gap * gap;
+                if place.zone != charter.zone {
+                    score += CROSSING * charter.cross_zone_charge;
+                }
+                let luck = draw(tie, n as u64);
+                if best.is_none_or(|(s, l, _)| score < s || (score == s && luck < l)) {
+                    best = Some((score, luck, n));
+                }
+            }
+            if let Some((_, _, n)) = best {
+                return Some(n);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/types.rs
@@ -0,0 +1,269 @@
+//! The interface of the decision module: what it is told and what it orders.
+
+/// Whole nanoseconds, on the caller's clock.
+pub type Nanos = u64;
+pub const MILLI: Nanos = 1_000_000;
+pub const SECOND: Nanos = 1_000_000_000;
+
+/// A host's name; the module only compares and hashes it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct HostId(pub u64);
+
+/// An attachment's name, returned untouched.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct AttachmentId(pub u64);
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Effect {
+    #[default]
+    Redoable,
+    Labelled,
+    Irreversible,
+}
+
+/// Which hosts drop each other's repeats of a labelled attachment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Circle {
+    #[default]
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct Offering {
+    pub effect: Effect,
+    pub circle: Circle,
+    /// How long the circle remembers a labelled attachment.
+    pub window: Nanos,
+    pub payoff: f64,
+    pub contract_time: Nanos,
+    /// Within what time a message on the open connection is wanted.
+    pub message_time: Nanos,
+}
+
+impl Default for Offering {
+    fn default() -> Self {
+        Offering {
+            effect: Effect::Redoable,
+            circle: Circle::All,
+            window: 0,
+            payoff: 1.0,
+            contract_time: SECOND / 2,
+            message_time: SECOND / 4,
+        }
+    }
+}
+
+/// What a load report's value says of its host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gauge {
+    /// Load asked for over what the host can do.
+    Load,
+    /// Seconds of work piled up.
+    Backlog,
+    /// Anything the module has no use for.
+    Other,
+}
+
+/// The terms a node works under, handed to it once at its start.
+#[derive(Clone, Debug)]
+pub struct Charter {
+    pub node: u32,
+    pub nodes: u32,
+    pub zone: u16,
+    /// The least time between two calls of the module.
+    pub round: Nanos,
+    pub offerings: Vec<Offering>,
+    /// For each tenant the open connections within its share, over all nodes.
+    pub tenant_shares: Vec<f64>,
+    pub overage_payoff: f64,
+    pub most_hand_offs: u32,
+    pub may_probe: bool,
+    pub may_call_off: bool,
+    /// The longest wait a client heeds; 0 where advice is not passed on.
+    pub longest_advice: Nanos,
+    /// The roll comes only when asked for.
+    pub roll_on_request: bool,
+    pub ask_within: Nanos,
+    pub cold: Nanos,
+    pub cold_from: f64,
+    pub tip_multiple: f64,
+    pub tip_after: Nanos,
+    /// Packets flow through: a connection may reach another node midway.
+    pub pass: bool,
+    pub groups: bool,
+    pub cross_zone_charge: f64,
+    pub move_charge: f64,
+    pub gauges: Vec<Gauge>,
+}
+
+impl Default for Charter {
+    fn default() -> Self {
+        Charter {
+            node: 0,
+            nodes: 1,
+            zone: 0,
+            round: MILLI,
+            offerings: Vec::new(),
+            tenant_shares: Vec::new(),
+            overage_payoff: 1.0,
+            most_hand_offs: 3,
+            may_probe: false,
+            may_call_off: false,
+            longest_advice: 0,
+            roll_on_request: false,
+            ask_within: 10 * SECOND,
+            cold: 10 * SECOND,
+            cold_from: 0.2,
+            tip_multiple: 3.0,
+            tip_after: SECOND,
+            pass: false,
+            groups: false,
+            cross_zone_charge: 0.0,
+            move_charge: 0.0,
+            gauges: Vec::new(),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    #[default]
+    Gone,
+}
+
+/// One line of the roll of hosts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Listing {
+    pub id: HostId,
+    pub zone: u16,
+    pub cell: u16,
+    pub standing: Standing,
+    pub size: f64,
+    pub started: Option<Nanos>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RollKind {
+    Changes,
+    Full,
+    /// The whole roll as last seen before the start; may be stale.
+    Cached,
+    /// A call failed or the subscription was lost.
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Arrival {
+    pub id: AttachmentId,
+    pub offering: usize,
+    pub tenant: usize,
+    pub key: Option<u64>,
+    pub group: Option<u64>,
+    pub time_left: Nanos,
+    /// Its usual load, as a share of a core.
+    pub usual_load: Option<f64>,
+    /// Already open, and now arriving midway at this node.
+    pub midway: bool,
+}
+
+/// How a hand-off ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Done,
+    Error,
+    Refused,
+    TimedOut,
+    Unconnected,
+    Broken,
+    CalledOff,
+    NeverSent,
+}
+
+impl Ending {
+    /// Whether this ending proves that the hand-off never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::Refused | Ending::Unconnected | Ending::NeverSent)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    Roll {
+        kind: RollKind,
+        hosts: Vec<Listing>,
+    },
+    Arrived(Arrival),
+    /// A connection that was open before this node started.
+    Standing(Arrival, HostId),
+    Begun {
+        id: AttachmentId,
+        took: Nanos,
+    },
+    Ended {
+        id: AttachmentId,
+        hand_off: u32,
+        host: HostId,
+        over: bool,
+        ending: Ending,
+        gauges: Vec<f64>,
+    },
+    LoadNow {
+        id: AttachmentId,
+        load: f64,
+    },
+    MessageTime {
+        host: HostId,
+        time: Nanos,
+    },
+    Left {
+        id: AttachmentId,
+    },
+    Timer {
+        mark: u64,
+    },
+    Probed {
+        host: HostId,
+        ending: Ending,
+        gauges: Vec<f64>,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    HandOff {
+        id: AttachmentId,
+        host: HostId,
+        until: Nanos,
+    },
+    /// Final: a retry is harmless; come back after the wait (0: no advice).
+    Dismiss {
+        id: AttachmentId,
+        wait: Nanos,
+    },
+    /// Final: nothing is promised.
+    GiveUp {
+        id: AttachmentId,
+    },
+    /// Ends an open connection politely; its client comes again.
+    Move {
+        id: AttachmentId,
+    },
+    CallOff {
+        id: AttachmentId,
+        hand_off: u32,
+    },
+    WakeAt {
+        time: Nanos,
+        mark: u64,
+    },
+    AskRoll,
+    FollowRoll,
+    Probe {
+        host: HostId,
+    },
+    Log(String),
+}
