--- a/adapter/src/terms.rs
+++ b/adapter/src/terms.rs
@@ -71,9 +71,9 @@
 #[serde(default)]
 struct Extra {
     groups: bool,
-    message_aim: Vec<f64>,
+    message_aim: Vec<Option<f64>>,
     mode: String,
-    tenant_quota_connections: Vec<f64>,
+    tenant_quota_connections: Vec<Option<f64>>,
 }
 
 fn one() -> f64 {
@@ -118,7 +118,9 @@
             window: nanos(kind.repeat_window),
             payoff: kind.payoff,
             contract_time: nanos(kind.contract_time),
-            message_time: nanos(terms.extra.message_aim.get(n).copied().unwrap_or(kind.contract_time)),
+            message_time: nanos(
+                terms.extra.message_aim.get(n).copied().flatten().unwrap_or(kind.contract_time),
+            ),
         });
     }
     let field = |name: &String| match name.as_str() {
@@ -126,14 +128,14 @@
         "x1" => Gauge::Backlog,
         _ => Gauge::Other,
     };
-    let limits = &terms.policy_limits;
+    let (limits, quotas) = (&terms.policy_limits, &terms.extra.tenant_quota_connections);
     Ok(Charter {
         node: terms.index,
         nodes: terms.balancers.max(1),
         zone: terms.zone,
         round: nanos(terms.round),
         offerings,
-        tenant_shares: terms.extra.tenant_quota_connections,
+        tenant_shares: quotas.iter().map(|q| q.unwrap_or(f64::INFINITY)).collect(),
         overage_payoff: terms.overage_payoff,
         most_hand_offs: limits.most_hand_offs,
         may_probe: limits.may_probe,
