Learn a ceiling a host from late messages; cut and dismiss above it

Change: late messages cut the own load of that host (least paid first) and set a ceiling that rises slowly; an attachment that fits under no ceiling is dismissed at once with a wait.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,6 +24,8 @@
 const TABLE_AGE: Nanos = 3600 * SECOND;
 /// Placements that a weight vector must show before it is judged.
 const JUDGED_AFTER: u32 = 12;
+/// How fast a ceiling rises, a second.
+const RISE: f64 = 0.04;
 const MUTATION: (f64, f64) = (0.25, 0.05);
 /// What a host's first connection of a group costs, in usual loads, and a crossing, in mean own loads.
 const GROUP_PRICE: f64 = 2.0;
@@ -47,7 +49,7 @@
     Slow(Nanos),
     Gauged { load: Option<f64>, backlog: Option<f64> },
     Step { mean: f64 },
-    Pulse { refuge: f64 },
+    Pulse { mean: f64 },
     Arrived(Arrival),
     Standing(Arrival, usize),
     Returned { slot: usize, over: bool, ending: Ending },
@@ -74,6 +76,8 @@
     end: Nanos,
     /// Its part of the host's own load over the look-ahead steps.
     ahead: f64,
+    /// Its load as counted in its host's.
+    counted: f64,
     vector: Option<usize>,
 }
 
@@ -98,6 +102,11 @@
     /// Message time over what is wanted, and when that was told.
     slowness: f64,
     slow_told: Nanos,
+    /// Own load now, and how much of it the host has shown to bear from this node.
+    load: f64,
+    ceiling: Option<f64>,
+    cut: Nanos,
+    slowness_at_cut: f64,
     /// What a cold host may still be sent, and the turn up to which that was counted.
     credit: f64,
     turn: u64,
@@ -160,14 +169,18 @@
         }
         let steps = ((conn.end - now).div_ceil(STEP)).min(STEPS);
         let ahead = ledger.load(conn.offering, conn.load) * steps as f64 / STEPS as f64;
-        self.ahead += ahead - conn.ahead;
-        conn.ahead = ahead;
+        let load = ledger.load(conn.offering, conn.load);
+        (self.ahead, self.load) = (self.ahead + ahead - conn.ahead, self.load + load - conn.counted);
+        (conn.ahead, conn.counted) = (ahead, load);
         self.longest = self.longest.max(conn.end);
     }
 
     fn drop_conn(&mut self, at: usize) -> Conn {
         let conn = self.conns.swap_remove(at);
-        self.ahead = if self.conns.is_empty() { 0.0 } else { self.ahead - conn.ahead };
+        (self.ahead, self.load) = (self.ahead - conn.ahead, self.load - conn.counted);
+        if self.conns.is_empty() {
+            (self.ahead, self.load) = (0.0, 0.0);
+        }
         if let Some(group) = conn.group {
             if let Some(held) = self.groups.get_mut(&group) {
                 *held -= 1;
@@ -271,20 +284,20 @@
                 }
             }
             Note::Slow(time) => {
-                let wanted = at.charter.offerings.iter().map(|o| o.message_time).min().unwrap_or(SECOND);
+                let wanted = at.charter.shortest_message_time();
                 self.slowness = time as f64 / wanted.max(1) as f64;
                 self.slow_told = now;
             }
             Note::Gauged { load, backlog } => {
-                let wanted = at.charter.offerings.iter().map(|o| o.message_time).min().unwrap_or(SECOND);
+                let wanted = at.charter.shortest_message_time();
                 let late = backlog.unwrap_or(0.0) * SECOND as f64 / wanted.max(1) as f64;
                 let full = load.map_or(0.0, |l| if l > 0.9 { l } else { 0.0 });
                 (self.slowness, self.slow_told) = (late.max(full), now);
             }
             Note::Step { mean } => {
-                (self.ahead, self.longest) = (0.0, 0);
+                (self.ahead, self.load, self.longest) = (0.0, 0.0, 0);
                 for n in 0..self.conns.len() {
-                    self.conns[n].ahead = 0.0;
+                    (self.conns[n].ahead, self.conns[n].counted) = (0.0, 0.0);
                     self.count(n, now, at.ledger);
                 }
                 if self.own() >= mean {
@@ -300,22 +313,51 @@
                     }
                 }
             }
-            Note::Pulse { refuge } => self.shift(now, refuge, at),
+            Note::Pulse { mean } => self.shift(now, mean, at),
             _ => {}
         }
     }
 
-    /// Moves connections off a host whose messages come late while others have room.
-    fn shift(&mut self, now: Nanos, refuge: f64, at: &mut Room) {
+    /// Whether `load` more fits under what the host has shown to bear.
+    fn bears(&self, now: Nanos, load: f64) -> bool {
+        self.slow(now) < 1.0 && self.ceiling.is_none_or(|c| self.load + load <= c)
+    }
+
+    /// Cuts the own load of a host whose messages come late, the least paid first, and lets the
+    /// ceiling rise again while they do not. Guards: a host with work piled up serves nobody.
+    fn shift(&mut self, now: Nanos, mean: f64, at: &mut Room) {
         let slow = self.slow(now);
-        if slow < 1.0 || refuge < 0.5 || at.charter.pass {
+        if slow < 1.0 {
+            let rise = RISE * PULSE as f64 / SECOND as f64;
+            let least = mean * self.listing.size / 2.0;
+            self.ceiling =
+                self.ceiling.map(|c| c + rise * c.max(least)).filter(|&c| c < 4.0 * self.load + least);
+            return;
+        }
+        let easing = self.slowness < 0.7 * self.slowness_at_cut;
+        if now < self.cut + (if easing { 6 } else { 3 }) * PULSE {
             return;
         }
-        let begun = self.conns.iter().filter(|c| c.begun).count();
-        let most = if slow > 4.0 { (begun / 4).max(2) } else { 1 };
-        let mut order: Vec<usize> = (0..self.conns.len()).filter(|&n| self.conns[n].begun).collect();
-        order.sort_by(|&a, &b| self.conns[b].ahead.total_cmp(&self.conns[a].ahead));
-        for &n in order.iter().take(most) {
+        let wanted = at.charter.shortest_message_time() as f64 / SECOND as f64;
+        let part = (slow * wanted / 2.0).clamp(0.1, 0.5);
+        let ceiling = self.ceiling.unwrap_or(self.load).min(self.load) * (1.0 - part);
+        let (own, conns) = (self.load, self.conns.len());
+        at.out.push(Action::Log(format!(
+            "cut host={:x} slow={slow:.1} load={own:.2} to={ceiling:.2} conns={conns}",
+            self.id.0
+        )));
+        (self.ceiling, self.cut, self.slowness_at_cut) = (Some(ceiling), now, slow);
+        let mut order: Vec<(f64, usize)> = (0..self.conns.len())
+            .filter(|&n| self.conns[n].begun)
+            .map(|n| (self.conns[n].counted / at.worth(&self.conns[n]) * draw(now, n as u64), n))
+            .collect();
+        order.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let mut load = self.load;
+        for (_, n) in order {
+            if load <= ceiling {
+                break;
+            }
+            load -= self.conns[n].counted;
             at.post.push_back((To::Desk, Note::Shift { slot: self.conns[n].slot }));
         }
     }
@@ -331,6 +373,12 @@
     mean_count: f64,
 }
 
+impl Room<'_> {
+    fn worth(&self, conn: &Conn) -> f64 {
+        self.charter.offerings[conn.offering].payoff.max(1e-6)
+    }
+}
+
 /// Past lengths by client key, usual loads by offering, and how long set-ups take.
 #[derive(Default)]
 struct Ledger {
@@ -645,24 +693,15 @@
     fn pulse(&mut self, now: Nanos, out: &mut Vec<Action>) {
         out.push(Action::WakeAt { time: now + PULSE, mark: 0 });
         self.pulses += 1;
-        let ready = self.hosts.iter().filter(|h| h.ready());
-        let (mut all, mut well) = (0.0, 0.0);
-        for host in ready {
-            all += host.listing.size;
-            if host.slow(now) < 1.0 && now >= host.masked_until {
-                well += host.listing.size;
-            }
-        }
-        let refuge = if all > 0.0 { well / all } else { 0.0 };
         let mean = self.mean_own(now);
         if self.charter.roll_on_request {
-            self.post.push_back((To::Roll, Note::Pulse { refuge }));
+            self.post.push_back((To::Roll, Note::Pulse { mean }));
         }
         for host in 0..self.hosts.len() {
             if self.pulses % (STEP / PULSE) == 0 {
                 self.post.push_back((To::Host(host), Note::Step { mean }));
             }
-            self.post.push_back((To::Host(host), Note::Pulse { refuge }));
+            self.post.push_back((To::Host(host), Note::Pulse { mean }));
         }
     }
 
@@ -835,6 +874,7 @@
             begun,
             end: now + length as Nanos,
             ahead: 0.0,
+            counted: 0.0,
             vector,
         }
     }
@@ -921,7 +961,8 @@
                     continue;
                 }
                 let masked = now < host.masked_until || (host.trial && host.pending > 0);
-                if !lenient && ((masked && !lapse) || attachment.tried.contains(&n)) {
+                if !host.bears(now, load) || !lenient && ((masked && !lapse) || attachment.tried.contains(&n))
+                {
                     continue;
                 }
                 let own = if host.newcomer { host.own().max(mean) } else { host.own() };
--- a/src/types.rs
+++ b/src/types.rs
@@ -98,6 +98,13 @@
     pub gauges: Vec<Gauge>,
 }
 
+impl Charter {
+    /// The shortest time within which any offering wants a message.
+    pub fn shortest_message_time(&self) -> Nanos {
+        self.offerings.iter().map(|o| o.message_time).min().unwrap_or(SECOND)
+    }
+}
+
 impl Default for Charter {
     fn default() -> Self {
         Charter {
