Gate set-ups by a window, with a short line and a trickle to doubted hosts

Cause: when a node died its clients stormed the shared store; every host failed set-ups, each attachment was resent up to its limit and hosts were masked for what was no fault of theirs. Change: share of failed hand-offs whatever the host; above 0.3 the window on set-ups out shrinks, time-outs and errors no longer mask, the rest waits in line for at most the contract time or is dismissed at once.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,6 +26,8 @@
 const JUDGED_AFTER: u32 = 12;
 /// How fast a ceiling rises, a second.
 const RISE: f64 = 0.04;
+/// Most set-ups out at once.
+const WINDOW: f64 = 64.0;
 const MUTATION: (f64, f64) = (0.25, 0.05);
 /// What a host's first connection of a group costs, in usual loads, and a crossing, in mean own loads.
 const GROUP_PRICE: f64 = 2.0;
@@ -54,6 +56,7 @@
     Standing(Arrival, usize),
     Returned { slot: usize, over: bool, ending: Ending },
     Left { slot: usize },
+    Call,
     Shift { slot: usize },
     Judged { vector: usize, spread: f64, longest: f64 },
     Lived { key: Option<u64>, length: Nanos },
@@ -91,8 +94,9 @@
     groups: HashMap<u64, u32>,
     ahead: f64,
     longest: Nanos,
-    /// Hand-offs out that have not begun.
+    /// Hand-offs out that have not begun, and when the last went.
     pending: u32,
+    sent: Nanos,
     /// Counts at the others' mean until its own load reaches that.
     newcomer: bool,
     masked_until: Nanos,
@@ -234,7 +238,7 @@
                     self.credit -= 1.0;
                 }
                 if !conn.begun {
-                    self.pending += 1;
+                    (self.pending, self.sent) = (self.pending + 1, now);
                 }
                 if let Some(group) = conn.group {
                     *self.groups.entry(group).or_insert(0) += 1;
@@ -272,8 +276,11 @@
                     Ending::Broken => "broken",
                     _ => return,
                 };
-                // Guards: a host that fails fast looks empty and draws the clients.
-                self.mask(now, at.chance, why, at.out);
+                // Guards: a host that fails fast looks empty and draws the clients. Where most hand-offs
+                // fail, the cause is not the host's, and a mask would leave the rest to carry all.
+                if !at.common || matches!(ending, Ending::Refused | Ending::Unconnected | Ending::Broken) {
+                    self.mask(now, at.chance, why, at.out);
+                }
             }
             Note::LoadNow { slot, load } => {
                 if let Some(found) = self.conns.iter().position(|c| c.slot == slot) {
@@ -371,6 +378,7 @@
     out: &'a mut Vec<Action>,
     chance: f64,
     mean_count: f64,
+    common: bool,
 }
 
 impl Room<'_> {
@@ -550,6 +558,38 @@
     free: Vec<usize>,
     names: HashMap<AttachmentId, usize>,
     open: Vec<u32>,
+    /// Set-ups out, how many may be, and those that wait for one to end.
+    setting_up: u32,
+    window: f64,
+    line: VecDeque<usize>,
+    /// Share of late hand-offs that failed, whatever the host.
+    trouble: f64,
+}
+
+impl Desk {
+    /// A set-up came back. Guards: a store that all set-ups share, stormed by what it fails.
+    fn set_up(&mut self, failed: bool, out: &mut Vec<Action>) {
+        let before = self.common();
+        self.trouble += (f64::from(u8::from(failed)) - self.trouble) / 8.0;
+        if failed && self.common() {
+            self.window = (self.window.min(f64::from(self.setting_up)) * 0.7).max(1.0);
+        } else if !failed {
+            self.window = (self.window + if self.common() { 1.0 / self.window } else { 0.5 }).min(WINDOW);
+        }
+        self.setting_up = self.setting_up.saturating_sub(1);
+        if before != self.common() {
+            let (trouble, window, line) = (self.trouble, self.window, self.line.len());
+            out.push(Action::Log(format!(
+                "common trouble={} failing={trouble:.2} window={window:.0} line={line}",
+                !before
+            )));
+        }
+    }
+
+    /// Whether the hand-offs fail so often that no single host can be to blame.
+    fn common(&self) -> bool {
+        self.trouble > 0.3
+    }
 }
 
 /// Mixes two words; the same at every node, so that nodes agree without talking.
@@ -592,7 +632,7 @@
             rng,
             hosts: Vec::new(),
             known: HashMap::new(),
-            desk: Desk { open, ..Desk::default() },
+            desk: Desk { open, window: WINDOW, ..Desk::default() },
             helm: Helm { inbox: VecDeque::new(), vectors, next: 0 },
             ledger: Ledger { usual, set_up, ..Ledger::default() },
             roll: Roll::default(),
@@ -694,6 +734,7 @@
         out.push(Action::WakeAt { time: now + PULSE, mark: 0 });
         self.pulses += 1;
         let mean = self.mean_own(now);
+        self.post.push_back((To::Desk, Note::Call));
         if self.charter.roll_on_request {
             self.post.push_back((To::Roll, Note::Pulse { mean }));
         }
@@ -741,7 +782,8 @@
                     while let Some(note) = self.hosts[host].inbox.pop_front() {
                         let chance = self.rng.random();
                         let (charter, ledger, post) = (&self.charter, &self.ledger, &mut self.post);
-                        let mut room = Room { charter, ledger, post, out, chance, mean_count };
+                        let common = self.desk.common();
+                        let mut room = Room { charter, ledger, post, out, chance, mean_count, common };
                         self.hosts[host].read(note, now, &mut room);
                     }
                 }
@@ -791,14 +833,22 @@
                 if let Some(attachment) = self.desk.slots[slot].as_mut() {
                     (attachment.begun, attachment.answered) = (true, true);
                 }
+                self.desk.set_up(false, out);
+                self.call_line(now, out);
             }
             Note::Returned { slot, over, ending } => {
                 let Some(attachment) = self.desk.slots[slot].as_mut() else { return };
-                let host = attachment.at.take();
+                let (host, begun) = (attachment.at.take(), attachment.begun);
                 attachment.answered |= over;
-                if attachment.answered {
-                    return self.forget(slot);
+                let answered = attachment.answered;
+                if !begun {
+                    self.desk.set_up(!matches!(ending, Ending::Done | Ending::CalledOff), out);
+                }
+                if answered {
+                    self.forget(slot);
+                    return self.call_line(now, out);
                 }
+                let Some(attachment) = self.desk.slots[slot].as_mut() else { return };
                 if let Some(host) = host {
                     attachment.tried.push(host);
                     if !ending.never_ran() && attachment.may_have_run.is_none() {
@@ -806,16 +856,19 @@
                     }
                 }
                 self.place(now, slot, out);
+                self.call_line(now, out);
             }
             Note::Left { slot } => {
                 let Some(attachment) = self.desk.slots[slot].as_mut() else { return };
                 attachment.answered = true;
                 if attachment.at.is_none() {
+                    self.desk.line.retain(|&s| s != slot);
                     self.forget(slot);
                 } else if self.charter.may_call_off && !attachment.begun {
                     out.push(Action::CallOff { id: attachment.id, hand_off: attachment.hand_offs - 1 });
                 }
             }
+            Note::Call => self.call_line(now, out),
             Note::Shift { slot } => {
                 if let Some(attachment) = self.desk.slots[slot].as_ref().filter(|a| a.begun) {
                     out.push(Action::Move { id: attachment.id });
@@ -825,6 +878,30 @@
         }
     }
 
+    /// Lets those who wait go while the window has room.
+    fn call_line(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        // Guards: one who waits behind set-ups that hang until its expiry is past.
+        let mut waiting = std::mem::take(&mut self.desk.line);
+        waiting.retain(|&slot| {
+            let overdue = self.desk.slots[slot].as_ref().is_some_and(|a| {
+                let contract_time = self.charter.offerings[a.arrival.offering].contract_time;
+                now >= a.sent + contract_time || now + PULSE + 2 * self.charter.round >= a.expiry
+            });
+            if overdue {
+                self.answer(slot, out);
+            }
+            !overdue
+        });
+        self.desk.line = waiting;
+        while f64::from(self.desk.setting_up) < self.desk.window {
+            let Some(slot) = self.desk.line.pop_front() else { return };
+            self.place(now, slot, out);
+            if !self.post.is_empty() {
+                return self.post.push_back((To::Desk, Note::Call));
+            }
+        }
+    }
+
     fn admit(&mut self, now: Nanos, arrival: Arrival) -> usize {
         let mut arrival = arrival;
         arrival.offering = arrival.offering.min(self.charter.offerings.len().saturating_sub(1));
@@ -879,9 +956,26 @@
         }
     }
 
+    /// The final answer to what can be handed off no more: a dismissal where a retry is harmless.
+    fn answer(&mut self, slot: usize, out: &mut Vec<Action>) {
+        let Some(attachment) = self.desk.slots[slot].as_ref() else { return };
+        let (id, ran) = (attachment.id, attachment.may_have_run.is_some());
+        let offering = &self.charter.offerings[attachment.arrival.offering];
+        let harmless = match offering.effect {
+            Effect::Redoable => true,
+            Effect::Labelled => !ran || offering.circle == Circle::All,
+            Effect::Irreversible => !ran,
+        };
+        // Spread, so that the clients do not come back in step.
+        let wait = self.charter.longest_advice as f64 * self.rng.random_range(0.25..1.0);
+        let dismissal = Action::Dismiss { id, wait: wait as Nanos };
+        out.push(if harmless { dismissal } else { Action::GiveUp { id } });
+        self.forget(slot);
+    }
+
     /// Hands the attachment to the best host, or gives its final answer at once.
     fn place(&mut self, now: Nanos, slot: usize, out: &mut Vec<Action>) {
-        let (tie, luck): (u64, f64) = (self.rng.random(), self.rng.random());
+        let tie = self.rng.random();
         let Some(attachment) = self.desk.slots[slot].as_ref() else { return };
         let offering = &self.charter.offerings[attachment.arrival.offering];
         let ran = attachment.may_have_run;
@@ -893,24 +987,21 @@
             _ => true,
         };
         let vector = self.helm.next;
-        let chosen = if late || !again { None } else { self.choose(now, attachment, vector, tie) };
-        let Some(host) = chosen else {
-            let harmless = match offering.effect {
-                Effect::Redoable => true,
-                Effect::Labelled => ran.is_none() || offering.circle == Circle::All,
-                Effect::Irreversible => ran.is_none(),
-            };
-            let id = attachment.id;
-            let wait = self.charter.longest_advice as f64 * (0.25 + 0.75 * luck);
-            out.push(if harmless {
-                Action::Dismiss { id, wait: wait as Nanos }
-            } else {
-                Action::GiveUp { id }
-            });
-            return self.forget(slot);
-        };
+        let full = f64::from(self.desk.setting_up) >= self.desk.window;
+        if full && !late && again {
+            // Waits its turn only if that comes within the contract time; else it is told at once.
+            let wait = (self.desk.line.len() + 1) as f64 * self.ledger.set_up / self.desk.window;
+            if wait < offering.contract_time as f64 && now + PULSE.max(wait as Nanos) < last {
+                if let Some(attachment) = self.desk.slots[slot].as_mut() {
+                    attachment.sent = now;
+                }
+                return self.desk.line.push_back(slot);
+            }
+        }
+        let chosen = if late || !again || full { None } else { self.choose(now, attachment, vector, tie) };
+        let Some(host) = chosen else { return self.answer(slot, out) };
         // An irreversible hand-off that timed out could not be followed by anything: it gets all the time.
-        let patience = (offering.contract_time as f64 / 3.0).max(5.0 * self.ledger.set_up) as Nanos;
+        let patience = (offering.contract_time as f64 * 0.6).max(6.0 * self.ledger.set_up) as Nanos;
         let only = attachment.hand_offs + 1 >= self.charter.most_hand_offs
             || offering.effect == Effect::Irreversible;
         let until = if only { last } else { last.min(now + patience) };
@@ -921,6 +1012,7 @@
         if let Some(attachment) = self.desk.slots[slot].as_mut() {
             (attachment.hand_offs, attachment.at, attachment.sent) =
                 (attachment.hand_offs + 1, Some(host), now);
+            self.desk.setting_up += 1;
         }
     }
 
@@ -960,9 +1052,14 @@
                 }) {
                     continue;
                 }
-                let masked = now < host.masked_until || (host.trial && host.pending > 0);
-                if !host.bears(now, load) || !lenient && ((masked && !lapse) || attachment.tried.contains(&n))
-                {
+                // A masked host, where the mask lapses, and one on trial get a trickle.
+                let doubted = now < host.masked_until || host.trial;
+                let trickle = host.pending == 0 && now >= host.sent + PULSE / 2;
+                if !host.bears(now, load) || doubted && !trickle {
+                    continue;
+                }
+                let masked = now < host.masked_until && !lapse;
+                if !lenient && (masked || attachment.tried.contains(&n)) {
                     continue;
                 }
                 let own = if host.newcomer { host.own().max(mean) } else { host.own() };
