--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,6 +8,7 @@
 //! They talk only by notes, which `Balancer::run` carries and has read until none is left. A part
 //! may look at another's record; only the part itself changes it.
 
+use crate::records::*;
 use crate::types::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -33,89 +34,6 @@
 const GROUP_PRICE: f64 = 2.0;
 const CROSSING: f64 = 18.0;
 
-enum To {
-    Host(usize),
-    Desk,
-    Helm,
-    Ledger,
-    Roll,
-}
-
-enum Note {
-    Listed(Listing, bool),
-    Unlisted,
-    Sent(Conn),
-    Begun { slot: usize, took: Nanos },
-    Ended { slot: usize, ending: Ending },
-    LoadNow { slot: usize, load: f64 },
-    Slow(Nanos),
-    Gauged { load: Option<f64>, backlog: Option<f64> },
-    Step { mean: f64 },
-    Pulse { mean: f64 },
-    Arrived(Arrival),
-    Standing(Arrival, usize),
-    Returned { slot: usize, over: bool, ending: Ending },
-    Left { slot: usize },
-    Call,
-    Shift { slot: usize },
-    Judged { vector: usize, spread: f64, longest: f64 },
-    Lived { key: Option<u64>, length: Nanos },
-    Weighed { offering: usize, load: f64 },
-    SetUp(Nanos),
-    Told(RollKind),
-}
-
-type Post = VecDeque<(To, Note)>;
-
-/// A connection, or a hand-off that may become one, on its host's record.
-struct Conn {
-    slot: usize,
-    offering: usize,
-    key: Option<u64>,
-    group: Option<u64>,
-    load: Option<f64>,
-    since: Nanos,
-    begun: bool,
-    end: Nanos,
-    /// Its part of the host's own load over the look-ahead steps.
-    ahead: f64,
-    /// Its load as counted in its host's.
-    counted: f64,
-    vector: Option<usize>,
-}
-
-#[derive(Default)]
-struct Host {
-    id: HostId,
-    inbox: VecDeque<Note>,
-    listing: Listing,
-    listed: bool,
-    conns: Vec<Conn>,
-    groups: HashMap<u64, u32>,
-    ahead: f64,
-    longest: Nanos,
-    /// Hand-offs out that have not begun, and when the last went.
-    pending: u32,
-    sent: Nanos,
-    /// Counts at the others' mean until its own load reaches that.
-    newcomer: bool,
-    masked_until: Nanos,
-    strikes: u32,
-    /// Back from a mask and not yet proven: one hand-off at a time.
-    trial: bool,
-    /// Message time over what is wanted, and when that was told.
-    slowness: f64,
-    slow_told: Nanos,
-    /// Own load now, and how much of it the host has shown to bear from this node.
-    load: f64,
-    ceiling: Option<f64>,
-    cut: Nanos,
-    slowness_at_cut: f64,
-    /// What a cold host may still be sent, and the turn up to which that was counted.
-    credit: f64,
-    turn: u64,
-}
-
 impl Host {
     fn ready(&self) -> bool {
         self.listed && self.listing.standing == Standing::Ready
@@ -126,7 +44,7 @@
     }
 
     fn own(&self) -> f64 {
-        self.ahead / self.listing.size
+        self.ahead / self.size
     }
 
     fn remaining(&self, now: Nanos) -> Nanos {
@@ -149,17 +67,22 @@
         !self.cold(now, charter) || self.credit_at(now, mean_count, charter).0 >= 1.0
     }
 
+    /// The share of its size that a host can be counted on to have reached since its start.
+    fn warmth(&self, now: Nanos, charter: &Charter) -> f64 {
+        let age = self.listing.started.map_or(u64::MAX, |t| now.saturating_sub(t)) as f64;
+        charter.cold_from + (1.0 - charter.cold_from) * (age / charter.cold.max(1) as f64).min(1.0)
+    }
+
     fn credit_at(&self, now: Nanos, mean_count: f64, charter: &Charter) -> (f64, u64) {
         let nodes = u64::from(charter.nodes);
         let turn = now / charter.tip_after.max(MILLI);
-        if turn % nodes != u64::from(charter.node) || turn == self.turn {
+        if turn.checked_rem(nodes) != Some(u64::from(charter.node)) || turn == self.turn {
             return (if turn == self.turn { self.credit } else { 0.0 }, self.turn);
         }
-        let age = now.saturating_sub(self.listing.started.unwrap_or(0)) as f64;
-        let cold = charter.cold.max(1) as f64;
-        let share = charter.cold_from + (1.0 - charter.cold_from) * (age / cold).min(1.0);
-        let fill = (mean_count + 1.0) * self.listing.size * charter.nodes as f64 / (cold / SECOND as f64);
-        let budget = charter.tip_multiple * share * fill * charter.tip_after as f64 / SECOND as f64;
+        let cold = charter.cold.max(1) as f64 / SECOND as f64;
+        let fill = (mean_count + 1.0) * self.listing.size * charter.nodes as f64 / cold;
+        let budget = charter.tip_multiple * self.warmth(now, charter) * fill * charter.tip_after as f64
+            / SECOND as f64;
         let missed = if self.turn == 0 { 1 } else { ((turn - self.turn) / nodes).clamp(1, 8) };
         let half = budget / 2.0;
         ((self.credit.min(1.0) + half * missed as f64).min(half.max(1.0)), turn)
@@ -230,6 +153,7 @@
                 self.listed = listing.standing != Standing::Gone;
                 self.listing = listing;
                 self.listing.size = if listing.size > 0.0 { listing.size } else { 1.0 };
+                self.size = self.listing.size * self.warmth(now, at.charter);
             }
             Note::Unlisted => self.listed = false,
             Note::Sent(conn) => {
@@ -320,7 +244,11 @@
                     }
                 }
             }
-            Note::Pulse { mean } => self.shift(now, mean, at),
+            Note::Pulse { mean } => {
+                // Guards: a cold host that counts in full draws more than it can do and stays behind.
+                self.size = self.listing.size * self.warmth(now, at.charter);
+                self.shift(now, mean, at);
+            }
             _ => {}
         }
     }
@@ -336,7 +264,7 @@
         let slow = self.slow(now);
         if slow < 1.0 {
             let rise = RISE * PULSE as f64 / SECOND as f64;
-            let least = mean * self.listing.size / 2.0;
+            let least = mean * self.size / 2.0;
             self.ceiling =
                 self.ceiling.map(|c| c + rise * c.max(least)).filter(|&c| c < 4.0 * self.load + least);
             return;
@@ -387,18 +315,6 @@
     }
 }
 
-/// Past lengths by client key, usual loads by offering, and how long set-ups take.
-#[derive(Default)]
-struct Ledger {
-    inbox: VecDeque<Note>,
-    lengths: HashMap<u64, (f64, Nanos)>,
-    order: VecDeque<(u64, Nanos)>,
-    mean: Option<f64>,
-    usual: Vec<Option<f64>>,
-    unit: Option<f64>,
-    set_up: f64,
-}
-
 impl Ledger {
     fn length(&self, key: Option<u64>, now: Nanos) -> Option<f64> {
         let known = key.and_then(|k| self.lengths.get(&k)).filter(|(_, t)| now < t + TABLE_AGE);
@@ -440,15 +356,6 @@
     }
 }
 
-#[derive(Clone, Copy, Default)]
-struct Vector {
-    balance: f64,
-    gap: f64,
-    spread: f64,
-    longest: f64,
-    judged: u32,
-}
-
 impl Vector {
     fn dominates(&self, other: &Vector) -> bool {
         let (a, b) = (self.judged as f64, other.judged as f64);
@@ -458,13 +365,6 @@
     }
 }
 
-/// The weight vectors, used in turns.
-struct Helm {
-    inbox: VecDeque<Note>,
-    vectors: [Vector; 4],
-    next: usize,
-}
-
 impl Helm {
     fn read(&mut self, note: Note, rng: &mut ChaCha8Rng, out: &mut Vec<Action>) {
         let Note::Judged { vector, spread, longest } = note else { return };
@@ -497,16 +397,6 @@
     }
 }
 
-/// Following the roll where it comes only when asked for.
-#[derive(Default)]
-struct Roll {
-    inbox: VecDeque<Note>,
-    following: bool,
-    called: Option<Nanos>,
-    failures: u32,
-    next: Nanos,
-}
-
 impl Roll {
     fn read(&mut self, note: Note, now: Nanos, chance: f64, ask_within: Nanos, out: &mut Vec<Action>) {
         match note {
@@ -536,36 +426,6 @@
     }
 }
 
-struct Attachment {
-    id: AttachmentId,
-    arrival: Arrival,
-    expiry: Nanos,
-    hand_offs: u32,
-    /// The host a hand-off is out to, or the connection stands on.
-    at: Option<usize>,
-    begun: bool,
-    answered: bool,
-    /// The first hand-off that may have run: its host and when it was sent.
-    may_have_run: Option<(usize, Nanos)>,
-    sent: Nanos,
-    tried: Vec<usize>,
-}
-
-#[derive(Default)]
-struct Desk {
-    inbox: VecDeque<Note>,
-    slots: Vec<Option<Attachment>>,
-    free: Vec<usize>,
-    names: HashMap<AttachmentId, usize>,
-    open: Vec<u32>,
-    /// Set-ups out, how many may be, and those that wait for one to end.
-    setting_up: u32,
-    window: f64,
-    line: VecDeque<usize>,
-    /// Share of late hand-offs that failed, whatever the host.
-    trouble: f64,
-}
-
 impl Desk {
     /// A set-up came back. Guards: a store that all set-ups share, stormed by what it fails.
     fn set_up(&mut self, failed: bool, out: &mut Vec<Action>) {
@@ -739,7 +599,7 @@
             self.post.push_back((To::Roll, Note::Pulse { mean }));
         }
         for host in 0..self.hosts.len() {
-            if self.pulses % (STEP / PULSE) == 0 {
+            if self.pulses.is_multiple_of(STEP / PULSE) {
                 self.post.push_back((To::Host(host), Note::Step { mean }));
             }
             self.post.push_back((To::Host(host), Note::Pulse { mean }));
@@ -1068,7 +928,7 @@
                     let far = -draw(home, host.id.0).ln() / place.size;
                     more += price * far.min(1.0);
                 }
-                let balance = (own + more / place.size) * (1.0 + host.slow(now)) / scale;
+                let balance = (own + more / host.size) * (1.0 + host.slow(now)) / scale;
                 let gap = length.map_or(0.0, |l| ((host.remaining(now) as f64 - l).abs() / HORIZON).min(1.0));
                 let mut score = weights.balance * balance + weights.gap * gap;
                 if place.zone != charter.zone {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 //! ```
 
 pub mod choice;
+mod records;
 pub mod types;
 
 pub use choice::Balancer;
--- /dev/null
+++ b/src/records.rs
@@ -0,0 +1,157 @@
+//! The records of a node's parts and the notes that they send each other. No decision is taken here.
+
+use crate::types::*;
+use std::collections::{HashMap, VecDeque};
+
+pub(crate) enum To {
+    Host(usize),
+    Desk,
+    Helm,
+    Ledger,
+    Roll,
+}
+
+pub(crate) enum Note {
+    Listed(Listing, bool),
+    Unlisted,
+    Sent(Conn),
+    Begun { slot: usize, took: Nanos },
+    Ended { slot: usize, ending: Ending },
+    LoadNow { slot: usize, load: f64 },
+    Slow(Nanos),
+    Gauged { load: Option<f64>, backlog: Option<f64> },
+    Step { mean: f64 },
+    Pulse { mean: f64 },
+    Arrived(Arrival),
+    Standing(Arrival, usize),
+    Returned { slot: usize, over: bool, ending: Ending },
+    Left { slot: usize },
+    Call,
+    Shift { slot: usize },
+    Judged { vector: usize, spread: f64, longest: f64 },
+    Lived { key: Option<u64>, length: Nanos },
+    Weighed { offering: usize, load: f64 },
+    SetUp(Nanos),
+    Told(RollKind),
+}
+
+pub(crate) type Post = VecDeque<(To, Note)>;
+
+/// A connection, or a hand-off that may become one, on its host's record.
+pub(crate) struct Conn {
+    pub slot: usize,
+    pub offering: usize,
+    pub key: Option<u64>,
+    pub group: Option<u64>,
+    pub load: Option<f64>,
+    pub since: Nanos,
+    pub begun: bool,
+    pub end: Nanos,
+    /// Its part of the host's own load over the look-ahead steps.
+    pub ahead: f64,
+    /// Its load as counted in its host's.
+    pub counted: f64,
+    pub vector: Option<usize>,
+}
+
+#[derive(Default)]
+pub(crate) struct Host {
+    pub id: HostId,
+    pub inbox: VecDeque<Note>,
+    pub listing: Listing,
+    pub listed: bool,
+    pub conns: Vec<Conn>,
+    pub groups: HashMap<u64, u32>,
+    pub ahead: f64,
+    pub longest: Nanos,
+    /// Its listed size, as far as it has warmed up.
+    pub size: f64,
+    /// Hand-offs out that have not begun, and when the last went.
+    pub pending: u32,
+    pub sent: Nanos,
+    /// Counts at the others' mean until its own load reaches that.
+    pub newcomer: bool,
+    pub masked_until: Nanos,
+    pub strikes: u32,
+    /// Back from a mask and not yet proven: one hand-off at a time.
+    pub trial: bool,
+    /// Message time over what is wanted, and when that was told.
+    pub slowness: f64,
+    pub slow_told: Nanos,
+    /// Own load now, and how much of it the host has shown to bear from this node.
+    pub load: f64,
+    pub ceiling: Option<f64>,
+    pub cut: Nanos,
+    pub slowness_at_cut: f64,
+    /// What a cold host may still be sent, and the turn up to which that was counted.
+    pub credit: f64,
+    pub turn: u64,
+}
+
+pub(crate) struct Attachment {
+    pub id: AttachmentId,
+    pub arrival: Arrival,
+    pub expiry: Nanos,
+    pub hand_offs: u32,
+    /// The host a hand-off is out to, or the connection stands on.
+    pub at: Option<usize>,
+    pub begun: bool,
+    pub answered: bool,
+    /// The first hand-off that may have run: its host and when it was sent.
+    pub may_have_run: Option<(usize, Nanos)>,
+    pub sent: Nanos,
+    pub tried: Vec<usize>,
+}
+
+#[derive(Default)]
+pub(crate) struct Desk {
+    pub inbox: VecDeque<Note>,
+    pub slots: Vec<Option<Attachment>>,
+    pub free: Vec<usize>,
+    pub names: HashMap<AttachmentId, usize>,
+    pub open: Vec<u32>,
+    /// Set-ups out, how many may be, and those that wait for one to end.
+    pub setting_up: u32,
+    pub window: f64,
+    pub line: VecDeque<usize>,
+    /// Share of late hand-offs that failed, whatever the host.
+    pub trouble: f64,
+}
+
+/// Past lengths by client key, usual loads by offering, and how long set-ups take.
+#[derive(Default)]
+pub(crate) struct Ledger {
+    pub inbox: VecDeque<Note>,
+    pub lengths: HashMap<u64, (f64, Nanos)>,
+    pub order: VecDeque<(u64, Nanos)>,
+    pub mean: Option<f64>,
+    pub usual: Vec<Option<f64>>,
+    pub unit: Option<f64>,
+    pub set_up: f64,
+}
+
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Vector {
+    pub balance: f64,
+    pub gap: f64,
+    pub spread: f64,
+    pub longest: f64,
+    pub judged: u32,
+}
+
+/// The weight vectors, used in turns.
+pub(crate) struct Helm {
+    pub inbox: VecDeque<Note>,
+    pub vectors: [Vector; 4],
+    pub next: usize,
+}
+
+/// Following the roll where it comes only when asked for.
+#[derive(Default)]
+pub(crate) struct Roll {
+    pub inbox: VecDeque<Note>,
+    pub following: bool,
+    pub called: Option<Nanos>,
+    pub failures: u32,
+    pub next: Nanos,
+}
