--- a/src/choice.rs
+++ b/src/choice.rs
@@ -27,6 +27,8 @@
 const JUDGED_AFTER: u32 = 12;
 /// How fast a ceiling rises, a second.
 const RISE: f64 = 0.04;
+/// What a cut leaves of the mean own load.
+const FLOOR: f64 = 0.1;
 /// Most set-ups out at once.
 const WINDOW: f64 = 64.0;
 const MUTATION: (f64, f64) = (0.25, 0.05);
@@ -126,7 +128,7 @@
     }
 
     fn mask(&mut self, now: Nanos, chance: f64, why: &str, out: &mut Vec<Action>) {
-        let length = MASK << self.strikes.min(2);
+        let length = MASK << self.strikes.min(1);
         if now >= self.masked_until {
             self.strikes += 1;
             let (own, conns) = (self.own(), self.conns.len());
@@ -275,7 +277,13 @@
         }
         let wanted = at.charter.shortest_message_time() as f64 / SECOND as f64;
         let part = (slow * wanted / 2.0).clamp(0.1, 0.5);
-        let ceiling = self.ceiling.unwrap_or(self.load).min(self.load) * (1.0 - part);
+        // Guards: cut to nothing by what other nodes placed there, and empty long after it is well.
+        let floor = FLOOR * mean * self.size;
+        let ceiling = (self.ceiling.unwrap_or(self.load).min(self.load) * (1.0 - part)).max(floor);
+        if self.load <= floor {
+            self.ceiling = Some(ceiling);
+            return;
+        }
         let (own, conns) = (self.load, self.conns.len());
         at.out.push(Action::Log(format!(
             "cut host={:x} slow={slow:.1} load={own:.2} to={ceiling:.2} conns={conns}",
