Count the groups a host holds in its own load

Cause: a host's own load left out what it pays for each group it holds, so hosts with many small groups were overrun while they looked light.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,7 +33,8 @@
 const WINDOW: f64 = 64.0;
 const MUTATION: (f64, f64) = (0.25, 0.05);
 /// What a host's first connection of a group costs, in usual loads, and a crossing, in mean own loads.
-const GROUP_PRICE: f64 = 2.0;
+const GROUP_PRICE: f64 = 0.7;
+const GROUP_PULL: f64 = 3.0;
 const CROSSING: f64 = 18.0;
 
 impl Host {
@@ -46,7 +47,7 @@
     }
 
     fn own(&self) -> f64 {
-        self.ahead / self.size
+        (self.ahead + self.shared) / self.size
     }
 
     fn remaining(&self, now: Nanos) -> Nanos {
@@ -102,13 +103,18 @@
         (self.ahead, self.load) = (self.ahead + ahead - conn.ahead, self.load + load - conn.counted);
         (conn.ahead, conn.counted) = (ahead, load);
         self.longest = self.longest.max(conn.end);
+        self.shared = ledger.group_price() * self.groups.len() as f64;
+    }
+
+    fn borne(&self) -> f64 {
+        self.load + self.shared
     }
 
     fn drop_conn(&mut self, at: usize) -> Conn {
         let conn = self.conns.swap_remove(at);
         (self.ahead, self.load) = (self.ahead - conn.ahead, self.load - conn.counted);
         if self.conns.is_empty() {
-            (self.ahead, self.load) = (0.0, 0.0);
+            (self.ahead, self.load, self.shared) = (0.0, 0.0, 0.0);
         }
         if let Some(group) = conn.group {
             if let Some(held) = self.groups.get_mut(&group) {
@@ -257,7 +263,7 @@
 
     /// Whether `load` more fits under what the host has shown to bear.
     fn bears(&self, now: Nanos, load: f64) -> bool {
-        self.slow(now) < 1.0 && self.ceiling.is_none_or(|c| self.load + load <= c)
+        self.slow(now) < 1.0 && self.ceiling.is_none_or(|c| self.borne() + load <= c)
     }
 
     /// Cuts the own load of a host whose messages come late, the least paid first, and lets the
@@ -268,7 +274,7 @@
             let rise = RISE * PULSE as f64 / SECOND as f64;
             let least = mean * self.size / 2.0;
             self.ceiling =
-                self.ceiling.map(|c| c + rise * c.max(least)).filter(|&c| c < 4.0 * self.load + least);
+                self.ceiling.map(|c| c + rise * c.max(least)).filter(|&c| c < 4.0 * self.borne() + least);
             return;
         }
         let easing = self.slowness < 0.7 * self.slowness_at_cut;
@@ -279,12 +285,12 @@
         let part = (slow * wanted / 2.0).clamp(0.1, 0.5);
         // Guards: cut to nothing by what other nodes placed there, and empty long after it is well.
         let floor = FLOOR * mean * self.size;
-        let ceiling = (self.ceiling.unwrap_or(self.load).min(self.load) * (1.0 - part)).max(floor);
-        if self.load <= floor {
+        let ceiling = (self.ceiling.unwrap_or(self.borne()).min(self.borne()) * (1.0 - part)).max(floor);
+        if self.borne() <= floor {
             self.ceiling = Some(ceiling);
             return;
         }
-        let (own, conns) = (self.load, self.conns.len());
+        let (own, conns) = (self.borne(), self.conns.len());
         at.out.push(Action::Log(format!(
             "cut host={:x} slow={slow:.1} load={own:.2} to={ceiling:.2} conns={conns}",
             self.id.0
@@ -295,7 +301,7 @@
             .map(|n| (self.conns[n].counted / at.worth(&self.conns[n]) * draw(now, n as u64), n))
             .collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let mut load = self.load;
+        let mut load = self.borne();
         for (_, n) in order {
             if load <= ceiling {
                 break;
@@ -333,6 +339,11 @@
         (self.mean.unwrap_or(HORIZON) as Nanos).max(STEP)
     }
 
+    /// What a host pays for holding any of a group, in the unit of loads.
+    fn group_price(&self) -> f64 {
+        GROUP_PRICE * self.unit.unwrap_or(1.0)
+    }
+
     fn load(&self, offering: usize, known: Option<f64>) -> f64 {
         known.or(self.usual[offering]).or(self.unit).unwrap_or(1.0)
     }
@@ -813,7 +824,7 @@
             slot,
             offering: arrival.offering,
             key: arrival.key,
-            group: arrival.group,
+            group: arrival.group.filter(|_| self.charter.groups),
             load: arrival.usual_load,
             since: now,
             begun,
@@ -895,7 +906,7 @@
         let scale = if mean > 0.0 { mean } else { load.max(f64::MIN_POSITIVE) };
         let home = if charter.pass { arrival.key } else { arrival.group.filter(|_| charter.groups) };
         // Midway packets go where every node would look for them.
-        let price = if arrival.midway { 1e6 } else { GROUP_PRICE * self.ledger.unit.unwrap_or(1.0) };
+        let price = if arrival.midway { 1e6 } else { GROUP_PULL * self.ledger.group_price() };
         let (ready, masked) = self
             .hosts
             .iter()
--- a/src/records.rs
+++ b/src/records.rs
@@ -63,6 +63,8 @@
     pub conns: Vec<Conn>,
     pub groups: HashMap<u64, u32>,
     pub ahead: f64,
+    /// What it pays for the groups that it holds.
+    pub shared: f64,
     pub longest: Nanos,
     /// Its listed size, as far as it has warmed up.
     pub size: f64,
