--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,7 +26,7 @@
 /// Placements that a weight vector must show before it is judged.
 const JUDGED_AFTER: u32 = 12;
 /// How fast a ceiling rises, a second.
-const RISE: f64 = 0.04;
+const RISE: f64 = 0.02;
 /// What a cut leaves of the mean own load.
 const FLOOR: f64 = 0.1;
 /// Most set-ups out at once.
@@ -271,7 +271,9 @@
     fn shift(&mut self, now: Nanos, mean: f64, at: &mut Room) {
         let slow = self.slow(now);
         if slow < 1.0 {
-            let rise = RISE * PULSE as f64 / SECOND as f64;
+            // The longer it has been well, the faster.
+            let well = (now - self.cut.max(self.slow_told).min(now)) as f64 / SECOND as f64;
+            let rise = RISE * well.min(10.0) * PULSE as f64 / SECOND as f64;
             let least = mean * self.size / 2.0;
             self.ceiling =
                 self.ceiling.map(|c| c + rise * c.max(least)).filter(|&c| c < 4.0 * self.borne() + least);
