--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,7 +34,7 @@
 const MUTATION: (f64, f64) = (0.25, 0.05);
 /// What a host's first connection of a group costs, in usual loads, and a crossing, in mean own loads.
 const GROUP_PRICE: f64 = 0.7;
-const GROUP_PULL: f64 = 3.0;
+const GROUP_PULL: f64 = 30.0;
 const CROSSING: f64 = 18.0;
 
 impl Host {
