Count what a group costs in cuts and ceilings; lone members go first

Ceilings spilled groups to ever more hosts and cuts took members at random. Change: a connection's cost is its load and its part of its group's price; a host bears a new group only with room for that price too.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,8 +33,8 @@
 const WINDOW: f64 = 64.0;
 const MUTATION: (f64, f64) = (0.25, 0.05);
 /// What a host's first connection of a group costs, in usual loads, and a crossing, in mean own loads.
-const GROUP_PRICE: f64 = 0.7;
-const GROUP_PULL: f64 = 30.0;
+const GROUP_PRICE: f64 = 1.0;
+const GROUP_PULL: f64 = 20.0;
 const CROSSING: f64 = 18.0;
 
 impl Host {
@@ -106,6 +106,12 @@
         self.shared = ledger.group_price() * self.groups.len() as f64;
     }
 
+    /// What a connection costs its host: its load, and its part of what its group is paid for.
+    fn cost(&self, at: usize, ledger: &Ledger) -> f64 {
+        let held = self.conns[at].group.and_then(|g| self.groups.get(&g)).copied().unwrap_or(0);
+        self.conns[at].counted + if held > 0 { ledger.group_price() / f64::from(held) } else { 0.0 }
+    }
+
     fn borne(&self) -> f64 {
         self.load + self.shared
     }
@@ -300,7 +306,7 @@
         (self.ceiling, self.cut, self.slowness_at_cut) = (Some(ceiling), now, slow);
         let mut order: Vec<(f64, usize)> = (0..self.conns.len())
             .filter(|&n| self.conns[n].begun)
-            .map(|n| (self.conns[n].counted / at.worth(&self.conns[n]) * draw(now, n as u64), n))
+            .map(|n| (self.cost(n, at.ledger) / at.worth(&self.conns[n]) * draw(now, n as u64), n))
             .collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0));
         let mut load = self.borne();
@@ -308,7 +314,7 @@
             if load <= ceiling {
                 break;
             }
-            load -= self.conns[n].counted;
+            load -= self.cost(n, at.ledger);
             at.post.push_back((To::Desk, Note::Shift { slot: self.conns[n].slot }));
         }
     }
@@ -936,7 +942,9 @@
                 // A masked host, where the mask lapses, and one on trial get a trickle.
                 let doubted = now < host.masked_until || host.trial;
                 let trickle = host.pending == 0 && now >= host.sent + PULSE / 2;
-                if !host.bears(now, load) || doubted && !trickle {
+                let opens = home.is_some_and(|g| !host.groups.contains_key(&g));
+                let opening = if opens { self.ledger.group_price() } else { 0.0 };
+                if !host.bears(now, load + opening) || doubted && !trickle {
                     continue;
                 }
                 let masked = now < host.masked_until && !lapse;
@@ -945,7 +953,7 @@
                 }
                 let own = if host.newcomer { host.own().max(mean) } else { host.own() };
                 let mut more = load * steps;
-                if let Some(home) = home.filter(|g| !host.groups.contains_key(g)) {
+                if let Some(home) = home.filter(|_| opens) {
                     let far = -draw(home, host.id.0).ln() / place.size;
                     more += price * far.min(1.0);
                 }
