Count a host without a ceiling at the others' where most have one

Ruled in: the loss grew with the number of nodes, drops came seconds after set-ups, no host stood out.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -268,8 +268,9 @@
     }
 
     /// Whether `load` more fits under what the host has shown to bear.
-    fn bears(&self, now: Nanos, load: f64) -> bool {
-        self.slow(now) < 1.0 && self.ceiling.is_none_or(|c| self.borne() + load <= c)
+    fn bears(&self, now: Nanos, load: f64, typical: f64) -> bool {
+        let ceiling = self.ceiling.unwrap_or(typical * self.size);
+        self.slow(now) < 1.0 && self.borne() + load <= ceiling
     }
 
     /// Cuts the own load of a host whose messages come late, the least paid first, and lets the
@@ -915,13 +916,15 @@
         let home = if charter.pass { arrival.key } else { arrival.group.filter(|_| charter.groups) };
         // Midway packets go where every node would look for them.
         let price = if arrival.midway { 1e6 } else { GROUP_PULL * self.ledger.group_price() };
-        let (ready, masked) = self
-            .hosts
-            .iter()
-            .filter(|h| h.ready())
-            .fold((0, 0), |(ready, masked), h| (ready + 1, masked + usize::from(now < h.masked_until)));
+        let ready = self.hosts.iter().filter(|h| h.ready()).count();
+        let masked = self.hosts.iter().filter(|h| h.ready() && now < h.masked_until).count();
         // Guards: a trouble that hits most hosts must not leave the rest to carry all.
         let lapse = 2 * masked > ready;
+        // Guards: many nodes that each know nothing of a host and all send to it. Where most hosts have
+        // a ceiling, one without counts as having theirs.
+        let capped = || self.hosts.iter().filter(|h| h.ready()).filter_map(|h| Some(h.ceiling? / h.size));
+        let known = capped().count();
+        let typical = if 2 * known > ready { capped().sum::<f64>() / known as f64 } else { f64::INFINITY };
         let circle = charter.offerings[arrival.offering].circle;
         let labelled = charter.offerings[arrival.offering].effect == Effect::Labelled;
         let held = attachment.may_have_run.filter(|_| labelled).map(|(h, _)| &self.hosts[h].listing);
@@ -944,7 +947,7 @@
                 let trickle = host.pending == 0 && now >= host.sent + PULSE / 2;
                 let opens = home.is_some_and(|g| !host.groups.contains_key(&g));
                 let opening = if opens { self.ledger.group_price() } else { 0.0 };
-                if !host.bears(now, load + opening) || doubted && !trickle {
+                if !host.bears(now, load + opening, typical) || doubted && !trickle {
                     continue;
                 }
                 let masked = now < host.masked_until && !lapse;
