--- a/adapter/src/frames.rs
+++ b/adapter/src/frames.rs
@@ -277,3 +277,121 @@
         all
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn hex(text: &str) -> Vec<u8> {
+        let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
+        digits.chunks(2).map(|d| u8::from_str_radix(std::str::from_utf8(d).unwrap(), 16).unwrap()).collect()
+    }
+
+    /// A record or frame part, filled up with zeros.
+    fn padded(text: &str, size: usize) -> Vec<u8> {
+        let mut all = hex(text);
+        all.resize(size, 0);
+        all
+    }
+
+    fn told(body: &[u8], at: usize) -> (u32, Event) {
+        match Frame::new(1, body.len() / RECORD, body).unwrap().event(at, 0).unwrap() {
+            (node, Told::Event(event)) => (node, event),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[test]
+    fn decodes_the_worked_batch() {
+        let head = hex("0000000c 40c06e2000000000 000000a8 00000003").try_into().unwrap();
+        assert_eq!(header(&head).unwrap(), (12, 8_412_250_000, 168, 3));
+        let mut body = padded(
+            "02 00000003 5d3a91c4 00 0000 91f03b7c55d20a64 406e000000000000 4028000000000000 2b8e6401d9f37c10 0001",
+            RECORD,
+        );
+        body.extend(padded("06 00000003 000000000000004d", RECORD));
+        body.extend(padded("05 00000005 0e6f2b19", RECORD));
+        let (node, Event::Arrived(arrival)) = told(&body, 0) else { panic!() };
+        assert_eq!((node, arrival.id, arrival.time_left), (3, AttachmentId(0x5d3a91c4), 240_000_000));
+        assert_eq!((arrival.usual_load, arrival.midway), (Some(0.012), false));
+        assert!(matches!(told(&body, 1), (3, Event::Timer { mark: 77 })));
+        assert!(matches!(told(&body, 2), (5, Event::Left { id: AttachmentId(0x0e6f2b19) })));
+    }
+
+    #[test]
+    fn decodes_the_worked_records() {
+        let mut body = padded("01 00000003 03 00000029 00000000 00000002", RECORD);
+        body.extend(hex("0a124a07 1f43 0000 00 0000 01 3f800000 0000000000000000"));
+        body.extend(hex("0a9011f2 1f6c 0001 00 0000 01 3fc00000 40b7d40000000000"));
+        let frame = Frame::new(1, 1, &body).unwrap();
+        let (3, Told::Event(Event::Roll { kind, hosts })) = frame.event(0, 0).unwrap() else { panic!() };
+        assert_eq!((kind, hosts.len(), hosts[1].zone, hosts[1].size), (RollKind::Cached, 2, 1, 1.5));
+        assert_eq!((hosts[0].started, hosts[1].started), (None, Some(6_100_000_000)));
+
+        let ended = padded("04 00000003 5d3a91c4 4032800000000000 0a124a07 1f43 01 00 00 00", RECORD);
+        let (_, Event::Ended { host, over, ending, hand_off, .. }) = told(&ended, 0) else { panic!() };
+        assert_eq!((host, over, ending, hand_off), (HostId(0x0a12_4a07_1f43), true, Ending::Done, 0));
+        let begun = padded("03 00000003 5d3a91c4 00 0a124a07 1f43 4022800000000000", RECORD);
+        assert!(matches!(told(&begun, 0).1, Event::Begun { took: 9_250_000, .. }));
+        let note = padded("0b 00000003 5d3a91c4 00 0a124a07 1f43 01 3f000000", RECORD);
+        assert!(matches!(told(&note, 0).1, Event::LoadNow { load, .. } if load == 0.5e-6));
+        let probed = padded("07 00000003 3ff6666666666666 00 0a9011f2 1f6c 00", RECORD);
+        assert!(matches!(told(&probed, 0).1, Event::Probed { ending: Ending::Done, .. }));
+        let open = "0a 00000003 0e6f2b19 00 0000 91f03b7c55d20a64 406e000000000000 4028000000000000
+            2b8e6401d9f37c10 0001 0a9011f2 1f6c";
+        let (_, Event::Standing(_, on)) = told(&padded(open, RECORD), 0) else { panic!() };
+        assert_eq!(on, HostId(0x0a90_11f2_1f6c));
+    }
+
+    #[test]
+    fn encodes_the_worked_reply() {
+        let mut reply = Reply::new(12);
+        let (id, host) = (AttachmentId(0x5d3a91c4), HostId(0x0a12_4a07_1f43));
+        reply.push(3, &Action::HandOff { id, host, until: 8_492_250_000 });
+        reply.push(3, &Action::WakeAt { time: 8_912_250_000, mark: 77 });
+        reply.push(5, &Action::Log("two servers known".into()));
+        let mut wanted = hex("0000000c 00000003 00000059");
+        wanted.extend(padded("05 00000003 5d3a91c4 0a124a07 1f43 40c0962000000000", 24));
+        wanted.extend(padded("06 00000003 40c1682000000000 000000000000004d", 24));
+        wanted.extend(padded("00 00000005 00000000 00000011", 24));
+        wanted.extend(hex("74776f2073657276657273206b6e6f776e"));
+        assert_eq!(reply.finish(), wanted);
+    }
+
+    #[test]
+    fn encodes_the_other_worked_actions() {
+        let (id, host) = (AttachmentId(0x0e6f2b19), HostId(0x0a90_11f2_1f6c));
+        for (action, wanted) in [
+            (Action::Dismiss { id, wait: 250_000_000 }, "01 00000003 0e6f2b19 406f400000000000"),
+            (Action::GiveUp { id }, "03 00000003 0e6f2b19"),
+            (Action::Move { id }, "0b 00000003 0e6f2b19"),
+            (Action::CallOff { id, hand_off: 1 }, "08 00000003 0e6f2b19 01"),
+            (Action::AskRoll, "02 00000003"),
+            (Action::FollowRoll, "0a 00000003 01"),
+            (Action::Probe { host }, "04 00000003 0a9011f2 1f6c"),
+        ] {
+            let mut reply = Reply::new(1);
+            reply.push(3, &action);
+            assert_eq!(reply.finish()[12..], padded(wanted, 24), "{action:?}");
+        }
+    }
+
+    #[test]
+    fn says_what_is_malformed_and_where() {
+        assert!(header(&hex("00000001 7ff8000000000000 00000000 00000000").try_into().unwrap()).is_err());
+        assert!(Frame::new(1, 2, &[0; RECORD]).is_err());
+        for (record, what) in [
+            ("63 00000003", "unknown event code 99"),
+            ("01 00000003 09", "unknown list kind 9"),
+            ("01 00000003 04 00000001 00000000 00000003", "points at 0+3"),
+            ("01 00000003 04 00000001 ffffffff ffffffff", "tail has 0 bytes"),
+            ("04 00000003 00000001 0000000000000000 00000000 0000 00 09", "unknown outcome 9"),
+        ] {
+            let body = padded(record, RECORD);
+            let fault = Frame::new(7, 1, &body).unwrap().event(0, 0).unwrap_err().to_string();
+            assert!(fault.starts_with("batch 7, record 0: ") && fault.contains(what), "{fault}");
+        }
+        assert!(crate::terms::charter(b"{").unwrap_err().starts_with("settings: "));
+        assert!(crate::terms::charter(b"{\"balancers\": 1}").unwrap_err().contains("missing field"));
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -287,7 +287,7 @@
             return;
         }
         let easing = self.slowness < 0.7 * self.slowness_at_cut;
-        if now < self.cut + (if easing { 6 } else { 3 }) * PULSE {
+        if self.slowness_at_cut > 0.0 && now < self.cut + (if easing { 6 } else { 3 }) * PULSE {
             return;
         }
         let wanted = at.charter.shortest_message_time() as f64 / SECOND as f64;
