--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,7 +34,7 @@
 const MUTATION: (f64, f64) = (0.25, 0.05);
 /// What a host's first connection of a group costs, in usual loads, and a crossing, in mean own loads.
 const GROUP_PRICE: f64 = 1.0;
-const GROUP_PULL: f64 = 20.0;
+const HOME: f64 = 2.0;
 const CROSSING: f64 = 18.0;
 
 impl Host {
@@ -915,7 +915,7 @@
         let scale = if mean > 0.0 { mean } else { load.max(f64::MIN_POSITIVE) };
         let home = if charter.pass { arrival.key } else { arrival.group.filter(|_| charter.groups) };
         // Midway packets go where every node would look for them.
-        let price = if arrival.midway { 1e6 } else { GROUP_PULL * self.ledger.group_price() };
+        let pull = if arrival.midway { 1e6 } else { HOME };
         let ready = self.hosts.iter().filter(|h| h.ready()).count();
         let masked = self.hosts.iter().filter(|h| h.ready() && now < h.masked_until).count();
         // Guards: a trouble that hits most hosts must not leave the rest to carry all.
@@ -955,12 +955,11 @@
                     continue;
                 }
                 let own = if host.newcomer { host.own().max(mean) } else { host.own() };
-                let mut more = load * steps;
+                let mut balance =
+                    (own + (load * steps + opening) / host.size) * (1.0 + host.slow(now)) / scale;
                 if let Some(home) = home.filter(|_| opens) {
-                    let far = -draw(home, host.id.0).ln() / place.size;
-                    more += price * far.min(1.0);
+                    balance += pull * (-draw(home, host.id.0).ln() / place.size).min(1.0);
                 }
-                let balance = (own + more / host.size) * (1.0 + host.slow(now)) / scale;
                 let gap = length.map_or(0.0, |l| ((host.remaining(now) as f64 - l).abs() / HORIZON).min(1.0));
                 let mut score = weights.balance * balance + weights.gap * gap;
                 if place.zone != charter.zone {
