--- a/src/choice.rs
+++ b/src/choice.rs
@@ -963,7 +963,7 @@
                 let gap = length.map_or(0.0, |l| ((host.remaining(now) as f64 - l).abs() / HORIZON).min(1.0));
                 let mut score = weights.balance * balance + weights.gap * gap;
                 if place.zone != charter.zone {
-                    score += CROSSING * charter.cross_zone_charge;
+                    score += CROSSING * charter.cross_zone_charge * (1.0 - known as f64 / ready as f64);
                 }
                 let luck = draw(tie, n as u64);
                 if best.is_none_or(|(s, l, _)| score < s || (score == s && luck < l)) {
