--- a/src/choice.rs
+++ b/src/choice.rs
@@ -647,14 +647,16 @@
         }
     }
 
-    /// Mean own connections a size on the warm hosts.
+    /// Own connections a size that a warm host can be taken to bear: twice the mean, or nearer the
+    /// mean the more of them have a ceiling. Guards: a fleet that grows and whose new hosts stay idle.
     fn mean_count(&self, now: Nanos) -> f64 {
-        let (mut conns, mut size) = (0, 0.0);
+        let (mut conns, mut size, mut warm, mut capped) = (0, 0.0, 0.0, 0.0);
         for host in self.hosts.iter().filter(|h| h.ready() && !h.cold(now, &self.charter)) {
             (conns, size) = (conns + host.conns.len(), size + host.listing.size);
+            (warm, capped) = (warm + 1.0, capped + f64::from(u8::from(host.ceiling.is_some())));
         }
         if size > 0.0 {
-            conns as f64 / size
+            conns as f64 / size * (2.0 - capped / warm)
         } else {
             0.0
         }
