--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,6 +31,8 @@
 const FLOOR: f64 = 0.1;
 /// Most set-ups out at once.
 const WINDOW: f64 = 64.0;
+/// Message time over what is wanted from which a host counts as late.
+const LATE: f64 = 0.6;
 const MUTATION: (f64, f64) = (0.25, 0.05);
 /// What a host's first connection of a group costs, in usual loads, and a crossing, in mean own loads.
 const GROUP_PRICE: f64 = 1.0;
@@ -270,14 +272,14 @@
     /// Whether `load` more fits under what the host has shown to bear.
     fn bears(&self, now: Nanos, load: f64, typical: f64) -> bool {
         let ceiling = self.ceiling.unwrap_or(typical * self.size);
-        self.slow(now) < 1.0 && self.borne() + load <= ceiling
+        self.slow(now) < LATE && self.borne() + load <= ceiling
     }
 
     /// Cuts the own load of a host whose messages come late, the least paid first, and lets the
     /// ceiling rise again while they do not. Guards: a host with work piled up serves nobody.
     fn shift(&mut self, now: Nanos, mean: f64, at: &mut Room) {
         let slow = self.slow(now);
-        if slow < 1.0 {
+        if slow < LATE {
             // The longer it has been well, the faster.
             let well = (now - self.cut.max(self.slow_told).min(now)) as f64 / SECOND as f64;
             let rise = RISE * well.min(10.0) * PULSE as f64 / SECOND as f64;
