Cut connections of tenants over their part of the shares first

A node compares the mix of what it holds with the mix of the shares; beyond 1.15 of its part a tenant's connections count at the overage payoff when a host is cut.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -218,7 +218,9 @@
                 };
                 // Guards: a host that fails fast looks empty and draws the clients. Where most hand-offs
                 // fail, the cause is not the host's, and a mask would leave the rest to carry all.
-                if !at.common || matches!(ending, Ending::Refused | Ending::Unconnected | Ending::Broken) {
+                if !at.desk.common()
+                    || matches!(ending, Ending::Refused | Ending::Unconnected | Ending::Broken)
+                {
                     self.mask(now, at.chance, why, at.out);
                 }
             }
@@ -331,12 +333,15 @@
     out: &'a mut Vec<Action>,
     chance: f64,
     mean_count: f64,
-    common: bool,
+    desk: &'a Desk,
 }
 
 impl Room<'_> {
+    /// What a connection earns: less where its tenant takes more than its share of this node.
     fn worth(&self, conn: &Conn) -> f64 {
-        self.charter.offerings[conn.offering].payoff.max(1e-6)
+        let payoff = self.charter.offerings[conn.offering].payoff.max(1e-6);
+        payoff
+            * if self.desk.over_share(conn.tenant, self.charter) { self.charter.overage_payoff } else { 1.0 }
     }
 }
 
@@ -476,6 +481,15 @@
         }
     }
 
+    /// Whether a tenant's part of what is open here is well over its part of all shares. A node sees
+    /// neither the total nor the other nodes, but the mix it sees is the mix that all see.
+    fn over_share(&self, tenant: usize, charter: &Charter) -> bool {
+        let shares = &charter.tenant_shares;
+        let (Some(&open), Some(share)) = (self.open.get(tenant), shares.get(tenant)) else { return false };
+        let (all, whole) = (self.open.iter().sum::<u32>(), shares.iter().sum::<f64>());
+        f64::from(open) * whole > 1.15 * share * f64::from(all)
+    }
+
     /// Whether the hand-offs fail so often that no single host can be to blame.
     fn common(&self) -> bool {
         self.trouble > 0.3
@@ -674,8 +688,8 @@
                     while let Some(note) = self.hosts[host].inbox.pop_front() {
                         let chance = self.rng.random();
                         let (charter, ledger, post) = (&self.charter, &self.ledger, &mut self.post);
-                        let common = self.desk.common();
-                        let mut room = Room { charter, ledger, post, out, chance, mean_count, common };
+                        let desk = &self.desk;
+                        let mut room = Room { charter, ledger, post, out, chance, mean_count, desk };
                         self.hosts[host].read(note, now, &mut room);
                     }
                 }
@@ -837,6 +851,7 @@
             slot,
             offering: arrival.offering,
             key: arrival.key,
+            tenant: arrival.tenant,
             group: arrival.group.filter(|_| self.charter.groups),
             load: arrival.usual_load,
             since: now,
@@ -929,6 +944,7 @@
         let capped = || self.hosts.iter().filter(|h| h.ready()).filter_map(|h| Some(h.ceiling? / h.size));
         let known = capped().count();
         let typical = if 2 * known > ready { capped().sum::<f64>() / known as f64 } else { f64::INFINITY };
+
         let circle = charter.offerings[arrival.offering].circle;
         let labelled = charter.offerings[arrival.offering].effect == Effect::Labelled;
         let held = attachment.may_have_run.filter(|_| labelled).map(|(h, _)| &self.hosts[h].listing);
--- a/src/records.rs
+++ b/src/records.rs
@@ -42,6 +42,7 @@
     pub slot: usize,
     pub offering: usize,
     pub key: Option<u64>,
+    pub tenant: usize,
     pub group: Option<u64>,
     pub load: Option<f64>,
     pub since: Nanos,
