--- a/src/choice.rs
+++ b/src/choice.rs
@@ -309,17 +309,20 @@
             self.id.0
         )));
         (self.ceiling, self.cut, self.slowness_at_cut) = (Some(ceiling), now, slow);
+        let luck = at.chance.to_bits();
         let mut order: Vec<(f64, usize)> = (0..self.conns.len())
             .filter(|&n| self.conns[n].begun)
-            .map(|n| (self.cost(n, at.ledger) / at.worth(&self.conns[n]) * draw(now, n as u64), n))
+            .map(|n| (self.cost(n, at.ledger) / at.worth(&self.conns[n]) * draw(luck, n as u64), n))
             .collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0));
         let mut load = self.borne();
         for (_, n) in order {
-            if load <= ceiling {
+            // Guards: many nodes that each cut one whole connection where a tenth of one was meant.
+            let cost = self.cost(n, at.ledger);
+            if load - ceiling < 0.5 * cost * draw(!luck, n as u64) {
                 break;
             }
-            load -= self.cost(n, at.ledger);
+            load -= cost;
             at.post.push_back((To::Desk, Note::Shift { slot: self.conns[n].slot }));
         }
     }
