Fix pass mode, repeated words of set-ups and records that grow; probe where reports need it

Found by reading: in pass mode every host counted a group price for each key; a set-up told twice lowered a count below zero; a record a host was kept for good.

--- a/adapter/src/frames.rs
+++ b/adapter/src/frames.rs
@@ -306,7 +306,8 @@
         let head = hex("0000000c 40c06e2000000000 000000a8 00000003").try_into().unwrap();
         assert_eq!(header(&head).unwrap(), (12, 8_412_250_000, 168, 3));
         let mut body = padded(
-            "02 00000003 5d3a91c4 00 0000 91f03b7c55d20a64 406e000000000000 4028000000000000 2b8e6401d9f37c10 0001",
+            "02 00000003 5d3a91c4 00 0000 91f03b7c55d20a64 406e000000000000 4028000000000000
+                2b8e6401d9f37c10 0001",
             RECORD,
         );
         body.extend(padded("06 00000003 000000000000004d", RECORD));
--- a/adapter/src/terms.rs
+++ b/adapter/src/terms.rs
@@ -39,7 +39,6 @@
 #[serde(default)]
 struct Charges {
     cross_zone: f64,
-    moves: f64,
 }
 #[derive(Deserialize)]
 struct Contract {
@@ -66,6 +65,7 @@
 #[serde(default)]
 struct Reporting {
     fields: Vec<String>,
+    via: String,
 }
 #[derive(Deserialize, Default)]
 #[serde(default)]
@@ -138,7 +138,6 @@
         tenant_shares: quotas.iter().map(|q| q.unwrap_or(f64::INFINITY)).collect(),
         overage_payoff: terms.overage_payoff,
         most_hand_offs: limits.most_hand_offs,
-        may_probe: limits.may_probe,
         may_call_off: limits.cancel,
         longest_advice: if limits.retry_after { nanos(limits.max_retry_after) } else { 0 },
         roll_on_request: terms.registry_mode == "on_request",
@@ -150,7 +149,7 @@
         pass: terms.extra.mode == "pass",
         groups: terms.extra.groups,
         cross_zone_charge: terms.charges.cross_zone,
-        move_charge: terms.charges.moves,
+        probe_for_gauges: limits.may_probe && terms.reporting.via == "pull",
         gauges: terms.reporting.fields.iter().map(field).collect(),
     })
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -48,6 +48,10 @@
         self.listing.started.is_some_and(|t| now < t.saturating_add(charter.cold))
     }
 
+    fn forgotten(&self, now: Nanos) -> bool {
+        !self.listed && self.conns.is_empty() && now >= self.gone_since.saturating_add(TABLE_AGE)
+    }
+
     fn own(&self) -> f64 {
         (self.ahead + self.shared) / self.size
     }
@@ -100,8 +104,8 @@
             conn.end = now + ledger.mean_length();
         }
         let steps = ((conn.end - now).div_ceil(STEP)).min(STEPS);
-        let ahead = ledger.load(conn.offering, conn.load) * steps as f64 / STEPS as f64;
         let load = ledger.load(conn.offering, conn.load);
+        let ahead = load * steps as f64 / STEPS as f64;
         (self.ahead, self.load) = (self.ahead + ahead - conn.ahead, self.load + load - conn.counted);
         (conn.ahead, conn.counted) = (ahead, load);
         self.longest = self.longest.max(conn.end);
@@ -167,11 +171,12 @@
                     self.slowness = 0.0;
                 }
                 self.listed = listing.standing != Standing::Gone;
+                self.gone_since = now;
                 self.listing = listing;
                 self.listing.size = if listing.size > 0.0 { listing.size } else { 1.0 };
                 self.size = self.listing.size * self.warmth(now, at.charter);
             }
-            Note::Unlisted => self.listed = false,
+            Note::Unlisted => (self.listed, self.gone_since) = (false, now),
             Note::Sent(conn) => {
                 if self.cold(now, at.charter) {
                     (self.credit, self.turn) = self.credit_at(now, at.mean_count, at.charter);
@@ -187,15 +192,14 @@
                 self.count(self.conns.len() - 1, now, at.ledger);
             }
             Note::Begun { slot, took } => {
-                at.post.push_back((To::Ledger, Note::SetUp(took)));
+                let Some(conn) = self.conns.iter_mut().find(|c| c.slot == slot) else { return };
+                (conn.begun, conn.since) = (true, now);
                 self.pending -= 1;
+                at.post.push_back((To::Ledger, Note::SetUp(took)));
                 if self.trial && now >= self.masked_until {
                     (self.trial, self.newcomer) = (false, true);
                     at.out.push(Action::Log(format!("host={:x} back strikes={}", self.id.0, self.strikes)));
                 }
-                if let Some(conn) = self.conns.iter_mut().find(|c| c.slot == slot) {
-                    (conn.begun, conn.since) = (true, now);
-                }
             }
             Note::Ended { slot, ending } => {
                 let Some(found) = self.conns.iter().position(|c| c.slot == slot) else { return };
@@ -249,8 +253,9 @@
                     (self.conns[n].ahead, self.conns[n].counted) = (0.0, 0.0);
                     self.count(n, now, at.ledger);
                 }
-                if self.own() >= mean {
-                    self.newcomer = false;
+                self.newcomer &= self.own() < mean;
+                if at.charter.probe_for_gauges && self.ready() {
+                    at.out.push(Action::Probe { host: self.id });
                 }
                 let spread = if mean > 0.0 { (self.own() / mean - 1.0).powi(2) } else { 0.0 };
                 let longest = self.remaining(now) as f64;
@@ -556,7 +561,7 @@
         let host = |id: &HostId| self.known.get(id).copied();
         let at = |slot: usize| self.desk.slots[slot].as_ref().and_then(|a| a.at);
         match event {
-            Event::Roll { kind, hosts } => self.list(kind, hosts),
+            Event::Roll { kind, hosts } => self.list(now, kind, hosts),
             Event::Arrived(arrival) => post.push_back((To::Desk, Note::Arrived(arrival))),
             Event::Standing(arrival, id) => {
                 if let Some(host) = host(&id) {
@@ -564,7 +569,8 @@
                 }
             }
             Event::Begun { id, took } => {
-                if let Some((slot, host)) = slot(&id).and_then(|s| Some((s, at(s)?))) {
+                let fresh = |s: usize| self.desk.slots[s].as_ref().is_some_and(|a| !a.begun);
+                if let Some((slot, host)) = slot(&id).filter(|&s| fresh(s)).and_then(|s| Some((s, at(s)?))) {
                     post.push_back((To::Host(host), Note::Begun { slot, took }));
                     post.push_back((To::Desk, Note::Begun { slot, took }));
                 }
@@ -613,16 +619,24 @@
         }
     }
 
-    fn list(&mut self, kind: RollKind, listings: Vec<Listing>) {
+    fn list(&mut self, now: Nanos, kind: RollKind, listings: Vec<Listing>) {
         self.post.push_back((To::Roll, Note::Told(kind)));
         if kind == RollKind::Failed {
             return;
         }
         let mut named = vec![false; self.hosts.len()];
         for listing in listings {
-            let host = *self.known.entry(listing.id).or_insert_with(|| {
-                self.hosts.push(Host { id: listing.id, ..Host::default() });
-                self.hosts.len() - 1
+            let host = self.known.get(&listing.id).copied().unwrap_or_else(|| {
+                // The record of a host long gone serves again: a node runs for months.
+                let spare = self.hosts.iter().position(|h| h.forgotten(now)).unwrap_or(self.hosts.len());
+                let fresh = Host { id: listing.id, gone_since: now, ..Host::default() };
+                if let Some(old) = self.hosts.get_mut(spare) {
+                    self.known.remove(&std::mem::replace(old, fresh).id);
+                } else {
+                    self.hosts.push(fresh);
+                }
+                self.known.insert(listing.id, spare);
+                spare
             });
             if let Some(n) = named.get_mut(host) {
                 *n = true;
@@ -855,7 +869,7 @@
             offering: arrival.offering,
             key: arrival.key,
             tenant: arrival.tenant,
-            group: arrival.group.filter(|_| self.charter.groups),
+            group: arrival.group.filter(|_| self.charter.groups && !self.charter.pass),
             load: arrival.usual_load,
             since: now,
             begun,
@@ -969,7 +983,7 @@
                 let doubted = now < host.masked_until || host.trial;
                 let trickle = host.pending == 0 && now >= host.sent + PULSE / 2;
                 let opens = home.is_some_and(|g| !host.groups.contains_key(&g));
-                let opening = if opens { self.ledger.group_price() } else { 0.0 };
+                let opening = if opens && !charter.pass { self.ledger.group_price() } else { 0.0 };
                 if !host.bears(now, load + opening, typical) || doubted && !trickle {
                     continue;
                 }
--- a/src/records.rs
+++ b/src/records.rs
@@ -61,6 +61,7 @@
     pub inbox: VecDeque<Note>,
     pub listing: Listing,
     pub listed: bool,
+    pub gone_since: Nanos,
     pub conns: Vec<Conn>,
     pub groups: HashMap<u64, u32>,
     pub ahead: f64,
--- a/src/types.rs
+++ b/src/types.rs
@@ -79,7 +79,6 @@
     pub tenant_shares: Vec<f64>,
     pub overage_payoff: f64,
     pub most_hand_offs: u32,
-    pub may_probe: bool,
     pub may_call_off: bool,
     /// The longest wait a client heeds; 0 where advice is not passed on.
     pub longest_advice: Nanos,
@@ -94,8 +93,9 @@
     pub pass: bool,
     pub groups: bool,
     pub cross_zone_charge: f64,
-    pub move_charge: f64,
     pub gauges: Vec<Gauge>,
+    /// Load reports come only by probes, and probes are allowed.
+    pub probe_for_gauges: bool,
 }
 
 impl Charter {
@@ -116,7 +116,6 @@
             tenant_shares: Vec::new(),
             overage_payoff: 1.0,
             most_hand_offs: 3,
-            may_probe: false,
             may_call_off: false,
             longest_advice: 0,
             roll_on_request: false,
@@ -128,8 +127,8 @@
             pass: false,
             groups: false,
             cross_zone_charge: 0.0,
-            move_charge: 0.0,
             gauges: Vec::new(),
+            probe_for_gauges: false,
         }
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -19,6 +19,9 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
+/// The clock has no special starting value: a day is as good as zero.
+const START: Nanos = 86_400 * SECOND;
+
 #[derive(Default)]
 struct Taken {
     expiry: Nanos,
@@ -64,7 +67,7 @@
         Play {
             charter: Charter::default(),
             node: None,
-            now: 0,
+            now: START,
             wakes: Vec::new(),
             actions: Vec::new(),
             standing: BTreeMap::new(),
@@ -217,7 +220,7 @@
                     "size" => listing.size = num(value),
                     "zone" => listing.zone = num(value) as u16,
                     "cell" => listing.cell = num(value) as u16,
-                    "started" => listing.started = Some(ms(value)),
+                    "started" => listing.started = Some(START + ms(value)),
                     _ => panic!("unknown word {key}"),
                 }
             }
@@ -309,7 +312,7 @@
             }
             _ => {
                 self.actions.clear();
-                self.pass(ms(words[0]));
+                self.pass(START + ms(words[0]));
                 match words[1] {
                     "wait" => {}
                     "roll" => self.roll(words[2], &words[3..]),
