--- a/src/choice.rs
+++ b/src/choice.rs
@@ -267,10 +267,10 @@
                     }
                 }
             }
-            Note::Pulse { mean } => {
+            Note::Pulse { mean, refuge } => {
                 // Guards: a cold host that counts in full draws more than it can do and stays behind.
                 self.size = self.listing.size * self.warmth(now, at.charter);
-                self.shift(now, mean, at);
+                self.shift(now, mean, refuge, at);
             }
             _ => {}
         }
@@ -284,7 +284,7 @@
 
     /// Cuts the own load of a host whose messages come late, the least paid first, and lets the
     /// ceiling rise again while they do not. Guards: a host with work piled up serves nobody.
-    fn shift(&mut self, now: Nanos, mean: f64, at: &mut Room) {
+    fn shift(&mut self, now: Nanos, mean: f64, refuge: f64, at: &mut Room) {
         let slow = self.slow(now);
         if slow < LATE {
             // The longer it has been well, the faster.
@@ -300,9 +300,10 @@
             return;
         }
         let wanted = at.charter.shortest_message_time() as f64 / SECOND as f64;
-        let part = (slow * wanted / 2.0).clamp(0.1, 0.5);
+        // Where the others have room a host that hangs is left altogether.
+        let part = (slow * wanted / 2.0).clamp(0.1, if refuge > 0.7 { 1.0 } else { 0.5 });
         // Guards: cut to nothing by what other nodes placed there, and empty long after it is well.
-        let floor = FLOOR * mean * self.size;
+        let floor = if part < 1.0 { FLOOR * mean * self.size } else { 0.0 };
         let ceiling = (self.ceiling.unwrap_or(self.borne()).min(self.borne()) * (1.0 - part)).max(floor);
         if self.borne() <= floor {
             self.ceiling = Some(ceiling);
@@ -655,15 +656,19 @@
         out.push(Action::WakeAt { time: now + PULSE, mark: 0 });
         self.pulses += 1;
         let mean = self.mean_own(now);
+        let (well, ready) = self.hosts.iter().filter(|h| h.ready()).fold((0, 0), |(well, ready), h| {
+            (well + u32::from(h.slow(now) < LATE && now >= h.masked_until), ready + 1)
+        });
+        let refuge = f64::from(well) / f64::from(ready.max(1));
         self.post.push_back((To::Desk, Note::Call));
         if self.charter.roll_on_request {
-            self.post.push_back((To::Roll, Note::Pulse { mean }));
+            self.post.push_back((To::Roll, Note::Pulse { mean, refuge }));
         }
         for host in 0..self.hosts.len() {
             if self.pulses.is_multiple_of(STEP / PULSE) {
                 self.post.push_back((To::Host(host), Note::Step { mean }));
             }
-            self.post.push_back((To::Host(host), Note::Pulse { mean }));
+            self.post.push_back((To::Host(host), Note::Pulse { mean, refuge }));
         }
     }
 
--- a/src/records.rs
+++ b/src/records.rs
@@ -21,7 +21,7 @@
     Slow(Nanos),
     Gauged { load: Option<f64>, backlog: Option<f64> },
     Step { mean: f64 },
-    Pulse { mean: f64 },
+    Pulse { mean: f64, refuge: f64 },
     Arrived(Arrival),
     Standing(Arrival, usize),
     Returned { slot: usize, over: bool, ending: Ending },
