--- a/adapter/src/terms.rs
+++ b/adapter/src/terms.rs
@@ -39,6 +39,7 @@
 #[serde(default)]
 struct Charges {
     cross_zone: f64,
+    moves: f64,
 }
 #[derive(Deserialize)]
 struct Contract {
@@ -149,6 +150,7 @@
         pass: terms.extra.mode == "pass",
         groups: terms.extra.groups,
         cross_zone_charge: terms.charges.cross_zone,
+        move_charge: terms.charges.moves,
         probe_for_gauges: limits.may_probe && terms.reporting.via == "pull",
         gauges: terms.reporting.fields.iter().map(field).collect(),
     })
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -661,6 +661,9 @@
         });
         let refuge = f64::from(well) / f64::from(ready.max(1));
         self.post.push_back((To::Desk, Note::Call));
+        if self.charter.cross_zone_charge > 2.0 * self.charter.move_charge {
+            self.post.push_back((To::Desk, Note::Homeward));
+        }
         if self.charter.roll_on_request {
             self.post.push_back((To::Roll, Note::Pulse { mean, refuge }));
         }
@@ -797,8 +800,10 @@
                 }
             }
             Note::Call => self.call_line(now, out),
+            Note::Homeward => self.homeward(now),
             Note::Shift { slot } => {
-                if let Some(attachment) = self.desk.slots[slot].as_ref().filter(|a| a.begun) {
+                if let Some(attachment) = self.desk.slots[slot].as_mut().filter(|a| a.begun && !a.moved) {
+                    attachment.moved = true;
                     out.push(Action::Move { id: attachment.id });
                 }
             }
@@ -830,6 +835,27 @@
         }
     }
 
+    /// Moves a few connections that cross zones back, where a crossing costs more than a move and the
+    /// score itself would now place them in the node's own zone.
+    fn homeward(&mut self, now: Nanos) {
+        // Guards: a zone with more traffic than room, filled up by what came home.
+        let pressed = |h: &Host| h.ceiling.is_some() || now < h.masked_until;
+        if self.desk.common() || self.hosts.iter().any(|h| h.ready() && pressed(h)) {
+            return;
+        }
+        let away = self.hosts.iter().filter(|h| h.ready() && h.listing.zone != self.charter.zone);
+        let settled = away.flat_map(|h| h.conns.iter().filter(|c| c.begun && now >= c.since + STEP));
+        let slots: Vec<usize> = settled.map(|c| c.slot).collect();
+        for _ in 0..slots.len().div_ceil(20) {
+            let (slot, tie) = (slots[self.rng.random_range(0..slots.len())], self.rng.random());
+            let Some(attachment) = self.desk.slots[slot].as_ref() else { continue };
+            let better = self.choose(now, attachment, self.helm.next, tie);
+            if better.is_some_and(|h| self.hosts[h].listing.zone == self.charter.zone) {
+                self.post.push_back((To::Desk, Note::Shift { slot }));
+            }
+        }
+    }
+
     fn admit(&mut self, now: Nanos, arrival: Arrival) -> usize {
         let mut arrival = arrival;
         arrival.offering = arrival.offering.min(self.charter.offerings.len().saturating_sub(1));
@@ -841,6 +867,7 @@
             at: None,
             begun: false,
             answered: false,
+            moved: false,
             may_have_run: None,
             sent: now,
             tried: Vec::new(),
--- a/src/records.rs
+++ b/src/records.rs
@@ -27,6 +27,7 @@
     Returned { slot: usize, over: bool, ending: Ending },
     Left { slot: usize },
     Call,
+    Homeward,
     Shift { slot: usize },
     Judged { vector: usize, spread: f64, longest: f64 },
     Lived { key: Option<u64>, length: Nanos },
@@ -101,6 +102,7 @@
     pub at: Option<usize>,
     pub begun: bool,
     pub answered: bool,
+    pub moved: bool,
     /// The first hand-off that may have run: its host and when it was sent.
     pub may_have_run: Option<(usize, Nanos)>,
     pub sent: Nanos,
--- a/src/types.rs
+++ b/src/types.rs
@@ -93,6 +93,7 @@
     pub pass: bool,
     pub groups: bool,
     pub cross_zone_charge: f64,
+    pub move_charge: f64,
     pub gauges: Vec<Gauge>,
     /// Load reports come only by probes, and probes are allowed.
     pub probe_for_gauges: bool,
@@ -127,6 +128,7 @@
             pass: false,
             groups: false,
             cross_zone_charge: 0.0,
+            move_charge: 0.0,
             gauges: Vec::new(),
             probe_for_gauges: false,
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -245,6 +245,7 @@
                 "groups" => c.groups = true,
                 "pass" => c.pass = true,
                 "cross-zone" => c.cross_zone_charge = num(value),
+                "moves" => c.move_charge = num(value),
                 _ => panic!("unknown word {key}"),
             }
         }
