--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,6 +39,11 @@
 const HOME: f64 = 2.0;
 const CROSSING: f64 = 18.0;
 
+/// One short line for a change of mode.
+macro_rules! log {
+    ($out:expr, $($text:tt)*) => { $out.push(Action::Log(format!($($text)*))) };
+}
+
 impl Host {
     fn ready(&self) -> bool {
         self.listed && self.listing.standing == Standing::Ready
@@ -62,11 +67,7 @@
 
     /// How late its messages are, by what was last told; old word fades.
     fn slow(&self, now: Nanos) -> f64 {
-        if now < self.slow_told + 5 * PULSE {
-            self.slowness
-        } else {
-            0.0
-        }
+        f64::from(u8::from(now < self.slow_told + 5 * PULSE)) * self.slowness
     }
 
     /// Whether the budget of a cold host has room for one more from this node. Nodes take turns of
@@ -150,10 +151,12 @@
         if now >= self.masked_until {
             self.strikes += 1;
             let (own, conns) = (self.own(), self.conns.len());
-            out.push(Action::Log(format!(
+            log!(
+                out,
                 "mask host={:x} why={why} strikes={} own={own:.2} conns={conns}",
-                self.id.0, self.strikes
-            )));
+                self.id.0,
+                self.strikes
+            );
         }
         // Spread, so that nodes do not let a host back in step.
         self.masked_until = now + (length as f64 * (0.75 + 0.5 * chance)) as Nanos;
@@ -198,7 +201,7 @@
                 at.post.push_back((To::Ledger, Note::SetUp(took)));
                 if self.trial && now >= self.masked_until {
                     (self.trial, self.newcomer) = (false, true);
-                    at.out.push(Action::Log(format!("host={:x} back strikes={}", self.id.0, self.strikes)));
+                    log!(at.out, "host={:x} back strikes={}", self.id.0, self.strikes);
                 }
             }
             Note::Ended { slot, ending } => {
@@ -310,10 +313,7 @@
             return;
         }
         let (own, conns) = (self.borne(), self.conns.len());
-        at.out.push(Action::Log(format!(
-            "cut host={:x} slow={slow:.1} load={own:.2} to={ceiling:.2} conns={conns}",
-            self.id.0
-        )));
+        log!(at.out, "cut host={:x} slow={slow:.1} load={own:.2} to={ceiling:.2} conns={conns}", self.id.0);
         (self.ceiling, self.cut, self.slowness_at_cut) = (Some(ceiling), now, slow);
         let luck = at.chance.to_bits();
         let mut order: Vec<(f64, usize)> = (0..self.conns.len())
@@ -437,7 +437,7 @@
         let balance = weights[0].max(0.1);
         let gap = weights[1].clamp(0.0, balance);
         self.vectors[beaten] = Vector { balance, gap, ..Vector::default() };
-        out.push(Action::Log(format!("vector {beaten} replaced balance={balance:.2} gap={gap:.2}")));
+        log!(out, "vector {beaten} replaced balance={balance:.2} gap={gap:.2}");
     }
 }
 
@@ -450,11 +450,11 @@
                 // Spread and growing, so that the nodes do not storm the one list service.
                 let wait = ((SECOND / 2) << self.failures.min(4)).min(ask_within / 4);
                 self.next = now + (wait as f64 * (0.5 + chance)) as Nanos;
-                out.push(Action::Log(format!("roll lost failures={}", self.failures)));
+                log!(out, "roll lost failures={}", self.failures);
             }
             Note::Told(RollKind::Changes | RollKind::Full) => {
                 if self.called.take().is_some() && self.failures > 0 {
-                    out.push(Action::Log(format!("roll followed again after failures={}", self.failures)));
+                    log!(out, "roll followed again after failures={}", self.failures);
                 }
                 (self.following, self.failures) = (true, 0);
             }
@@ -483,10 +483,7 @@
         self.setting_up = self.setting_up.saturating_sub(1);
         if before != self.common() {
             let (trouble, window, line) = (self.trouble, self.window, self.line.len());
-            out.push(Action::Log(format!(
-                "common trouble={} failing={trouble:.2} window={window:.0} line={line}",
-                !before
-            )));
+            log!(out, "common trouble={} failing={trouble:.2} window={window:.0} line={line}", !before);
         }
     }
 
@@ -546,7 +543,7 @@
             hosts: Vec::new(),
             known: HashMap::new(),
             desk: Desk { open, window: WINDOW, ..Desk::default() },
-            helm: Helm { inbox: VecDeque::new(), vectors, next: 0 },
+            helm: Helm { vectors, ..Helm::default() },
             ledger: Ledger { usual, set_up, ..Ledger::default() },
             roll: Roll::default(),
             post: VecDeque::new(),
@@ -557,56 +554,34 @@
 
     /// Takes one event in and appends what is to be done.
     pub fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
-        let post = &mut self.post;
-        let slot = |id: &AttachmentId| self.desk.names.get(id).copied();
-        let host = |id: &HostId| self.known.get(id).copied();
-        let at = |slot: usize| self.desk.slots[slot].as_ref().and_then(|a| a.at);
-        match event {
-            Event::Roll { kind, hosts } => self.list(now, kind, hosts),
-            Event::Arrived(arrival) => post.push_back((To::Desk, Note::Arrived(arrival))),
-            Event::Standing(arrival, id) => {
-                if let Some(host) = host(&id) {
-                    post.push_back((To::Desk, Note::Standing(arrival, host)));
-                }
-            }
-            Event::Begun { id, took } => {
-                let fresh = |s: usize| self.desk.slots[s].as_ref().is_some_and(|a| !a.begun);
-                if let Some((slot, host)) = slot(&id).filter(|&s| fresh(s)).and_then(|s| Some((s, at(s)?))) {
-                    post.push_back((To::Host(host), Note::Begun { slot, took }));
-                    post.push_back((To::Desk, Note::Begun { slot, took }));
-                }
-            }
-            Event::Ended { id, host: name, over, ending, gauges, .. } => {
-                if let Some(host) = host(&name) {
-                    let slot = slot(&id).filter(|&s| at(s) == Some(host));
-                    self.gauge(host, &gauges);
-                    if let Some(slot) = slot {
-                        self.post.push_back((To::Host(host), Note::Ended { slot, ending }));
-                        self.post.push_back((To::Desk, Note::Returned { slot, over, ending }));
-                    }
-                }
-            }
-            Event::LoadNow { id, load } => {
-                if let Some((slot, host)) = slot(&id).and_then(|s| Some((s, at(s)?))) {
-                    post.push_back((To::Host(host), Note::LoadNow { slot, load }));
-                }
-            }
-            Event::MessageTime { host: id, time } => {
-                if let Some(host) = host(&id) {
-                    post.push_back((To::Host(host), Note::Slow(time)));
-                }
-            }
-            Event::Left { id } => {
-                if let Some(slot) = slot(&id) {
-                    post.push_back((To::Desk, Note::Left { slot }));
-                }
-            }
-            Event::Timer { .. } => self.pulse(now, out),
-            Event::Probed { host: id, gauges, .. } => {
-                if let Some(host) = host(&id) {
-                    self.gauge(host, &gauges);
-                }
-            }
+        let slot = event.attachment().and_then(|id| self.desk.names.get(&id).copied());
+        let host = event.host().and_then(|id| self.known.get(&id).copied());
+        let attachment = slot.and_then(|s| self.desk.slots[s].as_ref());
+        let (at, begun) = (attachment.and_then(|a| a.at), attachment.is_some_and(|a| a.begun));
+        let mut post = |to, note| self.post.push_back((to, note));
+        match (event, slot, host.or(at)) {
+            (Event::Roll { kind, hosts }, ..) => self.list(now, kind, hosts),
+            (Event::Timer { .. }, ..) => self.pulse(now, out),
+            (Event::Arrived(arrival), ..) => post(To::Desk, Note::Arrived(arrival)),
+            (Event::Standing(arrival, _), _, Some(host)) => post(To::Desk, Note::Standing(arrival, host)),
+            (Event::Left { .. }, Some(slot), _) => post(To::Desk, Note::Left { slot }),
+            (Event::Begun { took, .. }, Some(slot), Some(host)) if !begun => {
+                post(To::Host(host), Note::Begun { slot, took });
+                post(To::Desk, Note::Begun { slot, took });
+            }
+            (Event::Ended { over, ending, gauges, .. }, slot, Some(host)) => {
+                self.gauge(host, &gauges);
+                if let Some(slot) = slot.filter(|_| at == Some(host)) {
+                    self.post.push_back((To::Host(host), Note::Ended { slot, ending }));
+                    self.post.push_back((To::Desk, Note::Returned { slot, over, ending }));
+                }
+            }
+            (Event::LoadNow { load, .. }, Some(slot), Some(host)) => {
+                post(To::Host(host), Note::LoadNow { slot, load });
+            }
+            (Event::MessageTime { time, .. }, _, Some(host)) => post(To::Host(host), Note::Slow(time)),
+            (Event::Probed { gauges, .. }, _, Some(host)) => self.gauge(host, &gauges),
+            _ => {}
         }
         self.run(now, out);
     }
@@ -677,15 +652,8 @@
 
     /// The mean own load of the ready hosts that are no newcomers.
     fn mean_own(&self, now: Nanos) -> f64 {
-        let (mut sum, mut n) = (0.0, 0);
-        for host in self.hosts.iter().filter(|h| h.ready() && !h.newcomer && now >= h.masked_until) {
-            (sum, n) = (sum + host.own(), n + 1);
-        }
-        if n > 0 {
-            sum / n as f64
-        } else {
-            0.0
-        }
+        let counted = || self.hosts.iter().filter(|h| h.ready() && !h.newcomer && now >= h.masked_until);
+        counted().map(Host::own).sum::<f64>() / counted().count().max(1) as f64
     }
 
     /// Own connections a size that a warm host can be taken to bear: twice the mean, or nearer the
@@ -696,11 +664,7 @@
             (conns, size) = (conns + host.conns.len(), size + host.listing.size);
             (warm, capped) = (warm + 1.0, capped + f64::from(u8::from(host.ceiling.is_some())));
         }
-        if size > 0.0 {
-            conns as f64 / size * (2.0 - capped / warm)
-        } else {
-            0.0
-        }
+        conns as f64 / f64::max(size, f64::MIN_POSITIVE) * (2.0 - capped / f64::max(warm, 1.0))
     }
 
     /// Carries notes to their inboxes and has them read until none is left.
@@ -856,22 +820,10 @@
         }
     }
 
-    fn admit(&mut self, now: Nanos, arrival: Arrival) -> usize {
-        let mut arrival = arrival;
+    fn admit(&mut self, now: Nanos, mut arrival: Arrival) -> usize {
         arrival.offering = arrival.offering.min(self.charter.offerings.len().saturating_sub(1));
-        let attachment = Attachment {
-            id: arrival.id,
-            arrival,
-            expiry: now.saturating_add(arrival.time_left),
-            hand_offs: 0,
-            at: None,
-            begun: false,
-            answered: false,
-            moved: false,
-            may_have_run: None,
-            sent: now,
-            tried: Vec::new(),
-        };
+        let expiry = now.saturating_add(arrival.time_left);
+        let attachment = Attachment { id: arrival.id, arrival, expiry, sent: now, ..Attachment::default() };
         if let Some(open) = self.desk.open.get_mut(arrival.tenant) {
             *open += 1;
         }
@@ -896,20 +848,11 @@
 
     fn conn(&self, now: Nanos, slot: usize, arrival: &Arrival, begun: bool, vector: Option<usize>) -> Conn {
         let length = self.ledger.length(arrival.key, now).unwrap_or(HORIZON);
-        Conn {
-            slot,
-            offering: arrival.offering,
-            key: arrival.key,
-            tenant: arrival.tenant,
-            group: arrival.group.filter(|_| self.charter.groups && !self.charter.pass),
-            load: arrival.usual_load,
-            since: now,
-            begun,
-            end: now + length as Nanos,
-            ahead: 0.0,
-            counted: 0.0,
-            vector,
-        }
+        let group = arrival.group.filter(|_| self.charter.groups && !self.charter.pass);
+        let (offering, key, tenant, load) =
+            (arrival.offering, arrival.key, arrival.tenant, arrival.usual_load);
+        let (since, end) = (now, now + length as Nanos);
+        Conn { slot, offering, key, tenant, group, load, since, begun, end, vector, ..Conn::default() }
     }
 
     /// The final answer to what can be handed off no more: a dismissal where a retry is harmless.
--- a/src/records.rs
+++ b/src/records.rs
@@ -39,6 +39,7 @@
 pub(crate) type Post = VecDeque<(To, Note)>;
 
 /// A connection, or a hand-off that may become one, on its host's record.
+#[derive(Default)]
 pub(crate) struct Conn {
     pub slot: usize,
     pub offering: usize,
@@ -93,6 +94,7 @@
     pub turn: u64,
 }
 
+#[derive(Default)]
 pub(crate) struct Attachment {
     pub id: AttachmentId,
     pub arrival: Arrival,
@@ -146,6 +148,7 @@
 }
 
 /// The weight vectors, used in turns.
+#[derive(Default)]
 pub(crate) struct Helm {
     pub inbox: VecDeque<Note>,
     pub vectors: [Vector; 4],
--- a/src/types.rs
+++ b/src/types.rs
@@ -240,6 +240,30 @@
     },
 }
 
+impl Event {
+    /// The attachment that is already known and that the event speaks of.
+    pub fn attachment(&self) -> Option<AttachmentId> {
+        match self {
+            Event::Begun { id, .. }
+            | Event::Ended { id, .. }
+            | Event::LoadNow { id, .. }
+            | Event::Left { id } => Some(*id),
+            _ => None,
+        }
+    }
+
+    /// The host that the event names.
+    pub fn host(&self) -> Option<HostId> {
+        match self {
+            Event::Standing(_, host) => Some(*host),
+            Event::Ended { host, .. } | Event::MessageTime { host, .. } | Event::Probed { host, .. } => {
+                Some(*host)
+            }
+            _ => None,
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     HandOff {
