--- a/src/choice.rs
+++ b/src/choice.rs
@@ -298,8 +298,8 @@
                 self.ceiling.map(|c| c + rise * c.max(least)).filter(|&c| c < 4.0 * self.borne() + least);
             return;
         }
-        let easing = self.slowness < 0.7 * self.slowness_at_cut;
-        if self.slowness_at_cut > 0.0 && now < self.cut + (if easing { 6 } else { 3 }) * PULSE {
+
+        if self.slowness_at_cut > 0.0 && now < self.cut + 3 * PULSE {
             return;
         }
         let wanted = at.charter.shortest_message_time() as f64 / SECOND as f64;
