Let the mask lapse only when all are masked, as the design has it

Since time-outs and errors do not mask in common trouble the rule for more than half is not needed. Conclusion: taken out.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -928,9 +928,7 @@
         // Midway packets go where every node would look for them.
         let pull = if arrival.midway { 1e6 } else { HOME };
         let ready = self.hosts.iter().filter(|h| h.ready()).count();
-        let masked = self.hosts.iter().filter(|h| h.ready() && now < h.masked_until).count();
-        // Guards: a trouble that hits most hosts must not leave the rest to carry all.
-        let lapse = 2 * masked > ready;
+
         // Guards: many nodes that each know nothing of a host and all send to it. Where most hosts have
         // a ceiling, one without counts as having theirs.
         let capped = || self.hosts.iter().filter(|h| h.ready()).filter_map(|h| Some(h.ceiling? / h.size));
@@ -962,8 +960,7 @@
                 if !host.bears(now, load + opening, typical) || doubted && !trickle {
                     continue;
                 }
-                let masked = now < host.masked_until && !lapse;
-                if !lenient && (masked || attachment.tried.contains(&n)) {
+                if !lenient && (now < host.masked_until || attachment.tried.contains(&n)) {
                     continue;
                 }
                 let own = if host.newcomer { host.own().max(mean) } else { host.own() };
