--- a/src/choice.rs
+++ b/src/choice.rs
@@ -294,8 +294,12 @@
             let well = (now - self.cut.max(self.slow_told).min(now)) as f64 / SECOND as f64;
             let rise = RISE * well.min(10.0) * PULSE as f64 / SECOND as f64;
             let least = mean * self.size / 2.0;
-            self.ceiling =
-                self.ceiling.map(|c| c + rise * c.max(least)).filter(|&c| c < 4.0 * self.borne() + least);
+            // Guards: a host cut down in a short trouble of all that stays nearly empty long after it.
+            self.good = (0.995 * self.good).max(self.borne());
+            self.ceiling = self
+                .ceiling
+                .map(|c| c + rise * c.max(least).max(self.good))
+                .filter(|&c| c < 4.0 * self.borne() + least);
             return;
         }
 
--- a/src/records.rs
+++ b/src/records.rs
@@ -87,6 +87,8 @@
     /// Own load now, and how much of it the host has shown to bear from this node.
     pub load: f64,
     pub ceiling: Option<f64>,
+    /// The most it bore of late with messages in time.
+    pub good: f64,
     pub cut: Nanos,
     pub slowness_at_cut: f64,
     /// What a cold host may still be sent, and the turn up to which that was counted.
