--- a/src/choice.rs
+++ b/src/choice.rs
@@ -281,7 +281,8 @@
 
     /// Whether `load` more fits under what the host has shown to bear.
     fn bears(&self, now: Nanos, load: f64, typical: f64) -> bool {
-        let ceiling = self.ceiling.unwrap_or(typical * self.size);
+        // Guards: a host that bears its load well, kept from more by ceilings that the others earned.
+        let ceiling = self.ceiling.unwrap_or((typical * self.size).max(0.9 * self.good));
         self.slow(now) < LATE && self.borne() + load <= ceiling
     }
 
