--- a/adapter/src/frames.rs
+++ b/adapter/src/frames.rs
@@ -101,7 +101,6 @@
         Arrival {
             id: AttachmentId(u64::from(u32_at(r, 5))),
             offering: usize::from(r[9]),
-            tenant: usize::from(u16_at(r, 10)),
             key: some(u64_at(r, 12)),
             time_left: nanos(f64_at(r, 20)),
             // The hint counts work a second in milliseconds; the module counts cores.
--- a/adapter/src/terms.rs
+++ b/adapter/src/terms.rs
@@ -22,8 +22,6 @@
     reporting: Reporting,
     #[serde(default)]
     extra: Extra,
-    #[serde(default = "one")]
-    overage_payoff: f64,
 }
 #[derive(Deserialize)]
 struct Kind {
@@ -74,11 +72,6 @@
     groups: bool,
     message_aim: Vec<Option<f64>>,
     mode: String,
-    tenant_quota_connections: Vec<Option<f64>>,
-}
-
-fn one() -> f64 {
-    1.0
 }
 
 /// A null says the same as a missing key.
@@ -129,15 +122,13 @@
         "x1" => Gauge::Backlog,
         _ => Gauge::Other,
     };
-    let (limits, quotas) = (&terms.policy_limits, &terms.extra.tenant_quota_connections);
+    let limits = &terms.policy_limits;
     Ok(Charter {
         node: terms.index,
         nodes: terms.balancers.max(1),
         zone: terms.zone,
         round: nanos(terms.round),
         offerings,
-        tenant_shares: quotas.iter().map(|q| q.unwrap_or(f64::INFINITY)).collect(),
-        overage_payoff: terms.overage_payoff,
         most_hand_offs: limits.most_hand_offs,
         may_call_off: limits.cancel,
         longest_advice: if limits.retry_after { nanos(limits.max_retry_after) } else { 0 },
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -58,7 +58,7 @@
     }
 
     fn own(&self) -> f64 {
-        (self.ahead + self.shared) / self.size
+        (self.ahead + self.shared) / self.listing.size
     }
 
     fn remaining(&self, now: Nanos) -> Nanos {
@@ -177,7 +177,6 @@
                 self.gone_since = now;
                 self.listing = listing;
                 self.listing.size = if listing.size > 0.0 { listing.size } else { 1.0 };
-                self.size = self.listing.size * self.warmth(now, at.charter);
             }
             Note::Unlisted => (self.listed, self.gone_since) = (false, now),
             Note::Sent(conn) => {
@@ -270,11 +269,7 @@
                     }
                 }
             }
-            Note::Pulse { mean, refuge } => {
-                // Guards: a cold host that counts in full draws more than it can do and stays behind.
-                self.size = self.listing.size * self.warmth(now, at.charter);
-                self.shift(now, mean, refuge, at);
-            }
+            Note::Pulse { mean, refuge } => self.shift(now, mean, refuge, at),
             _ => {}
         }
     }
@@ -282,7 +277,7 @@
     /// Whether `load` more fits under what the host has shown to bear.
     fn bears(&self, now: Nanos, load: f64, typical: f64) -> bool {
         // Guards: a host that bears its load well, kept from more by ceilings that the others earned.
-        let ceiling = self.ceiling.unwrap_or((typical * self.size).max(0.9 * self.good));
+        let ceiling = self.ceiling.unwrap_or((typical * self.listing.size).max(0.9 * self.good));
         self.slow(now) < LATE && self.borne() + load <= ceiling
     }
 
@@ -294,7 +289,7 @@
             // The longer it has been well, the faster.
             let well = (now - self.cut.max(self.slow_told).min(now)) as f64 / SECOND as f64;
             let rise = RISE * well.min(10.0) * PULSE as f64 / SECOND as f64;
-            let least = mean * self.size / 2.0;
+            let least = mean * self.listing.size / 2.0;
             // Guards: a host cut down in a short trouble of all that stays nearly empty long after it.
             self.good = (0.995 * self.good).max(self.borne());
             self.ceiling = self
@@ -311,7 +306,7 @@
         // Where the others have room a host that hangs is left altogether.
         let part = (slow * wanted / 2.0).clamp(0.1, if refuge > 0.7 { 1.0 } else { 0.5 });
         // Guards: cut to nothing by what other nodes placed there, and empty long after it is well.
-        let floor = if part < 1.0 { FLOOR * mean * self.size } else { 0.0 };
+        let floor = if part < 1.0 { FLOOR * mean * self.listing.size } else { 0.0 };
         let ceiling = (self.ceiling.unwrap_or(self.borne()).min(self.borne()) * (1.0 - part)).max(floor);
         if self.borne() <= floor {
             self.ceiling = Some(ceiling);
@@ -323,7 +318,13 @@
         let luck = at.chance.to_bits();
         let mut order: Vec<(f64, usize)> = (0..self.conns.len())
             .filter(|&n| self.conns[n].begun)
-            .map(|n| (self.cost(n, at.ledger) / at.worth(&self.conns[n]) * draw(luck, n as u64), n))
+            .map(|n| {
+                (
+                    self.cost(n, at.ledger) / at.charter.offerings[self.conns[n].offering].payoff.max(1e-6)
+                        * draw(luck, n as u64),
+                    n,
+                )
+            })
             .collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0));
         let mut load = self.borne();
@@ -350,15 +351,6 @@
     desk: &'a Desk,
 }
 
-impl Room<'_> {
-    /// What a connection earns: less where its tenant takes more than its share of this node.
-    fn worth(&self, conn: &Conn) -> f64 {
-        let payoff = self.charter.offerings[conn.offering].payoff.max(1e-6);
-        payoff
-            * if self.desk.over_share(conn.tenant, self.charter) { self.charter.overage_payoff } else { 1.0 }
-    }
-}
-
 impl Ledger {
     fn length(&self, key: Option<u64>, now: Nanos) -> Option<f64> {
         let known = key.and_then(|k| self.lengths.get(&k)).filter(|(_, t)| now < t + TABLE_AGE);
@@ -492,15 +484,6 @@
         }
     }
 
-    /// Whether a tenant's part of what is open here is well over its part of all shares. A node sees
-    /// neither the total nor the other nodes, but the mix it sees is the mix that all see.
-    fn over_share(&self, tenant: usize, charter: &Charter) -> bool {
-        let shares = &charter.tenant_shares;
-        let (Some(&open), Some(share)) = (self.open.get(tenant), shares.get(tenant)) else { return false };
-        let (all, whole) = (self.open.iter().sum::<u32>(), shares.iter().sum::<f64>());
-        f64::from(open) * whole > 1.15 * share * f64::from(all)
-    }
-
     /// Whether the hand-offs fail so often that no single host can be to blame.
     fn common(&self) -> bool {
         self.trouble > 0.3
@@ -538,7 +521,7 @@
         let vectors = [start(0.0), start(0.05), start(0.1), start(0.2)];
         let usual = vec![None; charter.offerings.len()];
         let set_up = charter.offerings.iter().map(|o| o.contract_time).min().unwrap_or(SECOND) as f64 / 12.0;
-        let open = vec![0; charter.tenant_shares.len()];
+
         // The first look-around comes at a moment of the node's own.
         let first = now + (PULSE as f64 * rng.random::<f64>()) as Nanos;
         out.push(Action::WakeAt { time: first, mark: 0 });
@@ -547,7 +530,7 @@
             rng,
             hosts: Vec::new(),
             known: HashMap::new(),
-            desk: Desk { open, window: WINDOW, ..Desk::default() },
+            desk: Desk { window: WINDOW, ..Desk::default() },
             helm: Helm { vectors, ..Helm::default() },
             ledger: Ledger { usual, set_up, ..Ledger::default() },
             roll: Roll::default(),
@@ -829,9 +812,6 @@
         arrival.offering = arrival.offering.min(self.charter.offerings.len().saturating_sub(1));
         let expiry = now.saturating_add(arrival.time_left);
         let attachment = Attachment { id: arrival.id, arrival, expiry, sent: now, ..Attachment::default() };
-        if let Some(open) = self.desk.open.get_mut(arrival.tenant) {
-            *open += 1;
-        }
         let slot = self.desk.free.pop().unwrap_or_else(|| {
             self.desk.slots.push(None);
             self.desk.slots.len() - 1
@@ -845,19 +825,15 @@
         if let Some(attachment) = self.desk.slots[slot].take() {
             self.desk.names.remove(&attachment.id);
             self.desk.free.push(slot);
-            if let Some(open) = self.desk.open.get_mut(attachment.arrival.tenant) {
-                *open -= 1;
-            }
         }
     }
 
     fn conn(&self, now: Nanos, slot: usize, arrival: &Arrival, begun: bool, vector: Option<usize>) -> Conn {
         let length = self.ledger.length(arrival.key, now).unwrap_or(HORIZON);
         let group = arrival.group.filter(|_| self.charter.groups && !self.charter.pass);
-        let (offering, key, tenant, load) =
-            (arrival.offering, arrival.key, arrival.tenant, arrival.usual_load);
+        let (offering, key, load) = (arrival.offering, arrival.key, arrival.usual_load);
         let (since, end) = (now, now + length as Nanos);
-        Conn { slot, offering, key, tenant, group, load, since, begun, end, vector, ..Conn::default() }
+        Conn { slot, offering, key, group, load, since, begun, end, vector, ..Conn::default() }
     }
 
     /// The final answer to what can be handed off no more: a dismissal where a retry is harmless.
@@ -936,7 +912,8 @@
 
         // Guards: many nodes that each know nothing of a host and all send to it. Where most hosts have
         // a ceiling, one without counts as having theirs.
-        let capped = || self.hosts.iter().filter(|h| h.ready()).filter_map(|h| Some(h.ceiling? / h.size));
+        let capped =
+            || self.hosts.iter().filter(|h| h.ready()).filter_map(|h| Some(h.ceiling? / h.listing.size));
         let known = capped().count();
         let typical = if 2 * known > ready { capped().sum::<f64>() / known as f64 } else { f64::INFINITY };
 
@@ -970,7 +947,7 @@
                 }
                 let own = if host.newcomer { host.own().max(mean) } else { host.own() };
                 let mut balance =
-                    (own + (load * steps + opening) / host.size) * (1.0 + host.slow(now)) / scale;
+                    (own + (load * steps + opening) / place.size) * (1.0 + host.slow(now)) / scale;
                 if let Some(home) = home.filter(|_| opens) {
                     balance += pull * (-draw(home, host.id.0).ln() / place.size).min(1.0);
                 }
--- a/src/records.rs
+++ b/src/records.rs
@@ -44,7 +44,6 @@
     pub slot: usize,
     pub offering: usize,
     pub key: Option<u64>,
-    pub tenant: usize,
     pub group: Option<u64>,
     pub load: Option<f64>,
     pub since: Nanos,
@@ -70,8 +69,6 @@
     /// What it pays for the groups that it holds.
     pub shared: f64,
     pub longest: Nanos,
-    /// Its listed size, as far as it has warmed up.
-    pub size: f64,
     /// Hand-offs out that have not begun, and when the last went.
     pub pending: u32,
     pub sent: Nanos,
@@ -119,7 +116,6 @@
     pub slots: Vec<Option<Attachment>>,
     pub free: Vec<usize>,
     pub names: HashMap<AttachmentId, usize>,
-    pub open: Vec<u32>,
     /// Set-ups out, how many may be, and those that wait for one to end.
     pub setting_up: u32,
     pub window: f64,
--- a/src/types.rs
+++ b/src/types.rs
@@ -75,9 +75,6 @@
     /// The least time between two calls of the module.
     pub round: Nanos,
     pub offerings: Vec<Offering>,
-    /// For each tenant the open connections within its share, over all nodes.
-    pub tenant_shares: Vec<f64>,
-    pub overage_payoff: f64,
     pub most_hand_offs: u32,
     pub may_call_off: bool,
     /// The longest wait a client heeds; 0 where advice is not passed on.
@@ -114,8 +111,6 @@
             zone: 0,
             round: MILLI,
             offerings: Vec::new(),
-            tenant_shares: Vec::new(),
-            overage_payoff: 1.0,
             most_hand_offs: 3,
             may_call_off: false,
             longest_advice: 0,
@@ -168,7 +163,6 @@
 pub struct Arrival {
     pub id: AttachmentId,
     pub offering: usize,
-    pub tenant: usize,
     pub key: Option<u64>,
     pub group: Option<u64>,
     pub time_left: Nanos,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -173,7 +173,6 @@
             match key {
                 "left" => arrival.time_left = ms(value),
                 "offering" => arrival.offering = num(value) as usize,
-                "tenant" => arrival.tenant = num(value) as usize,
                 "key" => arrival.key = Some(num(value) as u64),
                 "group" => arrival.group = Some(num(value) as u64),
                 "load" => arrival.usual_load = Some(num(value)),
