--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,7 +35,7 @@
 const LATE: f64 = 0.6;
 const MUTATION: (f64, f64) = (0.25, 0.05);
 /// What a host's first connection of a group costs, in usual loads, and a crossing, in mean own loads.
-const GROUP_PRICE: f64 = 1.5;
+const GROUP_PRICE: f64 = 2.0;
 const HOME: f64 = 4.0;
 const CROSSING: f64 = 18.0;
 
