--- a/src/choice.rs
+++ b/src/choice.rs
@@ -644,7 +644,7 @@
         counted().map(Host::own).sum::<f64>() / counted().count().max(1) as f64
     }
 
-        /// Own connections a size that a warm host can be taken to bear: four times the mean, or nearer the
+    /// Own connections a size that a warm host can be taken to bear: four times the mean, or nearer the
     /// mean the more of them have a ceiling. Guards: a fleet that grows and whose new hosts stay idle.
     fn mean_count(&self, now: Nanos) -> f64 {
         let (mut conns, mut size, mut warm, mut capped) = (0, 0.0, 0.0, 0.0);
