--- a/src/choice.rs
+++ b/src/choice.rs
@@ -37,7 +37,7 @@
 /// What a host's first connection of a group costs, in usual loads, and a crossing, in mean own loads.
 const GROUP_PRICE: f64 = 2.0;
 const HOME: f64 = 4.0;
-const CROSSING: f64 = 10.0;
+const CROSSING: f64 = 18.0;
 
 /// One short line for a change of mode.
 macro_rules! log {
