--- a/adapter/src/frames.rs
+++ b/adapter/src/frames.rs
@@ -38,8 +38,16 @@
 fn u64_at(from: &[u8], at: usize) -> u64 {
     u64::from_be_bytes(bytes(from, at))
 }
+/// A figure that is no number, or no finite one, counts as nothing.
+fn finite(figure: f64) -> f64 {
+    if figure.is_finite() {
+        figure
+    } else {
+        0.0
+    }
+}
 fn f32_at(from: &[u8], at: usize) -> f64 {
-    f64::from(f32::from_be_bytes(bytes(from, at)))
+    finite(f64::from(f32::from_be_bytes(bytes(from, at))))
 }
 fn f64_at(from: &[u8], at: usize) -> f64 {
     f64::from_be_bytes(bytes(from, at))
@@ -104,7 +112,7 @@
             key: some(u64_at(r, 12)),
             time_left: nanos(f64_at(r, 20)),
             // The hint counts work a second in milliseconds; the module counts cores.
-            usual_load: (marks & 1 != 0).then(|| f64_at(r, 28) / 1e3),
+            usual_load: (marks & 1 != 0).then(|| finite(f64_at(r, 28)).max(0.0) / 1e3),
             group: some(u64_at(r, 36)),
             midway: marks & 8 != 0,
         }
@@ -392,6 +400,9 @@
             assert!(fault.starts_with("batch 7, record 0: ") && fault.contains(what), "{fault}");
         }
         assert!(crate::terms::charter(b"{").unwrap_err().starts_with("settings: "));
+        let bare = br#"{"balancers": 1, "index": 0, "offerings": [], "policy_limits": {"most_hand_offs": 1},
+            "contract": {"cold": 1, "cold_from": 1, "tip_after": 1, "tip_multiple": 1}}"#;
+        assert!(crate::terms::charter(bare).unwrap_err().contains("no offering"));
         assert!(crate::terms::charter(b"{\"balancers\": 1}").unwrap_err().contains("missing field"));
     }
 }
--- a/adapter/src/terms.rs
+++ b/adapter/src/terms.rs
@@ -95,6 +95,9 @@
     let mut value: serde_json::Value = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
     strip_nulls(&mut value);
     let terms: Terms = serde_json::from_value(value).map_err(|e| format!("settings: {e}"))?;
+    if terms.offerings.is_empty() {
+        return Err("settings: no offering is listed".into());
+    }
     let mut offerings = Vec::new();
     for (n, kind) in terms.offerings.iter().enumerate() {
         offerings.push(Offering {
