Take a node's few connections for a sample; come home only where it is heard

Cause: at full size a node holds about four connections over forty hosts. Cuts took a tenth of a host at the least, also while its messages got quicker.

Change: own load is blurred by the square of the usual load over the mean (ten usual loads where a node holds a tenth of a connection a host, a fifth where it holds five); a connection comes home only to a host with two of the node's own, by chance; a cut is what messages grow by plus what drains in two seconds, and none while they get quicker.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,6 +38,11 @@
 const GROUP_PRICE: f64 = 2.0;
 const HOME: f64 = 4.0;
 const CROSSING: f64 = 18.0;
+/// Usual loads that a host's own load is blurred by: what one node sees of it is a sample.
+/// Seconds within which a cut is to let the work piled up at a host drain.
+const DRAIN: f64 = 2.0;
+/// Most usual loads that what a node cannot see of a host is taken for.
+const UNSEEN: f64 = 50.0;
 
 /// One short line for a change of mode.
 macro_rules! log {
@@ -240,8 +245,11 @@
             }
             Note::Slow(time) => {
                 let wanted = at.charter.shortest_message_time();
-                self.slowness = time as f64 / wanted.max(1) as f64;
-                self.slow_told = now;
+                let slowness = time as f64 / wanted.max(1) as f64;
+                let since = now - self.slow_told.min(now);
+                let grown = (slowness - self.slowness) * wanted as f64 / since.max(1) as f64;
+                self.growth = if since < 5 * PULSE { grown } else { 0.0 };
+                (self.slowness, self.slow_told) = (slowness, now);
             }
             Note::Gauged { load, backlog } => {
                 let wanted = at.charter.shortest_message_time();
@@ -304,7 +312,11 @@
         }
         let wanted = at.charter.shortest_message_time() as f64 / SECOND as f64;
         // Where the others have room a host that hangs is left altogether.
-        let part = (slow * wanted / 2.0).clamp(0.1, if refuge > 0.7 { 1.0 } else { 0.5 });
+        let part = self.growth + slow * wanted / DRAIN;
+        if part <= 0.0 {
+            return;
+        }
+        let part = part.clamp(0.05, if refuge > 0.7 { 1.0 } else { 0.5 });
         // Guards: cut to nothing by what other nodes placed there, and empty long after it is well.
         let floor = if part < 1.0 { FLOOR * mean * self.listing.size } else { 0.0 };
         let ceiling = (self.ceiling.unwrap_or(self.borne()).min(self.borne()) * (1.0 - part)).max(floor);
@@ -798,11 +810,15 @@
         let away = self.hosts.iter().filter(|h| h.ready() && h.listing.zone != self.charter.zone);
         let settled = away.flat_map(|h| h.conns.iter().filter(|c| c.begun && now >= c.since + STEP));
         let slots: Vec<usize> = settled.map(|c| c.slot).collect();
-        for _ in 0..slots.len().div_ceil(20) {
+        // Guards: many nodes that each move one whole connection where a twentieth of one was meant.
+        for _ in 0..(slots.len() as f64 / 20.0 + self.rng.random::<f64>()) as usize {
             let (slot, tie) = (slots[self.rng.random_range(0..slots.len())], self.rng.random());
             let Some(attachment) = self.desk.slots[slot].as_ref() else { continue };
             let better = self.choose(now, attachment, self.helm.next, tie);
-            if better.is_some_and(|h| self.hosts[h].listing.zone == self.charter.zone) {
+            // Guards: homes that are full, as nodes that hold nothing there do not hear. Two or more are
+            // to be there already, so that word of late messages comes.
+            let hears = |h: &Host| h.listing.zone == self.charter.zone && h.conns.len() > 1;
+            if better.is_some_and(|h| hears(&self.hosts[h])) {
                 self.post.push_back((To::Desk, Note::Shift { slot }));
             }
         }
@@ -904,7 +920,11 @@
         let length = self.ledger.length(arrival.key, now);
         let load = self.ledger.load(arrival.offering, arrival.usual_load);
         let steps = length.map_or(1.0, |l| (l / STEP as f64).ceil().clamp(1.0, STEPS as f64) / STEPS as f64);
-        let scale = if mean > 0.0 { mean } else { load.max(f64::MIN_POSITIVE) };
+        // Guards: a node of many that holds a connection at few hosts and takes that for all their load.
+        // What it holds is a sample: the smaller, the nearer every host counts to the mean.
+        let unit = self.ledger.unit.unwrap_or(1.0);
+        let unseen = (unit * unit / mean.max(f64::MIN_POSITIVE)).min(UNSEEN * unit);
+        let scale = mean + unseen;
         let home = if charter.pass { arrival.key } else { arrival.group.filter(|_| charter.groups) };
         // Midway packets go where every node would look for them.
         let pull = if arrival.midway { 1e6 } else { HOME };
@@ -947,7 +967,7 @@
                 }
                 let own = if host.newcomer { host.own().max(mean) } else { host.own() };
                 let mut balance =
-                    (own + (load * steps + opening) / place.size) * (1.0 + host.slow(now)) / scale;
+                    (own + unseen + (load * steps + opening) / place.size) * (1.0 + host.slow(now)) / scale;
                 if let Some(home) = home.filter(|_| opens) {
                     balance += pull * (-draw(home, host.id.0).ln() / place.size).min(1.0);
                 }
