--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,6 +21,8 @@
 /// How often the node looks around by itself.
 const PULSE: Nanos = SECOND / 2;
 const MASK: Nanos = 3 * SECOND;
+/// How long a host is masked that all own connections were cut from.
+const LEFT: Nanos = 12 * SECOND;
 const TABLE_SIZE: usize = 8192;
 const TABLE_AGE: Nanos = 3600 * SECOND;
 /// Placements that a weight vector must show before it is judged.
@@ -70,6 +72,11 @@
         self.longest.saturating_sub(now)
     }
 
+    /// Whether it is known to bear no more than it has, or is masked.
+    fn pressed(&self, now: Nanos) -> bool {
+        self.ceiling.is_some() || now < self.masked_until
+    }
+
     /// How late its messages are, by what was last told; old word fades.
     fn slow(&self, now: Nanos) -> f64 {
         f64::from(u8::from(now < self.slow_told + 5 * PULSE)) * self.slowness
@@ -339,7 +346,7 @@
             })
             .collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let mut load = self.borne();
+        let (mut load, mut left) = (self.borne(), conns);
         for (_, n) in order {
             // Guards: many nodes that each cut one whole connection where a tenth of one was meant.
             let cost = self.cost(n, at.ledger);
@@ -347,8 +354,14 @@
                 break;
             }
             load -= cost;
+            left -= 1;
             at.post.push_back((To::Desk, Note::Shift { slot: self.conns[n].slot }));
         }
+        if left == 0 {
+            // Guards: a node that holds nothing there any more, hears of no late messages and comes back.
+            let length = (LEFT as f64 * (0.75 + 0.5 * at.chance)) as Nanos;
+            self.masked_until = self.masked_until.max(now + length);
+        }
     }
 }
 
@@ -803,8 +816,7 @@
     /// score itself would now place them in the node's own zone.
     fn homeward(&mut self, now: Nanos) {
         // Guards: a zone with more traffic than room, filled up by what came home.
-        let pressed = |h: &Host| h.ceiling.is_some() || now < h.masked_until;
-        if self.desk.common() || self.hosts.iter().any(|h| h.ready() && pressed(h)) {
+        if self.desk.common() || self.hosts.iter().any(|h| h.ready() && h.pressed(now)) {
             return;
         }
         let away = self.hosts.iter().filter(|h| h.ready() && h.listing.zone != self.charter.zone);
@@ -937,6 +949,16 @@
         let known = capped().count();
         let typical = if 2 * known > ready { capped().sum::<f64>() / known as f64 } else { f64::INFINITY };
 
+        // Guards: a zone with more traffic than its hosts bear, whose nodes hold little each and see few
+        // ceilings. A crossing costs nothing more once half of the own hosts that word came of are pressed.
+        let (mut heard, mut pressed) = (1.0, 0.0);
+        for host in self.hosts.iter().filter(|h| h.ready() && h.listing.zone == charter.zone) {
+            let press = host.pressed(now);
+            pressed += f64::from(u8::from(press));
+            heard += f64::from(u8::from(press || !host.conns.is_empty()));
+        }
+        let crossing = CROSSING * charter.cross_zone_charge * (1.0 - 2.0 * pressed / heard).max(0.0);
+
         let circle = charter.offerings[arrival.offering].circle;
         let labelled = charter.offerings[arrival.offering].effect == Effect::Labelled;
         let held = attachment.may_have_run.filter(|_| labelled).map(|(h, _)| &self.hosts[h].listing);
@@ -974,7 +996,7 @@
                 let gap = length.map_or(0.0, |l| ((host.remaining(now) as f64 - l).abs() / HORIZON).min(1.0));
                 let mut score = weights.balance * balance + weights.gap * gap;
                 if place.zone != charter.zone {
-                    score += CROSSING * charter.cross_zone_charge * (1.0 - known as f64 / ready as f64);
+                    score += crossing;
                 }
                 let luck = draw(tie, n as u64);
                 if best.is_none_or(|(s, l, _)| score < s || (score == s && luck < l)) {
