--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,8 +21,6 @@
 /// How often the node looks around by itself.
 const PULSE: Nanos = SECOND / 2;
 const MASK: Nanos = 3 * SECOND;
-/// How long a host is masked that all own connections were cut from.
-const LEFT: Nanos = 12 * SECOND;
 const TABLE_SIZE: usize = 8192;
 const TABLE_AGE: Nanos = 3600 * SECOND;
 /// Placements that a weight vector must show before it is judged.
@@ -353,13 +351,12 @@
             if load - ceiling < 0.5 * cost * draw(!luck, n as u64) {
                 break;
             }
-            load -= cost;
-            left -= 1;
+            (load, left) = (load - cost, left - 1);
             at.post.push_back((To::Desk, Note::Shift { slot: self.conns[n].slot }));
         }
         if left == 0 {
             // Guards: a node that holds nothing there any more, hears of no late messages and comes back.
-            let length = (LEFT as f64 * (0.75 + 0.5 * at.chance)) as Nanos;
+            let length = (MASK as f64 * (1.5 + at.chance)) as Nanos;
             self.masked_until = self.masked_until.max(now + length);
         }
     }
@@ -950,14 +947,15 @@
         let typical = if 2 * known > ready { capped().sum::<f64>() / known as f64 } else { f64::INFINITY };
 
         // Guards: a zone with more traffic than its hosts bear, whose nodes hold little each and see few
-        // ceilings. A crossing costs nothing more once half of the own hosts that word came of are pressed.
+        // ceilings. The less a node sees, the more the share of the own hosts that are pressed lowers it.
         let (mut heard, mut pressed) = (1.0, 0.0);
         for host in self.hosts.iter().filter(|h| h.ready() && h.listing.zone == charter.zone) {
             let press = host.pressed(now);
             pressed += f64::from(u8::from(press));
             heard += f64::from(u8::from(press || !host.conns.is_empty()));
         }
-        let crossing = CROSSING * charter.cross_zone_charge * (1.0 - 2.0 * pressed / heard).max(0.0);
+        let crossing =
+            CROSSING * charter.cross_zone_charge * (1.0 - (1.0 + unseen / scale) * pressed / heard).max(0.0);
 
         let circle = charter.offerings[arrival.offering].circle;
         let labelled = charter.offerings[arrival.offering].effect == Effect::Labelled;
