--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,6 +31,8 @@
 const FLOOR: f64 = 0.1;
 /// Most set-ups out at once.
 const WINDOW: f64 = 64.0;
+/// How much longer a set-up is waited for where all fail.
+const PATIENCE: f64 = 20.0;
 /// Message time over what is wanted from which a host counts as late.
 const LATE: f64 = 0.6;
 const MUTATION: (f64, f64) = (0.25, 0.05);
@@ -906,7 +908,9 @@
         let chosen = if late || !again || full { None } else { self.choose(now, attachment, vector, tie) };
         let Some(host) = chosen else { return self.answer(slot, out) };
         // An irreversible hand-off that timed out could not be followed by anything: it gets all the time.
-        let patience = (offering.contract_time as f64 * 0.6).max(6.0 * self.ledger.set_up) as Nanos;
+        // Guards: a store that all set-ups share, whose answers come after the nodes stopped to wait and ask anew.
+        let patience = (offering.contract_time as f64 * 0.6).max(6.0 * self.ledger.set_up);
+        let patience = (patience * (1.0 + PATIENCE * self.desk.trouble)) as Nanos;
         let only = attachment.hand_offs + 1 >= self.charter.most_hand_offs
             || offering.effect == Effect::Irreversible;
         let until = if only { last } else { last.min(now + patience) };
