Let several nodes share a turn at a cold host; look over the hosts once a choice

On the 257 nodes of the enlarged fleet the means were taken anew for every note to a host.

Change: the order of turns differs from host to host, as many nodes share one as half the budget has usual loads for (a quarter of the nodes at most), and what is sent counts by its load. One survey a choice; the means for cold hosts only where one is cold; hosts that hold nothing of the node get no pulses (the most that an empty host bore well is kept until it holds something again, which is the one decision that differs).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -82,11 +82,9 @@
         f64::from(u8::from(now < self.slow_told + 5 * PULSE)) * self.slowness
     }
 
-    /// Whether the budget of a cold host has room for one more from this node. Nodes take turns of
-    /// `tip_after` by their number, and a turn gives half the budget, so that a window spanning two
-    /// turns stays within it (guards: a host pushed over at the seam of two nodes' turns).
-    fn cold_room(&self, now: Nanos, mean_count: f64, charter: &Charter) -> bool {
-        !self.cold(now, charter) || self.credit_at(now, mean_count, charter).0 >= 1.0
+    /// Whether the budget of a cold host has room for one more from this node.
+    fn cold_room(&self, now: Nanos, count: f64, charter: &Charter) -> bool {
+        !self.cold(now, charter) || self.credit_at(now, count, charter).0 >= 1.0
     }
 
     /// The share of its size that a host can be counted on to have reached since its start.
@@ -95,19 +93,23 @@
         charter.cold_from + (1.0 - charter.cold_from) * (age / charter.cold.max(1) as f64).min(1.0)
     }
 
-    fn credit_at(&self, now: Nanos, mean_count: f64, charter: &Charter) -> (f64, u64) {
-        let nodes = u64::from(charter.nodes);
+    /// What a cold host may be sent by this node in this turn. Nodes take turns of `tip_after` by their
+    /// number, another order for each host, as many together as the budget has usual loads for. A turn
+    /// gives half the budget, so that a window spanning two stays within it (guards: a host pushed over
+    /// at the seam of two turns; new hosts left idle where a round of hundreds outlasts the warm-up).
+    fn credit_at(&self, now: Nanos, count: f64, charter: &Charter) -> (f64, u64) {
+        let nodes = u64::from(charter.nodes.max(1));
+        let fill = (count * nodes as f64 + 1.0) * self.listing.size / charter.cold.max(1) as f64;
+        let half = charter.tip_multiple * self.warmth(now, charter) * fill * charter.tip_after as f64 / 2.0;
+        let together = (half as u64).min(nodes / 4).max(1);
+        let (cycle, part) = (nodes.div_ceil(together), half / together as f64);
         let turn = now / charter.tip_after.max(MILLI);
-        if turn.checked_rem(nodes) != Some(u64::from(charter.node)) || turn == self.turn {
+        let place = turn.wrapping_add((draw(self.id.0, 0) * 1e6) as u64);
+        if place % cycle != u64::from(charter.node) % cycle || turn == self.turn {
             return (if turn == self.turn { self.credit } else { 0.0 }, self.turn);
         }
-        let cold = charter.cold.max(1) as f64 / SECOND as f64;
-        let fill = (mean_count + 1.0) * self.listing.size * charter.nodes as f64 / cold;
-        let budget = charter.tip_multiple * self.warmth(now, charter) * fill * charter.tip_after as f64
-            / SECOND as f64;
-        let missed = if self.turn == 0 { 1 } else { ((turn - self.turn) / nodes).clamp(1, 8) };
-        let half = budget / 2.0;
-        ((self.credit.min(1.0) + half * missed as f64).min(half.max(1.0)), turn)
+        let missed = if self.turn == 0 { 1 } else { ((turn - self.turn) / cycle).clamp(1, 8) };
+        ((self.credit.min(1.0) + part * missed as f64).min(part.max(1.0)), turn)
     }
 
     fn count(&mut self, at: usize, now: Nanos, ledger: &Ledger) {
@@ -193,8 +195,9 @@
             Note::Unlisted => (self.listed, self.gone_since) = (false, now),
             Note::Sent(conn) => {
                 if self.cold(now, at.charter) {
-                    (self.credit, self.turn) = self.credit_at(now, at.mean_count, at.charter);
-                    self.credit -= 1.0;
+                    (self.credit, self.turn) = self.credit_at(now, at.count, at.charter);
+                    // Guards: a few connections of many times the usual load.
+                    self.credit -= at.ledger.load(conn.offering, conn.load) / at.ledger.unit.unwrap_or(1.0);
                 }
                 if !conn.begun {
                     (self.pending, self.sent) = (self.pending + 1, now);
@@ -371,10 +374,41 @@
     post: &'a mut Post,
     out: &'a mut Vec<Action>,
     chance: f64,
-    mean_count: f64,
+    count: f64,
     desk: &'a Desk,
 }
 
+/// What one look over the ready hosts shows.
+struct Survey {
+    /// Mean own load of the hosts that are neither newcomers nor masked.
+    mean: f64,
+    /// What own loads are blurred by. Guards: a node of many that holds a connection at few hosts and
+    /// takes that for all their load. What it holds is a sample: the smaller, the more all count alike.
+    unseen: f64,
+    /// Share of the hosts that are in time and not masked.
+    refuge: f64,
+    /// What a host without a ceiling is taken to bear, a size. Guards: many nodes that each know nothing
+    /// of a host and all send to it. Where most have a ceiling, one without counts as having theirs.
+    typical: f64,
+    /// The price of a crossing. Guards: a zone with more traffic than its hosts bear, whose nodes go on
+    /// to fill it: the more of the own hosts that word came of are pressed, the less.
+    crossing: f64,
+    /// Own connections a size that a warm host can be taken to bear: four times the mean, or nearer the
+    /// mean the more have a ceiling. Guards: a fleet that grows and whose new hosts stay idle.
+    count: f64,
+}
+
+/// What an attachment asks of a host.
+struct Ask<'a> {
+    attachment: &'a Attachment,
+    /// Its load, and the part of it that falls in the look-ahead steps.
+    load: f64,
+    ahead: f64,
+    length: Option<f64>,
+    /// What its home is drawn by.
+    home: Option<u64>,
+}
+
 impl Ledger {
     fn length(&self, key: Option<u64>, now: Nanos) -> Option<f64> {
         let known = key.and_then(|k| self.lengths.get(&k)).filter(|(_, t)| now < t + TABLE_AGE);
@@ -642,11 +676,7 @@
     fn pulse(&mut self, now: Nanos, out: &mut Vec<Action>) {
         out.push(Action::WakeAt { time: now + PULSE, mark: 0 });
         self.pulses += 1;
-        let mean = self.mean_own(now);
-        let (well, ready) = self.hosts.iter().filter(|h| h.ready()).fold((0, 0), |(well, ready), h| {
-            (well + u32::from(h.slow(now) < LATE && now >= h.masked_until), ready + 1)
-        });
-        let refuge = f64::from(well) / f64::from(ready.max(1));
+        let Survey { mean, refuge, .. } = self.survey(now);
         self.post.push_back((To::Desk, Note::Call));
         if self.charter.cross_zone_charge > 2.0 * self.charter.move_charge {
             self.post.push_back((To::Desk, Note::Homeward));
@@ -654,29 +684,54 @@
         if self.charter.roll_on_request {
             self.post.push_back((To::Roll, Note::Pulse { mean, refuge }));
         }
-        for host in 0..self.hosts.len() {
-            if self.pulses.is_multiple_of(STEP / PULSE) {
-                self.post.push_back((To::Host(host), Note::Step { mean }));
+        for (n, host) in self.hosts.iter().enumerate() {
+            // Guards: hundreds of hosts that hold nothing of this node and cost it time all the same.
+            let idle = host.conns.is_empty() && host.ceiling.is_none();
+            if self.pulses.is_multiple_of(STEP / PULSE) && (!idle || self.charter.probe_for_gauges) {
+                self.post.push_back((To::Host(n), Note::Step { mean }));
+            }
+            if !idle {
+                self.post.push_back((To::Host(n), Note::Pulse { mean, refuge }));
             }
-            self.post.push_back((To::Host(host), Note::Pulse { mean, refuge }));
         }
     }
 
-    /// The mean own load of the ready hosts that are no newcomers.
-    fn mean_own(&self, now: Nanos) -> f64 {
-        let counted = || self.hosts.iter().filter(|h| h.ready() && !h.newcomer && now >= h.masked_until);
-        counted().map(Host::own).sum::<f64>() / counted().count().max(1) as f64
-    }
-
-    /// Own connections a size that a warm host can be taken to bear: four times the mean, or nearer the
-    /// mean the more of them have a ceiling. Guards: a fleet that grows and whose new hosts stay idle.
-    fn mean_count(&self, now: Nanos) -> f64 {
-        let (mut conns, mut size, mut warm, mut capped) = (0, 0.0, 0.0, 0.0);
-        for host in self.hosts.iter().filter(|h| h.ready() && !h.cold(now, &self.charter)) {
-            (conns, size) = (conns + host.conns.len(), size + host.listing.size);
-            (warm, capped) = (warm + 1.0, capped + f64::from(u8::from(host.ceiling.is_some())));
+    /// One look over the ready hosts.
+    fn survey(&self, now: Nanos) -> Survey {
+        let (mut ready, mut well, mut capped, mut ceilings) = (0.0, 0.0, 0.0, 0.0);
+        let (mut own, mut counted, mut pressed, mut heard) = (0.0, 0.0, 0.0, 1.0);
+        let (mut conns, mut size, mut warm, mut full) = (0.0, 0.0, 0.0, 0.0);
+        for host in self.hosts.iter().filter(|h| h.ready()) {
+            let (masks, caps) = (now < host.masked_until, host.ceiling.is_some());
+            let one = |b: bool| f64::from(u8::from(b));
+            (ready, well) = (ready + 1.0, well + one(!masks && host.slow(now) < LATE));
+            if let Some(ceiling) = host.ceiling {
+                (capped, ceilings) = (capped + 1.0, ceilings + ceiling / host.listing.size);
+            }
+            if !masks && !host.newcomer {
+                (own, counted) = (own + host.own(), counted + 1.0);
+            }
+            if host.listing.zone == self.charter.zone {
+                pressed += one(masks || caps);
+                heard += one(masks || caps || !host.conns.is_empty());
+            }
+            if !host.cold(now, &self.charter) {
+                (conns, size) = (conns + host.conns.len() as f64, size + host.listing.size);
+                (warm, full) = (warm + 1.0, full + one(caps));
+            }
+        }
+        let (mean, unit) = (own / f64::max(counted, 1.0), self.ledger.unit.unwrap_or(1.0));
+        let unseen = (unit * unit / mean.max(f64::MIN_POSITIVE)).min(UNSEEN * unit);
+        // The less a node sees, the more a word of its own zone weighs.
+        let relief = (1.0 - (1.0 + unseen / (mean + unseen)) * pressed / heard).max(0.0);
+        Survey {
+            mean,
+            unseen,
+            refuge: well / f64::max(ready, 1.0),
+            typical: if 2.0 * capped > ready { ceilings / capped } else { f64::INFINITY },
+            crossing: CROSSING * self.charter.cross_zone_charge * relief,
+            count: conns / f64::max(size, f64::MIN_POSITIVE) * (4.0 - 3.0 * full / f64::max(warm, 1.0)),
         }
-        conns as f64 / f64::max(size, f64::MIN_POSITIVE) * (4.0 - 3.0 * capped / f64::max(warm, 1.0))
     }
 
     /// Carries notes to their inboxes and has them read until none is left.
@@ -685,12 +740,13 @@
             match to {
                 To::Host(host) => {
                     self.hosts[host].inbox.push_back(note);
-                    let mean_count = self.mean_count(now);
+                    let cold = self.hosts[host].cold(now, &self.charter);
+                    let count = if cold { self.survey(now).count } else { 0.0 };
                     while let Some(note) = self.hosts[host].inbox.pop_front() {
                         let chance = self.rng.random();
                         let (charter, ledger, post) = (&self.charter, &self.ledger, &mut self.post);
                         let desk = &self.desk;
-                        let mut room = Room { charter, ledger, post, out, chance, mean_count, desk };
+                        let mut room = Room { charter, ledger, post, out, chance, count, desk };
                         self.hosts[host].read(note, now, &mut room);
                     }
                 }
@@ -925,81 +981,24 @@
         }
     }
 
-    /// The design's two-part score over the ready hosts; lowest wins, ties at random.
+    /// The host with the lowest score of those that may and can take the attachment; ties at random.
     fn choose(&self, now: Nanos, attachment: &Attachment, vector: usize, tie: u64) -> Option<usize> {
-        let (charter, arrival) = (&self.charter, &attachment.arrival);
-        let weights = &self.helm.vectors[vector];
-        let (mean, mean_count) = (self.mean_own(now), self.mean_count(now));
+        let arrival = &attachment.arrival;
         let length = self.ledger.length(arrival.key, now);
         let load = self.ledger.load(arrival.offering, arrival.usual_load);
         let steps = length.map_or(1.0, |l| (l / STEP as f64).ceil().clamp(1.0, STEPS as f64) / STEPS as f64);
-        // Guards: a node of many that holds a connection at few hosts and takes that for all their load.
-        // What it holds is a sample: the smaller, the nearer every host counts to the mean.
-        let unit = self.ledger.unit.unwrap_or(1.0);
-        let unseen = (unit * unit / mean.max(f64::MIN_POSITIVE)).min(UNSEEN * unit);
-        let scale = mean + unseen;
-        let home = if charter.pass { arrival.key } else { arrival.group.filter(|_| charter.groups) };
-        // Midway packets go where every node would look for them.
-        let pull = if arrival.midway { 1e6 } else { HOME };
-        let ready = self.hosts.iter().filter(|h| h.ready()).count();
-
-        // Guards: many nodes that each know nothing of a host and all send to it. Where most hosts have
-        // a ceiling, one without counts as having theirs.
-        let capped =
-            || self.hosts.iter().filter(|h| h.ready()).filter_map(|h| Some(h.ceiling? / h.listing.size));
-        let known = capped().count();
-        let typical = if 2 * known > ready { capped().sum::<f64>() / known as f64 } else { f64::INFINITY };
-
-        // Guards: a zone with more traffic than its hosts bear, whose nodes hold little each and see few
-        // ceilings. The less a node sees, the more the share of the own hosts that are pressed lowers it.
-        let (mut heard, mut pressed) = (1.0, 0.0);
-        for host in self.hosts.iter().filter(|h| h.ready() && h.listing.zone == charter.zone) {
-            let press = host.pressed(now);
-            pressed += f64::from(u8::from(press));
-            heard += f64::from(u8::from(press || !host.conns.is_empty()));
-        }
-        let crossing =
-            CROSSING * charter.cross_zone_charge * (1.0 - (1.0 + unseen / scale) * pressed / heard).max(0.0);
-
-        let circle = charter.offerings[arrival.offering].circle;
-        let labelled = charter.offerings[arrival.offering].effect == Effect::Labelled;
-        let held = attachment.may_have_run.filter(|_| labelled).map(|(h, _)| &self.hosts[h].listing);
-        for lenient in [false, true] {
+        let groups = self.charter.groups && !self.charter.pass;
+        let home = if self.charter.pass { arrival.key } else { arrival.group.filter(|_| groups) };
+        let ask = Ask { attachment, load, ahead: load * steps, length, home };
+        let view = self.survey(now);
+        for again in [false, true] {
             let mut best: Option<(f64, f64, usize)> = None;
             for (n, host) in self.hosts.iter().enumerate() {
-                let place = &host.listing;
-                if !host.ready() || !host.cold_room(now, mean_count, charter) {
-                    continue;
-                }
-                if held.is_some_and(|first| match circle {
-                    Circle::All => false,
-                    Circle::Zone => first.zone != place.zone,
-                    Circle::Cell => first.cell != place.cell,
-                }) {
+                let passed = !again && attachment.tried.contains(&n) || !host.ready();
+                if passed || !self.takes(now, host, &ask, &view, again) {
                     continue;
                 }
-                // A masked host, where the mask lapses, and one on trial get a trickle.
-                let doubted = now < host.masked_until || host.trial;
-                let trickle = host.pending == 0 && now >= host.sent + PULSE / 2;
-                let opens = home.is_some_and(|g| !host.groups.contains_key(&g));
-                let opening = if opens && !charter.pass { self.ledger.group_price() } else { 0.0 };
-                if !host.bears(now, load + opening, typical) || doubted && !trickle {
-                    continue;
-                }
-                if !lenient && (now < host.masked_until || attachment.tried.contains(&n)) {
-                    continue;
-                }
-                let own = if host.newcomer { host.own().max(mean) } else { host.own() };
-                let mut balance =
-                    (own + unseen + (load * steps + opening) / place.size) * (1.0 + host.slow(now)) / scale;
-                if let Some(home) = home.filter(|_| opens) {
-                    balance += pull * (-draw(home, host.id.0).ln() / place.size).min(1.0);
-                }
-                let gap = length.map_or(0.0, |l| ((host.remaining(now) as f64 - l).abs() / HORIZON).min(1.0));
-                let mut score = weights.balance * balance + weights.gap * gap;
-                if place.zone != charter.zone {
-                    score += crossing;
-                }
+                let score = self.score(now, host, &ask, &view, vector);
                 let luck = draw(tie, n as u64);
                 if best.is_none_or(|(s, l, _)| score < s || (score == s && luck < l)) {
                     best = Some((score, luck, n));
@@ -1011,4 +1010,54 @@
         }
         None
     }
+
+    /// What a host that does not hold its group would pay for the attachment beside its load.
+    fn opening(&self, host: &Host, ask: &Ask) -> f64 {
+        let opens = ask.home.is_some_and(|g| !self.charter.pass && !host.groups.contains_key(&g));
+        f64::from(u8::from(opens)) * self.ledger.group_price()
+    }
+
+    /// Whether a ready host may and can take the attachment.
+    fn takes(&self, now: Nanos, host: &Host, ask: &Ask, view: &Survey, again: bool) -> bool {
+        // A masked host, where the mask lapses, and one on trial get a trickle.
+        let masked = now < host.masked_until;
+        let trickle = host.pending == 0 && now >= host.sent + PULSE / 2;
+        if masked && !again || (masked || host.trial) && !trickle {
+            return false;
+        }
+        host.bears(now, ask.load + self.opening(host, ask), view.typical)
+            && host.cold_room(now, view.count, &self.charter)
+            && self.in_circle(&host.listing, ask.attachment)
+    }
+
+    /// Whether the host would drop a repeat of a labelled attachment that may have run.
+    fn in_circle(&self, place: &Listing, attachment: &Attachment) -> bool {
+        let offering = &self.charter.offerings[attachment.arrival.offering];
+        let Some((first, _)) = attachment.may_have_run.filter(|_| offering.effect == Effect::Labelled) else {
+            return true;
+        };
+        let first = &self.hosts[first].listing;
+        match offering.circle {
+            Circle::All => true,
+            Circle::Zone => first.zone == place.zone,
+            Circle::Cell => first.cell == place.cell,
+        }
+    }
+
+    /// The design's two-part score, and the leanings to homes and to the own zone.
+    fn score(&self, now: Nanos, host: &Host, ask: &Ask, view: &Survey, vector: usize) -> f64 {
+        let weights = &self.helm.vectors[vector];
+        let own = if host.newcomer { host.own().max(view.mean) } else { host.own() };
+        let with = own + (ask.ahead + self.opening(host, ask)) / host.listing.size;
+        let balance = (with + view.unseen) * (1.0 + host.slow(now)) / (view.mean + view.unseen);
+        let apart = |l: f64| ((host.remaining(now) as f64 - l).abs() / HORIZON).min(1.0);
+        let score = weights.balance * balance + weights.gap * ask.length.map_or(0.0, apart);
+
+        let crossing = if host.listing.zone == self.charter.zone { 0.0 } else { view.crossing };
+        let away = ask.home.filter(|g| self.charter.pass || !host.groups.contains_key(g));
+        // Midway packets go where every node would look for them.
+        let pull = if ask.attachment.arrival.midway { 1e6 } else { HOME };
+        let homing = |g: u64| pull * (-draw(g, host.id.0).ln() / host.listing.size).min(1.0);
+        score + crossing + away.map_or(0.0, homing)
+    }
 }
