Dismiss by chance where most of a node's last connections met late messages

Ceilings keep load out where a node holds many connections a host; where it holds none at most, each moved connection came back at a node that knew nothing, 11 to 17 hand-offs an attachment, none of them served.

Change: each node keeps the share of its last connections that met late messages within a look-ahead step (a third of its weight to the last). Above 0.3 it dismisses by chance, with a wait, the more the less it sees of the hosts; with few nodes next to nothing.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,6 +33,9 @@
 const WINDOW: f64 = 64.0;
 /// How much longer a set-up is waited for where all fail.
 const PATIENCE: f64 = 20.0;
+/// Share of the last connections that met late messages from which some are dismissed, and how many.
+const MANY: f64 = 0.3;
+const SHED: f64 = 4.0;
 /// Message time over what is wanted from which a host counts as late.
 const LATE: f64 = 0.6;
 const MUTATION: (f64, f64) = (0.25, 0.05);
@@ -279,9 +282,12 @@
                 }
                 let spread = if mean > 0.0 { (self.own() / mean - 1.0).powi(2) } else { 0.0 };
                 let longest = self.remaining(now) as f64;
+                let fresh = now < self.slow_told + 5 * PULSE;
                 for conn in &mut self.conns {
                     if conn.begun && now >= conn.since + STEP {
                         if let Some(vector) = conn.vector.take() {
+                            at.post
+                                .push_back((To::Desk, Note::Fared { late: self.slowness >= LATE && fresh }));
                             at.post.push_back((To::Helm, Note::Judged { vector, spread, longest }));
                         }
                     }
@@ -357,6 +363,9 @@
                 break;
             }
             (load, left) = (load - cost, left - 1);
+            if self.conns[n].vector.take().is_some() {
+                at.post.push_back((To::Desk, Note::Fared { late: true }));
+            }
             at.post.push_back((To::Desk, Note::Shift { slot: self.conns[n].slot }));
         }
         if left == 0 {
@@ -542,6 +551,11 @@
         }
     }
 
+    /// Whether so many of the last connections met late messages that some are better not placed.
+    fn sheds(&self) -> bool {
+        self.late > MANY
+    }
+
     /// Whether the hand-offs fail so often that no single host can be to blame.
     fn common(&self) -> bool {
         self.trouble > 0.3
@@ -831,6 +845,13 @@
                     out.push(Action::CallOff { id: attachment.id, hand_off: attachment.hand_offs - 1 });
                 }
             }
+            Note::Fared { late } => {
+                let before = self.desk.sheds();
+                self.desk.late += (f64::from(u8::from(late)) - self.desk.late) / 3.0;
+                if before != self.desk.sheds() {
+                    log!(out, "shed={} late={:.2} held={}", !before, self.desk.late, self.desk.names.len());
+                }
+            }
             Note::Call => self.call_line(now, out),
             Note::Homeward => self.homeward(now),
             Note::Shift { slot } => {
@@ -961,7 +982,15 @@
                 return self.desk.line.push_back(slot);
             }
         }
-        let chosen = if late || !again || full { None } else { self.choose(now, attachment, vector, tie) };
+        // Guards: hosts that many nodes fill up again as fast as each cuts its one connection there. The
+        // less a node sees of the hosts, the more of what it might hold to ceilings it dismisses by chance.
+        let shed = self.desk.sheds() && attachment.hand_offs == 0 && {
+            let view = self.survey(now);
+            let blind = view.unseen / (view.mean + view.unseen);
+            draw(tie, 0) < SHED * blind * (self.desk.late - MANY) / (1.0 - MANY)
+        };
+        let chosen =
+            if late || !again || full || shed { None } else { self.choose(now, attachment, vector, tie) };
         let Some(host) = chosen else { return self.answer(slot, out) };
         // An irreversible hand-off that timed out could not be followed by anything: it gets all the time.
         // Guards: a store that all set-ups share, whose answers come after the nodes stopped to wait and ask anew.
--- a/src/records.rs
+++ b/src/records.rs
@@ -33,6 +33,7 @@
     Lived { key: Option<u64>, length: Nanos },
     Weighed { offering: usize, load: f64 },
     SetUp(Nanos),
+    Fared { late: bool },
     Told(RollKind),
 }
 
@@ -124,6 +125,8 @@
     pub line: VecDeque<usize>,
     /// Share of late hand-offs that failed, whatever the host.
     pub trouble: f64,
+    /// Share of the last connections that met late messages at their host.
+    pub late: f64,
 }
 
 /// Past lengths by client key, usual loads by offering, and how long set-ups take.
