Build the house habit, and take out the window on set-ups

The habit: an attachment is offered first to the node's set, ranked by the score: the hosts of its zone at which the node holds its group, without a group those at which it holds anything and three that a draw over node and host gives it to start with. Where those are all busy (ceiling, mask, late, or own load, blurred, over 1.2 times the mean) all ready hosts are scored, and the one taken joins. A host leaves with its last connection. In pass mode, where every node must look in the same place, it yields.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,8 +29,9 @@
 const RISE: f64 = 0.02;
 /// What a cut leaves of the mean own load.
 const FLOOR: f64 = 0.1;
-/// Most set-ups out at once.
-const WINDOW: f64 = 64.0;
+/// Hosts a node starts with, and the own load over the mean from which one counts as busy.
+const FEW: f64 = 3.0;
+const BUSY: f64 = 1.2;
 /// How much longer a set-up is waited for where all fail.
 const PATIENCE: f64 = 20.0;
 /// Share of the last connections that met late messages from which some are dismissed, and how many.
@@ -169,13 +170,8 @@
         let length = MASK << self.strikes.min(1);
         if now >= self.masked_until {
             self.strikes += 1;
-            let (own, conns) = (self.own(), self.conns.len());
-            log!(
-                out,
-                "mask host={:x} why={why} strikes={} own={own:.2} conns={conns}",
-                self.id.0,
-                self.strikes
-            );
+            let (id, strikes, own, conns) = (self.id.0, self.strikes, self.own(), self.conns.len());
+            log!(out, "mask host={id:x} why={why} strikes={strikes} own={own:.2} conns={conns}");
         }
         // Spread, so that nodes do not let a host back in step.
         self.masked_until = now + (length as f64 * (0.75 + 0.5 * chance)) as Nanos;
@@ -346,35 +342,25 @@
         log!(at.out, "cut host={:x} slow={slow:.1} load={own:.2} to={ceiling:.2} conns={conns}", self.id.0);
         (self.ceiling, self.cut, self.slowness_at_cut) = (Some(ceiling), now, slow);
         let luck = at.chance.to_bits();
+        let payoff = |n: usize| at.charter.offerings[self.conns[n].offering].payoff.max(1e-6);
         let mut order: Vec<(f64, usize)> = (0..self.conns.len())
             .filter(|&n| self.conns[n].begun)
-            .map(|n| {
-                (
-                    self.cost(n, at.ledger) / at.charter.offerings[self.conns[n].offering].payoff.max(1e-6)
-                        * draw(luck, n as u64),
-                    n,
-                )
-            })
+            .map(|n| (self.cost(n, at.ledger) / payoff(n) * draw(luck, n as u64), n))
             .collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let (mut load, mut left) = (self.borne(), conns);
+        let mut load = self.borne();
         for (_, n) in order {
             // Guards: many nodes that each cut one whole connection where a tenth of one was meant.
             let cost = self.cost(n, at.ledger);
             if load - ceiling < 0.5 * cost * draw(!luck, n as u64) {
                 break;
             }
-            (load, left) = (load - cost, left - 1);
+            load -= cost;
             if self.conns[n].vector.take().is_some() {
                 at.post.push_back((To::Desk, Note::Fared { late: true }));
             }
             at.post.push_back((To::Desk, Note::Shift { slot: self.conns[n].slot }));
         }
-        if left == 0 {
-            // Guards: a node that holds nothing there any more, hears of no late messages and comes back.
-            let length = (MASK as f64 * (1.5 + at.chance)) as Nanos;
-            self.masked_until = self.masked_until.max(now + length);
-        }
     }
 }
 
@@ -396,8 +382,9 @@
     /// What own loads are blurred by. Guards: a node of many that holds a connection at few hosts and
     /// takes that for all their load. What it holds is a sample: the smaller, the more all count alike.
     unseen: f64,
-    /// Share of the hosts that are in time and not masked.
+    /// Share of the hosts that are in time and not masked; hosts in the own zone.
     refuge: f64,
+    near: f64,
     /// What a host without a ceiling is taken to bear, a size. Guards: many nodes that each know nothing
     /// of a host and all send to it. Where most have a ceiling, one without counts as having theirs.
     typical: f64,
@@ -537,19 +524,12 @@
 }
 
 impl Desk {
-    /// A set-up came back. Guards: a store that all set-ups share, stormed by what it fails.
+    /// A set-up came back.
     fn set_up(&mut self, failed: bool, out: &mut Vec<Action>) {
         let before = self.common();
         self.trouble += (f64::from(u8::from(failed)) - self.trouble) / 8.0;
-        if failed && self.common() {
-            self.window = (self.window.min(f64::from(self.setting_up)) * 0.7).max(1.0);
-        } else if !failed {
-            self.window = (self.window + if self.common() { 1.0 / self.window } else { 0.5 }).min(WINDOW);
-        }
-        self.setting_up = self.setting_up.saturating_sub(1);
         if before != self.common() {
-            let (trouble, window, line) = (self.trouble, self.window, self.line.len());
-            log!(out, "common trouble={} failing={trouble:.2} window={window:.0} line={line}", !before);
+            log!(out, "common trouble={} failing={:.2} held={}", !before, self.trouble, self.names.len());
         }
     }
 
@@ -604,7 +584,7 @@
             rng,
             hosts: Vec::new(),
             known: HashMap::new(),
-            desk: Desk { window: WINDOW, ..Desk::default() },
+            desk: Desk::default(),
             helm: Helm { vectors, ..Helm::default() },
             ledger: Ledger { usual, set_up, ..Ledger::default() },
             roll: Roll::default(),
@@ -715,7 +695,7 @@
     /// One look over the ready hosts.
     fn survey(&self, now: Nanos) -> Survey {
         let (mut ready, mut well, mut capped, mut ceilings) = (0.0, 0.0, 0.0, 0.0);
-        let (mut own, mut counted, mut pressed, mut heard) = (0.0, 0.0, 0.0, 1.0);
+        let (mut own, mut counted, mut near, mut pressed, mut heard) = (0.0, 0.0, 0.0, 0.0, 1.0);
         let (mut conns, mut size, mut warm, mut full) = (0.0, 0.0, 0.0, 0.0);
         for host in self.hosts.iter().filter(|h| h.ready()) {
             let (masks, caps) = (now < host.masked_until, host.ceiling.is_some());
@@ -728,7 +708,7 @@
                 (own, counted) = (own + host.own(), counted + 1.0);
             }
             if host.listing.zone == self.charter.zone {
-                pressed += one(masks || caps);
+                (near, pressed) = (near + 1.0, pressed + one(masks || caps));
                 heard += one(masks || caps || !host.conns.is_empty());
             }
             if !host.cold(now, &self.charter) {
@@ -744,6 +724,7 @@
             mean,
             unseen,
             refuge: well / f64::max(ready, 1.0),
+            near: f64::max(near, 1.0),
             typical: if 2.0 * capped > ready { ceilings / capped } else { f64::INFINITY },
             crossing: CROSSING * self.charter.cross_zone_charge * relief,
             count: conns / f64::max(size, f64::MIN_POSITIVE) * (4.0 - 3.0 * full / f64::max(warm, 1.0)),
@@ -813,7 +794,6 @@
                     (attachment.begun, attachment.answered) = (true, true);
                 }
                 self.desk.set_up(false, out);
-                self.call_line(now, out);
             }
             Note::Returned { slot, over, ending } => {
                 let Some(attachment) = self.desk.slots[slot].as_mut() else { return };
@@ -824,8 +804,7 @@
                     self.desk.set_up(!matches!(ending, Ending::Done | Ending::CalledOff), out);
                 }
                 if answered {
-                    self.forget(slot);
-                    return self.call_line(now, out);
+                    return self.forget(slot);
                 }
                 let Some(attachment) = self.desk.slots[slot].as_mut() else { return };
                 if let Some(host) = host {
@@ -835,13 +814,11 @@
                     }
                 }
                 self.place(now, slot, out);
-                self.call_line(now, out);
             }
             Note::Left { slot } => {
                 let Some(attachment) = self.desk.slots[slot].as_mut() else { return };
                 attachment.answered = true;
                 if attachment.at.is_none() {
-                    self.desk.line.retain(|&s| s != slot);
                     self.forget(slot);
                 } else if self.charter.may_call_off && !attachment.begun {
                     out.push(Action::CallOff { id: attachment.id, hand_off: attachment.hand_offs - 1 });
@@ -854,12 +831,8 @@
                     log!(out, "shed={} late={:.2} held={}", !before, self.desk.late, self.desk.names.len());
                 }
             }
-            Note::Pulse { .. } => {
-                // Guards: a node that dismisses nearly all, hears of nothing and goes on for ever.
-                self.desk.late *= FADE;
-                self.call_line(now, out);
-            }
-            Note::Call => self.call_line(now, out),
+            // Guards: a node that dismisses nearly all, hears of nothing and goes on for ever.
+            Note::Pulse { .. } => self.desk.late *= FADE,
             Note::Homeward => self.homeward(now),
             Note::Shift { slot } => {
                 if let Some(attachment) = self.desk.slots[slot].as_mut().filter(|a| a.begun && !a.moved) {
@@ -871,30 +844,6 @@
         }
     }
 
-    /// Lets those who wait go while the window has room.
-    fn call_line(&mut self, now: Nanos, out: &mut Vec<Action>) {
-        // Guards: one who waits behind set-ups that hang until its expiry is past.
-        let mut waiting = std::mem::take(&mut self.desk.line);
-        waiting.retain(|&slot| {
-            let overdue = self.desk.slots[slot].as_ref().is_some_and(|a| {
-                let contract_time = self.charter.offerings[a.arrival.offering].contract_time;
-                now >= a.sent + contract_time || now + PULSE + 2 * self.charter.round >= a.expiry
-            });
-            if overdue {
-                self.answer(slot, out);
-            }
-            !overdue
-        });
-        self.desk.line = waiting;
-        while f64::from(self.desk.setting_up) < self.desk.window {
-            let Some(slot) = self.desk.line.pop_front() else { return };
-            self.place(now, slot, out);
-            if !self.post.is_empty() {
-                return self.post.push_back((To::Desk, Note::Call));
-            }
-        }
-    }
-
     /// Moves a few connections that cross zones back, where a crossing costs more than a move and the
     /// score itself would now place them in the node's own zone.
     fn homeward(&mut self, now: Nanos) {
@@ -978,17 +927,6 @@
             _ => true,
         };
         let vector = self.helm.next;
-        let full = f64::from(self.desk.setting_up) >= self.desk.window;
-        if full && !late && again {
-            // Waits its turn only if that comes within the contract time; else it is told at once.
-            let wait = (self.desk.line.len() + 1) as f64 * self.ledger.set_up / self.desk.window;
-            if wait < offering.contract_time as f64 && now + PULSE.max(wait as Nanos) < last {
-                if let Some(attachment) = self.desk.slots[slot].as_mut() {
-                    attachment.sent = now;
-                }
-                return self.desk.line.push_back(slot);
-            }
-        }
         // Guards: hosts that many nodes fill up again as fast as each cuts its one connection there. The
         // less a node sees of the hosts, the more of what it might hold to ceilings it dismisses by chance.
         let shed = self.desk.sheds() && attachment.hand_offs == 0 && {
@@ -996,8 +934,7 @@
             let blind = view.unseen / (view.mean + view.unseen);
             draw(tie, 0) < SHED * blind * (self.desk.late - MANY) / (1.0 - MANY)
         };
-        let chosen =
-            if late || !again || full || shed { None } else { self.choose(now, attachment, vector, tie) };
+        let chosen = if late || !again || shed { None } else { self.choose(now, attachment, vector, tie) };
         let Some(host) = chosen else { return self.answer(slot, out) };
         // An irreversible hand-off that timed out could not be followed by anything: it gets all the time.
         // Guards: a store that all set-ups share, whose answers come after the nodes stopped to wait and ask anew.
@@ -1013,7 +950,6 @@
         if let Some(attachment) = self.desk.slots[slot].as_mut() {
             (attachment.hand_offs, attachment.at, attachment.sent) =
                 (attachment.hand_offs + 1, Some(host), now);
-            self.desk.setting_up += 1;
         }
     }
 
@@ -1027,11 +963,15 @@
         let home = if self.charter.pass { arrival.key } else { arrival.group.filter(|_| groups) };
         let ask = Ask { attachment, load, ahead: load * steps, length, home };
         let view = self.survey(now);
-        for again in [false, true] {
+        // First the node's set, then all ready hosts, then those masked or tried before.
+        for (set, again) in [(true, false), (false, false), (false, true)] {
             let mut best: Option<(f64, f64, usize)> = None;
             for (n, host) in self.hosts.iter().enumerate() {
                 let passed = !again && attachment.tried.contains(&n) || !host.ready();
-                if passed || !self.takes(now, host, &ask, &view, again) {
+                if passed
+                    || set && !self.in_set(now, host, &ask, &view)
+                    || !self.takes(now, host, &ask, &view, again)
+                {
                     continue;
                 }
                 let score = self.score(now, host, &ask, &view, vector);
@@ -1047,6 +987,21 @@
         None
     }
 
+    /// The house habit: a node starts with few hosts and adds one whenever those are all busy. Its set for a
+    /// group is the hosts of its zone that it holds the group at, else those that it holds anything at and
+    /// the few that a draw over node and host gives it to start with. What is new joins at once. A busy host
+    /// has a ceiling or a mask, is late or bears more than its part; a host leaves with its last connection.
+    fn in_set(&self, now: Nanos, host: &Host, ask: &Ask, view: &Survey) -> bool {
+        let used = match ask.home {
+            Some(home) => !self.charter.pass && host.groups.contains_key(&home),
+            _ if !host.conns.is_empty() || host.newcomer => true,
+            _ => draw(u64::from(self.charter.node), host.id.0) < FEW / view.near,
+        };
+        let part = BUSY * (view.mean + view.unseen);
+        let busy = host.pressed(now) || host.slow(now) >= LATE || host.own() + view.unseen > part;
+        used && !busy && host.listing.zone == self.charter.zone
+    }
+
     /// What a host that does not hold its group would pay for the attachment beside its load.
     fn opening(&self, host: &Host, ask: &Ask) -> f64 {
         let opens = ask.home.is_some_and(|g| !self.charter.pass && !host.groups.contains_key(&g));
--- a/src/records.rs
+++ b/src/records.rs
@@ -26,7 +26,6 @@
     Standing(Arrival, usize),
     Returned { slot: usize, over: bool, ending: Ending },
     Left { slot: usize },
-    Call,
     Homeward,
     Shift { slot: usize },
     Judged { vector: usize, spread: f64, longest: f64 },
@@ -119,10 +118,6 @@
     pub slots: Vec<Option<Attachment>>,
     pub free: Vec<usize>,
     pub names: HashMap<AttachmentId, usize>,
-    /// Set-ups out, how many may be, and those that wait for one to end.
-    pub setting_up: u32,
-    pub window: f64,
-    pub line: VecDeque<usize>,
     /// Share of late hand-offs that failed, whatever the host.
     pub trouble: f64,
     /// Share of the last connections that met late messages at their host.
