Hand off once where most hand-offs fail

Change: while most hand-offs time out or fail with an error, an attachment gets one hand-off and then its dismissal with a wait. Refusals and failed connections are the host's doing and no longer count for the store.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -800,8 +800,9 @@
                 let (host, begun) = (attachment.at.take(), attachment.begun);
                 attachment.answered |= over;
                 let answered = attachment.answered;
-                if !begun {
-                    self.desk.set_up(!matches!(ending, Ending::Done | Ending::CalledOff), out);
+                // What is refused or not connected is the host's doing, no store's.
+                if !begun && matches!(ending, Ending::Error | Ending::TimedOut) {
+                    self.desk.set_up(true, out);
                 }
                 if answered {
                     return self.forget(slot);
@@ -920,7 +921,9 @@
         let offering = &self.charter.offerings[attachment.arrival.offering];
         let ran = attachment.may_have_run;
         let last = attachment.expiry.saturating_sub(2 * self.charter.round);
-        let late = now >= last || attachment.hand_offs >= self.charter.most_hand_offs;
+        // Guards: a store that fails at once, asked five times over for each attachment.
+        let most = if self.desk.common() { 1 } else { self.charter.most_hand_offs };
+        let late = now >= last || attachment.hand_offs >= most;
         let again = match (offering.effect, ran) {
             (Effect::Irreversible, Some(_)) => false,
             (Effect::Labelled, Some((_, sent))) => now < sent + offering.window,
