--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,7 +35,7 @@
 /// How much longer a set-up is waited for where all fail.
 const PATIENCE: f64 = 20.0;
 /// Share of the last connections that met late messages from which some are dismissed, and how many.
-const MANY: f64 = 0.3;
+const MANY: f64 = 0.2;
 const SHED: f64 = 8.0;
 /// What a pulse leaves of that share.
 const FADE: f64 = 0.98;
