Count lone cut connections as late; let the mask lapse only when all are masked

Cause: nodes of an overrun fleet judged only what they had placed; the connections that stood from the start, cut as the only one a node holds at a host, told nothing.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,7 +35,7 @@
 /// How much longer a set-up is waited for where all fail.
 const PATIENCE: f64 = 20.0;
 /// Share of the last connections that met late messages from which some are dismissed, and how many.
-const MANY: f64 = 0.2;
+const MANY: f64 = 0.3;
 const SHED: f64 = 8.0;
 /// What a pulse leaves of that share.
 const FADE: f64 = 0.98;
@@ -356,7 +356,8 @@
                 break;
             }
             load -= cost;
-            if self.conns[n].vector.take().is_some() {
+            // Those that stood before count too, where they are few: guards a day overrun from its start.
+            if self.conns[n].vector.take().is_some() || conns == 1 {
                 at.post.push_back((To::Desk, Note::Fared { late: true }));
             }
             at.post.push_back((To::Desk, Note::Shift { slot: self.conns[n].slot }));
@@ -968,12 +969,13 @@
         let view = self.survey(now);
         // First the node's set, then all ready hosts, then those masked or tried before.
         for (set, again) in [(true, false), (false, false), (false, true)] {
+            let lapsed = again && self.hosts.iter().all(|h| !h.ready() || now < h.masked_until);
             let mut best: Option<(f64, f64, usize)> = None;
             for (n, host) in self.hosts.iter().enumerate() {
                 let passed = !again && attachment.tried.contains(&n) || !host.ready();
                 if passed
                     || set && !self.in_set(now, host, &ask, &view)
-                    || !self.takes(now, host, &ask, &view, again)
+                    || !self.takes(now, host, &ask, &view, lapsed)
                 {
                     continue;
                 }
@@ -1012,11 +1014,11 @@
     }
 
     /// Whether a ready host may and can take the attachment.
-    fn takes(&self, now: Nanos, host: &Host, ask: &Ask, view: &Survey, again: bool) -> bool {
+    fn takes(&self, now: Nanos, host: &Host, ask: &Ask, view: &Survey, lapsed: bool) -> bool {
         // A masked host, where the mask lapses, and one on trial get a trickle.
         let masked = now < host.masked_until;
         let trickle = host.pending == 0 && now >= host.sent + PULSE / 2;
-        if masked && !again || (masked || host.trial) && !trickle {
+        if masked && !lapsed || (masked || host.trial) && !trickle {
             return false;
         }
         host.bears(now, ask.load + self.opening(host, ask), view.typical)
