--- a/src/choice.rs
+++ b/src/choice.rs
@@ -175,7 +175,6 @@
         }
         // Spread, so that nodes do not let a host back in step.
         self.masked_until = now + (length as f64 * (0.75 + 0.5 * chance)) as Nanos;
-        self.trial = true;
     }
 
     fn read(&mut self, note: Note, now: Nanos, at: &mut Room) {
@@ -185,7 +184,7 @@
                 let fresh = !self.listed || restarted;
                 if fresh && listing.standing == Standing::Ready {
                     (self.newcomer, self.credit, self.turn) = (!first, 0.0, 0);
-                    (self.masked_until, self.trial, self.strikes) = (0, false, 0);
+                    (self.masked_until, self.strikes) = (0, 0);
                     self.slowness = 0.0;
                 }
                 self.listed = listing.standing != Standing::Gone;
@@ -214,10 +213,6 @@
                 (conn.begun, conn.since) = (true, now);
                 self.pending -= 1;
                 at.post.push_back((To::Ledger, Note::SetUp(took)));
-                if self.trial && now >= self.masked_until {
-                    (self.trial, self.newcomer) = (false, true);
-                    log!(at.out, "host={:x} back strikes={}", self.id.0, self.strikes);
-                }
             }
             Note::Ended { slot, ending } => {
                 let Some(found) = self.conns.iter().position(|c| c.slot == slot) else { return };
@@ -257,9 +252,6 @@
             Note::Slow(time) => {
                 let wanted = at.charter.shortest_message_time();
                 let slowness = time as f64 / wanted.max(1) as f64;
-                let since = now - self.slow_told.min(now);
-                let grown = (slowness - self.slowness) * wanted as f64 / since.max(1) as f64;
-                self.growth = if since < 5 * PULSE { grown } else { 0.0 };
                 (self.slowness, self.slow_told) = (slowness, now);
             }
             Note::Gauged { load, backlog } => {
@@ -326,11 +318,7 @@
         }
         let wanted = at.charter.shortest_message_time() as f64 / SECOND as f64;
         // Where the others have room a host that hangs is left altogether.
-        let part = self.growth + slow * wanted / DRAIN;
-        if part <= 0.0 {
-            return;
-        }
-        let part = part.clamp(0.05, if refuge > 0.7 { 1.0 } else { 0.5 });
+        let part = (slow * wanted / DRAIN).clamp(0.05, if refuge > 0.7 { 1.0 } else { 0.5 });
         // Guards: cut to nothing by what other nodes placed there, and empty long after it is well.
         let floor = if part < 1.0 { FLOOR * mean * self.listing.size } else { 0.0 };
         let ceiling = (self.ceiling.unwrap_or(self.borne()).min(self.borne()) * (1.0 - part)).max(floor);
@@ -941,7 +929,7 @@
         let chosen = if late || !again || shed { None } else { self.choose(now, attachment, vector, tie) };
         let Some(host) = chosen else { return self.answer(slot, out) };
         // An irreversible hand-off that timed out could not be followed by anything: it gets all the time.
-        // Guards: a store that all set-ups share, whose answers come after the nodes stopped to wait and ask anew.
+        // Guards: a store that all set-ups share, whose answers come when the node has asked anew already.
         let patience = (offering.contract_time as f64 * 0.6).max(6.0 * self.ledger.set_up);
         let patience = (patience * (1.0 + PATIENCE * self.desk.trouble)) as Nanos;
         let only = attachment.hand_offs + 1 >= self.charter.most_hand_offs
@@ -1015,10 +1003,10 @@
 
     /// Whether a ready host may and can take the attachment.
     fn takes(&self, now: Nanos, host: &Host, ask: &Ask, view: &Survey, lapsed: bool) -> bool {
-        // A masked host, where the mask lapses, and one on trial get a trickle.
+        // A masked host, where the mask lapses, gets a trickle.
         let masked = now < host.masked_until;
         let trickle = host.pending == 0 && now >= host.sent + PULSE / 2;
-        if masked && !lapsed || (masked || host.trial) && !trickle {
+        if masked && !(lapsed && trickle) {
             return false;
         }
         host.bears(now, ask.load + self.opening(host, ask), view.typical)
--- a/src/records.rs
+++ b/src/records.rs
@@ -76,13 +76,9 @@
     pub newcomer: bool,
     pub masked_until: Nanos,
     pub strikes: u32,
-    /// Back from a mask and not yet proven: one hand-off at a time.
-    pub trial: bool,
     /// Message time over what is wanted, and when that was told.
     pub slowness: f64,
     pub slow_told: Nanos,
-    /// Seconds that it grows by a second.
-    pub growth: f64,
     /// Own load now, and how much of it the host has shown to bear from this node.
     pub load: f64,
     pub ceiling: Option<f64>,
