--- a/adapter/src/frames.rs
+++ b/adapter/src/frames.rs
@@ -1,7 +1,7 @@
 //! The wire's frames: batches in, replies out.
 
-use crate::terms::nanos;
 use reedferry::{Action, Arrival, AttachmentId, Ending, Event, HostId, Listing, Nanos, RollKind, Standing};
+use reedferry_terms::nanos;
 use std::fmt;
 
 pub const HEADER: usize = 20;
@@ -399,10 +399,10 @@
             let fault = Frame::new(7, 1, &body).unwrap().event(0, 0).unwrap_err().to_string();
             assert!(fault.starts_with("batch 7, record 0: ") && fault.contains(what), "{fault}");
         }
-        assert!(crate::terms::charter(b"{").unwrap_err().starts_with("settings: "));
+        assert!(reedferry_terms::charter(b"{").unwrap_err().starts_with("settings: "));
         let bare = br#"{"balancers": 1, "index": 0, "offerings": [], "policy_limits": {"most_hand_offs": 1},
             "contract": {"cold": 1, "cold_from": 1, "tip_after": 1, "tip_multiple": 1}}"#;
-        assert!(crate::terms::charter(bare).unwrap_err().contains("no offering"));
-        assert!(crate::terms::charter(b"{\"balancers\": 1}").unwrap_err().contains("missing field"));
+        assert!(reedferry_terms::charter(bare).unwrap_err().contains("no offering"));
+        assert!(reedferry_terms::charter(b"{\"balancers\": 1}").unwrap_err().contains("missing field"));
     }
 }
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,7 +1,6 @@
 //! Runs instances of the decision module on the bench's wire: standard input to standard output.
 
 mod frames;
-mod terms;
 
 use frames::{Fault, Frame, Reply};
 use reedferry::{Action, Balancer};
@@ -54,7 +53,7 @@
             let (node, told) = frame.event(at, now)?;
             match told {
                 frames::Told::Start { seed, terms } => {
-                    let charter = terms::charter(terms).map_err(|e| frame.fault(at, &e))?;
+                    let charter = reedferry_terms::charter(terms).map_err(|e| frame.fault(at, &e))?;
                     nodes.insert(node, Balancer::new(charter, seed, now, &mut out));
                 }
                 frames::Told::Stop => {
--- /dev/null
+++ b/node/src/deck.rs
@@ -0,0 +1,65 @@
+//! What the parts of the node share while they work: the clock's one reading for this turn, the poller,
+//! the budgets, the hosts, and the events gathered for the module. It must never act by itself.
+
+use crate::hosts::Hosts;
+use crate::poller::{Mark, Poller};
+use crate::pool::Pool;
+use crate::sockets::{Budget, Socket};
+use reedferry::{Event, Nanos};
+use reedferry_terms::Terms;
+use rustix::io::Errno;
+use slog::Logger;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// The parts that marks are dealt out to.
+pub const MODULE: u8 = 0;
+pub const DOOR: u8 = 1;
+pub const SIGNAL: u8 = 2;
+pub const DISCOVERY: u8 = 3;
+pub const CLIENT: u8 = 4;
+pub const HOST: u8 = 5;
+pub const PROBE: u8 = 6;
+pub const SWEEP: u8 = 7;
+
+/// Unix time that never goes back: the system's time at the start and a steady clock since.
+pub struct Clock {
+    start: Instant,
+    unix: Nanos,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as Nanos);
+        Clock { start: Instant::now(), unix }
+    }
+
+    pub fn read(&self) -> Nanos {
+        self.unix + self.start.elapsed().as_nanos() as Nanos
+    }
+}
+
+pub struct Deck {
+    pub now: Nanos,
+    pub poller: Poller,
+    pub budget: Budget,
+    pub pool: Pool,
+    pub hosts: Hosts,
+    pub terms: Terms,
+    pub events: Vec<Event>,
+    pub log: Logger,
+    pub stamps: u32,
+}
+
+impl Deck {
+    pub fn stamp(&mut self) -> u32 {
+        self.stamps = self.stamps.wrapping_add(1);
+        self.stamps
+    }
+
+    /// Watches a socket under a fresh stamp.
+    pub fn watch(&mut self, socket: &Socket, part: u8, slot: usize) -> Result<Mark, Errno> {
+        let mark = Mark { part, slot: slot as u32, stamp: self.stamp() };
+        self.poller.watch(socket, mark)?;
+        Ok(mark)
+    }
+}
--- /dev/null
+++ b/node/src/discovery.rs
@@ -0,0 +1,259 @@
+//! Calls to discovery: the watch on the roll, and the whole roll where that is asked for. It owns the
+//! connections to discovery and the version reached. It must never decide when to call: the module asks,
+//! or where changes are to come unasked the watch is kept up by itself. A call that fails is told and
+//! ends alone.
+
+use crate::deck::{Deck, DISCOVERY};
+use crate::http::Answer;
+use crate::list::{List, Reader};
+use crate::poller::Readiness;
+use crate::sockets::Socket;
+use reedferry::{Event, Nanos, RollKind, MILLI, SECOND};
+use rustix::io::Errno;
+use slog::{info, warn};
+use std::net::SocketAddr;
+
+/// How long a watch may wait for news. Long, as each call costs discovery work.
+const HOLD: Nanos = 20 * SECOND;
+/// How long an answer may take beyond that.
+const PATIENCE: Nanos = 2 * SECOND;
+/// What a first try after a lost watch waits where nobody asks, doubled up to the longest.
+const AGAIN: Nanos = SECOND / 4;
+const LONGEST_AGAIN: Nanos = 4 * SECOND;
+const MOST_BODY: usize = 32 << 20;
+
+const WATCH: usize = 0;
+const ASK: usize = 1;
+
+#[derive(Default)]
+struct Call {
+    line: Option<(Socket, u32)>,
+    /// Whether a request is out, and what of it is still to be written.
+    out: bool,
+    request: Vec<u8>,
+    written: usize,
+    answer: Answer,
+    reader: Reader,
+    body: usize,
+    /// The connection has served an earlier call.
+    used: bool,
+    until: Nanos,
+}
+
+pub struct Discovery {
+    address: SocketAddr,
+    revision: u64,
+    calls: [Call; 2],
+    following: bool,
+    /// The watch is kept up without being asked for.
+    unasked: bool,
+    next: Nanos,
+    failures: u32,
+}
+
+impl Discovery {
+    pub fn new(address: SocketAddr, revision: u64, unasked: bool) -> Self {
+        let calls = [Call::default(), Call::default()];
+        Discovery { address, revision, calls, following: false, unasked, next: 0, failures: 0 }
+    }
+
+    /// The module wants the whole roll once.
+    pub fn ask(&mut self, deck: &mut Deck) {
+        if !self.calls[ASK].out {
+            self.call(deck, ASK, 0);
+        }
+    }
+
+    /// The module wants to be told of changes from now on.
+    pub fn follow(&mut self, deck: &mut Deck) {
+        if !self.calls[WATCH].out {
+            self.following = false;
+            // The first call comes back at once, with what was missed.
+            self.call(deck, WATCH, MILLI);
+        }
+    }
+
+    fn call(&mut self, deck: &mut Deck, which: usize, hold: Nanos) {
+        let path = match which {
+            WATCH => format!("/v1/servers?from={}&hold_ms={}", self.revision, hold / MILLI),
+            _ => "/v1/servers".to_string(),
+        };
+        let call = &mut self.calls[which];
+        call.request = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address).into_bytes();
+        (call.out, call.until) = (true, deck.now + hold + PATIENCE);
+        call.used = call.line.is_some();
+        self.start(deck, which);
+    }
+
+    /// Sends the request from its first byte, over a new connection where none is open.
+    fn start(&mut self, deck: &mut Deck, which: usize) {
+        let call = &mut self.calls[which];
+        (call.written, call.body) = (0, 0);
+        (call.answer, call.reader) = (Answer::default(), Reader::default());
+        if call.line.is_none() {
+            let opened = deck.budget.connect(&self.address).and_then(|(socket, _)| {
+                let mark = deck.watch(&socket, DISCOVERY, which)?;
+                Ok((socket, mark.stamp))
+            });
+            match opened {
+                Ok(line) => call.line = Some(line),
+                Err(e) => self.fail(deck, which, &format!("connect: {e}")),
+            }
+        } else {
+            self.write(deck, which);
+        }
+    }
+
+    pub fn ready(&mut self, deck: &mut Deck, ready: Readiness) {
+        let which = ready.mark.slot as usize;
+        let Some(call) = self.calls.get(which) else { return };
+        if call.line.as_ref().is_none_or(|(_, stamp)| *stamp != ready.mark.stamp) {
+            return;
+        }
+        if ready.write {
+            self.write(deck, which);
+        }
+        // Writing may have failed and closed it.
+        if ready.read && self.calls[which].line.as_ref().is_some_and(|(_, s)| *s == ready.mark.stamp) {
+            self.read(deck, which);
+        }
+    }
+
+    fn write(&mut self, deck: &mut Deck, which: usize) {
+        let call = &mut self.calls[which];
+        let Some((socket, _)) = &call.line else { return };
+        while call.out && call.written < call.request.len() {
+            match socket.send(&call.request[call.written..]) {
+                Ok(count) => call.written += count,
+                Err(Errno::AGAIN | Errno::NOTCONN) => return,
+                Err(e) => return self.broken(deck, which, &format!("send: {e}")),
+            }
+        }
+    }
+
+    fn read(&mut self, deck: &mut Deck, which: usize) {
+        let Some(mut buffer) = deck.pool.take() else { return self.fail(deck, which, "no buffer") };
+        loop {
+            let call = &mut self.calls[which];
+            let Some((socket, _)) = &call.line else { return };
+            buffer.clear();
+            let count = match socket.receive(buffer.spare()) {
+                Ok(0) => {
+                    if call.out && call.answer.ended() {
+                        return self.answered(deck, which);
+                    }
+                    return self.broken(deck, which, "ended");
+                }
+                Ok(count) => count,
+                Err(Errno::AGAIN) => return,
+                Err(e) => return self.broken(deck, which, &e.to_string()),
+            };
+            buffer.filled(count);
+            if !call.out {
+                return self.broken(deck, which, "bytes that nobody asked for");
+            }
+            let (answer, reader, body) = (&mut call.answer, &mut call.reader, &mut call.body);
+            let took = answer.feed(buffer.waiting(), |piece| {
+                *body += piece.len();
+                if *body > MOST_BODY {
+                    return Err("a list that is too long");
+                }
+                reader.feed(piece)
+            });
+            match took {
+                Ok(took) if call.answer.done() && took < count => {
+                    return self.fail(deck, which, "bytes that nobody asked for");
+                }
+                Ok(_) if call.answer.done() => {
+                    self.answered(deck, which);
+                    // A call that began at once over the same connection reads on when there is more.
+                }
+                Ok(_) if call.answer.begun() && call.answer.status >= 400 => {
+                    let status = call.answer.status;
+                    return self.fail(deck, which, &format!("status {status}"));
+                }
+                Ok(_) => {}
+                Err(why) => return self.fail(deck, which, why),
+            }
+        }
+    }
+
+    /// A whole answer has come.
+    fn answered(&mut self, deck: &mut Deck, which: usize) {
+        let call = &mut self.calls[which];
+        if call.answer.last {
+            call.line = None;
+        }
+        if call.answer.status != 200 {
+            let status = call.answer.status;
+            return self.fail(deck, which, &format!("status {status}"));
+        }
+        call.out = false;
+        let list = match std::mem::take(&mut call.reader).finish() {
+            Ok(list) => list,
+            Err(why) => return self.fail(deck, which, why),
+        };
+        self.take(deck, which, list);
+        if which == WATCH {
+            if !self.following {
+                info!(deck.log, "watch begun"; "revision" => self.revision);
+            }
+            (self.following, self.failures) = (true, 0);
+            // At once: a watch whose next call comes late is a new one.
+            self.call(deck, WATCH, HOLD);
+        }
+    }
+
+    fn take(&mut self, deck: &mut Deck, which: usize, list: List) {
+        // An answer that is older than what is known, as a call that waited long may bring, is no news.
+        if which == ASK && list.revision < self.revision {
+            deck.events.push(Event::Roll { kind: RollKind::Changes, hosts: Vec::new() });
+            return;
+        }
+        self.revision = list.revision;
+        let now = deck.now;
+        let event = deck.hosts.told(now, list, false);
+        deck.events.push(event);
+    }
+
+    /// The connection broke. Where it had served before and nothing of this answer has come, the other
+    /// side merely closed it between two calls: the call goes out once more.
+    fn broken(&mut self, deck: &mut Deck, which: usize, why: &str) {
+        let call = &mut self.calls[which];
+        call.line = None;
+        if !call.out {
+            return;
+        }
+        if call.used && !call.answer.begun() {
+            call.used = false;
+            return self.start(deck, which);
+        }
+        self.fail(deck, which, why);
+    }
+
+    fn fail(&mut self, deck: &mut Deck, which: usize, why: &str) {
+        let call = &mut self.calls[which];
+        (call.line, call.out) = (None, false);
+        warn!(deck.log, "discovery call failed"; "watch" => which == WATCH, "why" => why.to_string());
+        if which == WATCH {
+            self.following = false;
+            self.next = deck.now + (AGAIN << self.failures.min(4)).min(LONGEST_AGAIN);
+            self.failures += 1;
+        }
+        if !self.unasked {
+            deck.events.push(Event::Roll { kind: RollKind::Failed, hosts: Vec::new() });
+        }
+    }
+
+    /// Ends calls that nothing answers, and keeps the watch up where nobody asks for it.
+    pub fn sweep(&mut self, deck: &mut Deck) {
+        for which in [WATCH, ASK] {
+            if self.calls[which].out && deck.now >= self.calls[which].until {
+                self.fail(deck, which, "no answer in time");
+            }
+        }
+        if self.unasked && !self.calls[WATCH].out && deck.now >= self.next {
+            self.follow(deck);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/ferry.rs
@@ -0,0 +1,810 @@
+//! The ferry: an attachment's two connections, from the client's first line to the end of both. It owns
+//! the sockets of clients and hosts and what is on its way between them. It must never choose a host or
+//! an answer, which the module does, nor answer an attachment twice or let it go without an answer.
+
+use crate::deck::{Deck, CLIENT, HOST};
+use crate::lines::{self, Opening, Scanner, Word};
+use crate::poller::{Mark, Readiness};
+use crate::pool::{Buffer, Pool};
+use crate::sockets::Socket;
+use reedferry::{Arrival, AttachmentId, Ending, Event, HostId, Nanos, MILLI, SECOND};
+use rustix::io::Errno;
+use slab::Slab;
+use slog::{debug, info};
+use std::collections::VecDeque;
+
+/// How long a connection may stay without a first line.
+const SILENT_CLIENT: Nanos = 10 * SECOND;
+/// How long a client's line may go unanswered before its host counts as silent; a second under what is
+/// allowed.
+const SILENT_HOST: Nanos = 6 * SECOND;
+/// How long the other side of an ended connection is waited for.
+const LINGER: Nanos = 900 * MILLI;
+/// How long a client that has ended its sending is still passed what its host has to say.
+const LAST_WORDS: Nanos = 2 * SECOND;
+/// How long the end of a line is waited for before a move.
+const MOVE_WITHIN: Nanos = 800 * MILLI;
+/// How long a connection that stood before is asked for, and the pause between two tries.
+const STANDING_WITHIN: Nanos = 40 * SECOND;
+const STANDING_PAUSE: Nanos = SECOND / 4;
+/// Buffers moved for one connection before the others have their turn.
+const TURN: usize = 8;
+const ACCEPTS: usize = 256;
+
+const CONNECT: u64 = 0;
+const UNTIL: u64 = 1;
+
+struct Side {
+    socket: Socket,
+    stamp: u32,
+    readable: bool,
+    writable: bool,
+}
+
+/// What flows one way.
+#[derive(Default)]
+struct Lane {
+    buffer: Option<Buffer>,
+    scanner: Scanner,
+    ended: bool,
+}
+
+/// Where a lane has got to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Flow {
+    /// Nothing can be done until a socket is ready.
+    Idle,
+    /// There is more to do, or no buffer to do it with.
+    More,
+    /// The sender has ended in order, and all that it sent is through.
+    Ended,
+    /// The sender's connection broke.
+    Broken,
+    /// The receiver's connection broke.
+    Refused,
+    Malformed,
+}
+
+impl Lane {
+    fn run(&mut self, pool: &Pool, from: &mut Side, to: &mut Side, mut heard: impl FnMut(Word)) -> Flow {
+        for _ in 0..TURN {
+            match self.flush(to) {
+                Flow::Ended => {}
+                other => return other,
+            }
+            if self.ended {
+                return Flow::Ended;
+            }
+            if !from.readable {
+                return Flow::Idle;
+            }
+            match self.fill(pool, from, &mut heard) {
+                Flow::Idle => {}
+                other => return other,
+            }
+        }
+        Flow::More
+    }
+
+    /// Sends what waits; `Ended` once nothing does.
+    fn flush(&mut self, to: &mut Side) -> Flow {
+        while let Some(buffer) = self.buffer.as_mut().filter(|b| !b.is_empty()) {
+            if !to.writable {
+                return Flow::Idle;
+            }
+            match to.socket.send(buffer.waiting()) {
+                Ok(count) => buffer.sent(count),
+                Err(Errno::AGAIN) => to.writable = false,
+                Err(_) => return Flow::Refused,
+            }
+        }
+        // An idle connection holds no buffer.
+        self.buffer = None;
+        Flow::Ended
+    }
+
+    /// Reads once; `Idle` where that went as it should.
+    fn fill(&mut self, pool: &Pool, from: &mut Side, heard: &mut impl FnMut(Word)) -> Flow {
+        if self.buffer.is_none() {
+            self.buffer = pool.take();
+        }
+        let Some(buffer) = self.buffer.as_mut() else { return Flow::More };
+        let had = buffer.waiting().len();
+        match from.socket.receive(buffer.spare()) {
+            Ok(0) => self.ended = true,
+            Ok(count) => {
+                buffer.filled(count);
+                let mut at = had;
+                while at < buffer.waiting().len() {
+                    match self.scanner.step(&buffer.waiting()[at..]) {
+                        Ok((took, said)) => {
+                            at += took;
+                            said.into_iter().for_each(&mut *heard);
+                        }
+                        Err(_) => return Flow::Malformed,
+                    }
+                }
+            }
+            Err(Errno::AGAIN) => from.readable = false,
+            Err(_) => return Flow::Broken,
+        }
+        Flow::Idle
+    }
+}
+
+/// A hand-off, or the connection that came of it.
+struct Landing {
+    side: Side,
+    host: usize,
+    number: u32,
+    since: Nanos,
+    /// Whether the connection stands, and the line's last byte is written.
+    connected: bool,
+    written: bool,
+    said_bye: bool,
+    said_move: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// The first line has not come yet.
+    Knocking,
+    /// The module has it and owes an answer.
+    Held,
+    /// It stood at a host before the run and goes back there; when it is tried next.
+    Returning(Nanos),
+    /// Lines pass both ways.
+    Open,
+    /// The answer is given or its host is gone: the client's end is waited for.
+    Closing(Nanos),
+}
+
+struct Ferry {
+    client: Option<Side>,
+    landing: Option<Landing>,
+    stage: Stage,
+    since: Nanos,
+    arrival: Arrival,
+    /// The client's first line and how long it is, kept until a host has taken it.
+    letter: Option<Buffer>,
+    letter_length: usize,
+    home: Option<usize>,
+    up: Lane,
+    down: Lane,
+    hand_offs: u32,
+    /// When the lines went that are not answered yet.
+    asked: VecDeque<Nanos>,
+    moving: Option<Nanos>,
+    ending: Ending,
+    client_ended: Option<Nanos>,
+}
+
+#[derive(Default)]
+pub struct Ferries {
+    slab: Slab<Ferry>,
+    /// Those with more to do than a turn allows.
+    more: Vec<usize>,
+    door_open: bool,
+}
+
+impl Ferries {
+    pub fn count(&self) -> usize {
+        self.slab.len()
+    }
+
+    /// Whether something is left to do without waiting.
+    pub fn busy(&self) -> bool {
+        !self.more.is_empty() || self.door_open
+    }
+
+    /// Takes in the clients that wait at the door.
+    pub fn accept(&mut self, deck: &mut Deck, door: &Socket) {
+        self.door_open = false;
+        for _ in 0..ACCEPTS {
+            let socket = match deck.budget.accept(door) {
+                Ok(socket) => socket,
+                Err(Errno::AGAIN | Errno::MFILE) => return,
+                // What failed before it was taken is no client any more.
+                Err(_) => continue,
+            };
+            let entry = self.slab.vacant_entry();
+            let slot = entry.key();
+            let Ok(mark) = deck.watch(&socket, CLIENT, slot) else { continue };
+            let client = Side { socket, stamp: mark.stamp, readable: false, writable: true };
+            let id = AttachmentId(u64::from(mark.stamp) << 32 | slot as u64);
+            entry.insert(Ferry {
+                client: Some(client),
+                landing: None,
+                stage: Stage::Knocking,
+                since: deck.now,
+                arrival: Arrival { id, ..Arrival::default() },
+                letter: None,
+                letter_length: 0,
+                home: None,
+                up: Lane::default(),
+                down: Lane::default(),
+                hand_offs: 0,
+                asked: VecDeque::new(),
+                moving: None,
+                ending: Ending::CalledOff,
+                client_ended: None,
+            });
+        }
+        self.door_open = true;
+    }
+
+    fn find(&self, id: AttachmentId) -> Option<usize> {
+        let slot = id.0 as u32 as usize;
+        self.slab.get(slot).filter(|f| f.arrival.id == id).map(|_| slot)
+    }
+
+    pub fn ready(&mut self, deck: &mut Deck, ready: Readiness) {
+        let (slot, stamp) = (ready.mark.slot as usize, ready.mark.stamp);
+        let Some(ferry) = self.slab.get_mut(slot) else { return };
+        let side = match ready.mark.part {
+            CLIENT => ferry.client.as_mut(),
+            _ => ferry.landing.as_mut().map(|l| &mut l.side),
+        };
+        let Some(side) = side.filter(|s| s.stamp == stamp) else { return };
+        side.readable |= ready.read;
+        side.writable |= ready.write;
+        self.go(deck, slot);
+    }
+
+    /// Goes on with those that had more to do.
+    pub fn resume(&mut self, deck: &mut Deck, door: &Socket) {
+        if self.door_open {
+            self.accept(deck, door);
+        }
+        for slot in std::mem::take(&mut self.more) {
+            self.go(deck, slot);
+        }
+    }
+
+    fn go(&mut self, deck: &mut Deck, slot: usize) {
+        let Some(ferry) = self.slab.get(slot) else { return };
+        match ferry.stage {
+            Stage::Knocking => self.knock(deck, slot),
+            Stage::Held | Stage::Returning(_) => {
+                self.listen(deck, slot);
+                self.land_on(deck, slot);
+            }
+            Stage::Open => self.pass(deck, slot),
+            Stage::Closing(_) => self.see_off(deck, slot),
+        }
+    }
+
+    /// Reads the client's first line.
+    fn knock(&mut self, deck: &mut Deck, slot: usize) {
+        let ferry = &mut self.slab[slot];
+        let Some(client) = ferry.client.as_mut() else { return };
+        loop {
+            if ferry.letter.is_none() {
+                ferry.letter = deck.pool.take();
+            }
+            let Some(letter) = ferry.letter.as_mut() else { return self.more.push(slot) };
+            match lines::first(letter.waiting()) {
+                Ok(None) => {}
+                Ok(Some((line, length))) => match lines::opening(line) {
+                    Ok(Opening::Ping) => {
+                        letter.sent(length);
+                        if client.socket.send(b"PONG\r\n") != Ok(6) {
+                            return self.remove(slot, true);
+                        }
+                        continue;
+                    }
+                    Ok(Opening::Open(request)) => {
+                        let offering = deck.terms.offerings.iter().position(|o| o == request.offering);
+                        let Some(offering) = offering else {
+                            info!(deck.log, "turned away"; "why" => "an unknown offering");
+                            return self.answer(deck, slot, b"ERR\r\n");
+                        };
+                        ferry.arrival = Arrival {
+                            id: ferry.arrival.id,
+                            offering,
+                            key: request.key,
+                            group: request.group,
+                            time_left: request.wait,
+                            usual_load: request.usual_load,
+                            midway: false,
+                        };
+                        ferry.since = deck.now;
+                        ferry.letter_length = length - 2;
+                        if let Some(home) = request.at {
+                            ferry.home = deck.hosts.named(home);
+                            ferry.stage = Stage::Returning(deck.now);
+                            return self.go_back(deck, slot);
+                        }
+                        ferry.stage = Stage::Held;
+                        deck.events.push(Event::Arrived(ferry.arrival));
+                        return;
+                    }
+                    Err(why) => {
+                        info!(deck.log, "turned away"; "why" => why);
+                        return self.answer(deck, slot, b"ERR\r\n");
+                    }
+                },
+                Err(why) => {
+                    info!(deck.log, "turned away"; "why" => why);
+                    return self.answer(deck, slot, b"ERR\r\n");
+                }
+            }
+            if !client.readable {
+                if letter.is_empty() {
+                    ferry.letter = None;
+                }
+                return;
+            }
+            match client.socket.receive(letter.spare()) {
+                Ok(0) => return self.remove(slot, false),
+                Ok(count) => letter.filled(count),
+                Err(Errno::AGAIN) => client.readable = false,
+                Err(_) => return self.remove(slot, true),
+            }
+        }
+    }
+
+    /// Notices a client that leaves while it waits.
+    fn listen(&mut self, deck: &mut Deck, slot: usize) {
+        let ferry = &mut self.slab[slot];
+        let (Some(client), Some(letter)) = (ferry.client.as_mut(), ferry.letter.as_mut()) else { return };
+        while client.readable && !letter.spare().is_empty() {
+            match client.socket.receive(letter.spare()) {
+                Ok(0) => break,
+                Ok(count) => {
+                    letter.filled(count);
+                    continue;
+                }
+                Err(Errno::AGAIN) => {
+                    client.readable = false;
+                    return;
+                }
+                Err(_) => break,
+            }
+        }
+        if !client.readable || letter.spare().is_empty() {
+            return;
+        }
+        // The hand-off that is out ends when the module calls it off or it ends by itself.
+        ferry.client = None;
+        ferry.letter = None;
+        let held = ferry.stage == Stage::Held;
+        if held {
+            deck.events.push(Event::Left { id: ferry.arrival.id });
+        }
+        if !held || ferry.landing.is_none() {
+            self.remove(slot, false);
+        }
+    }
+
+    /// Tries a connection that stood before the run at its host again.
+    fn go_back(&mut self, deck: &mut Deck, slot: usize) {
+        let ferry = &mut self.slab[slot];
+        let until = ferry.since + ferry.arrival.time_left.max(STANDING_WITHIN);
+        let Some(host) = ferry.home.filter(|_| deck.now < until) else {
+            return self.answer(deck, slot, b"ERR\r\n");
+        };
+        ferry.stage = Stage::Returning(deck.now + STANDING_PAUSE);
+        _ = self.launch(deck, slot, host, until);
+    }
+
+    /// Carries out a hand-off.
+    pub fn hand_off(&mut self, deck: &mut Deck, id: AttachmentId, host: HostId, until: Nanos) {
+        let Some(slot) = self.find(id) else { return };
+        let ferry = &mut self.slab[slot];
+        if ferry.stage != Stage::Held || ferry.landing.is_some() || ferry.client.is_none() {
+            return;
+        }
+        let number = ferry.hand_offs;
+        ferry.hand_offs += 1;
+        let index = deck.hosts.index(host);
+        let launched = match index {
+            Some(index) => self.launch(deck, slot, index, until),
+            None => Err(Ending::Unconnected),
+        };
+        if let Err(ending) = launched {
+            let gauges = Vec::new();
+            deck.events.push(Event::Ended { id, hand_off: number, host, over: false, ending, gauges });
+        }
+    }
+
+    /// Opens the connection to a host and sets the times by which it must stand and be up.
+    fn launch(&mut self, deck: &mut Deck, slot: usize, host: usize, until: Nanos) -> Result<(), Ending> {
+        let ferry = &mut self.slab[slot];
+        let address = deck.hosts.berth(host).address.ok_or(Ending::Unconnected)?;
+        // Guards: new work that eats up what the machine's accepted clients are to be answered from.
+        if !deck.budget.room(1) || deck.pool.left() < 16 {
+            return Err(Ending::NeverSent);
+        }
+        let (socket, connected) = match deck.budget.connect(&address) {
+            Ok(opened) => opened,
+            Err(Errno::MFILE | Errno::NFILE | Errno::ADDRNOTAVAIL | Errno::NOBUFS) => {
+                return Err(Ending::NeverSent)
+            }
+            Err(_) => return Err(Ending::Unconnected),
+        };
+        let mark = deck.watch(&socket, HOST, slot).map_err(|_| Ending::NeverSent)?;
+        let side = Side { socket, stamp: mark.stamp, readable: false, writable: connected };
+        ferry.landing = Some(Landing {
+            side,
+            host,
+            number: ferry.hand_offs.saturating_sub(1),
+            since: deck.now,
+            connected,
+            written: false,
+            said_bye: false,
+            said_move: false,
+        });
+        ferry.down = Lane::default();
+        ferry.up = Lane::default();
+        ferry.arrival.time_left = until.saturating_sub(deck.now);
+        let by = deck.now + deck.terms.connect_within;
+        if by < until {
+            deck.poller.remind(by, mark, CONNECT);
+        }
+        deck.poller.remind(until, mark, UNTIL);
+        if connected {
+            self.more.push(slot);
+        }
+        Ok(())
+    }
+
+    /// A time that was set for a hand-off has come.
+    pub fn due(&mut self, deck: &mut Deck, mark: Mark, word: u64) {
+        let slot = mark.slot as usize;
+        let Some(ferry) = self.slab.get(slot) else { return };
+        let Some(landing) = ferry.landing.as_ref().filter(|l| l.side.stamp == mark.stamp) else { return };
+        if !matches!(ferry.stage, Stage::Held | Stage::Returning(_)) || word == CONNECT && landing.connected {
+            return;
+        }
+        let ending = if landing.written { Ending::TimedOut } else { Ending::Unconnected };
+        self.fell_through(deck, slot, ending);
+    }
+
+    /// A hand-off that came to nothing.
+    fn fell_through(&mut self, deck: &mut Deck, slot: usize, ending: Ending) {
+        let ferry = &mut self.slab[slot];
+        let Some(landing) = ferry.landing.take() else { return };
+        (ferry.up, ferry.down) = (Lane::default(), Lane::default());
+        if ferry.stage == Stage::Held {
+            deck.events.push(Event::Ended {
+                id: ferry.arrival.id,
+                hand_off: landing.number,
+                host: deck.hosts.berth(landing.host).id,
+                over: ferry.client.is_none(),
+                ending,
+                gauges: Vec::new(),
+            });
+            if ferry.client.is_none() {
+                self.remove(slot, false);
+            }
+        } else if !ending.never_ran() {
+            self.answer(deck, slot, b"ERR\r\n");
+        }
+    }
+
+    /// Brings a hand-off on: the connection, the line, the host's first word.
+    fn land_on(&mut self, deck: &mut Deck, slot: usize) {
+        let Some(ferry) = self.slab.get_mut(slot) else { return };
+        let Some(landing) = ferry.landing.as_mut() else { return };
+        if !landing.connected {
+            if !landing.side.writable {
+                return;
+            }
+            if landing.side.socket.connected().is_err() {
+                return self.fell_through(deck, slot, Ending::Unconnected);
+            }
+            landing.connected = true;
+        }
+        if !landing.written {
+            if ferry.up.buffer.is_none() {
+                // Guards: a line that starts late to a host that was told to be leaving meanwhile.
+                let left = deck.hosts.berth(landing.host).left_since;
+                let late = left.is_some_and(|t| deck.now > t + deck.terms.drain_grace);
+                if late && ferry.stage == Stage::Held {
+                    return self.fell_through(deck, slot, Ending::Unconnected);
+                }
+                let (Some(letter), Some(mut out)) = (ferry.letter.as_ref(), deck.pool.take()) else {
+                    return self.fell_through(deck, slot, Ending::NeverSent);
+                };
+                let wait = (landing.since + ferry.arrival.time_left).saturating_sub(deck.now);
+                let mut digits = String::new();
+                let line = &letter.waiting()[..ferry.letter_length];
+                lines::onward(line, wait, &mut digits).iter().for_each(|piece| _ = out.put(piece));
+                ferry.up.buffer = Some(out);
+            }
+            match ferry.up.flush(&mut landing.side) {
+                Flow::Ended => landing.written = true,
+                Flow::Idle => return,
+                _ => return self.fell_through(deck, slot, Ending::Unconnected),
+            }
+        }
+        let mut said = None;
+        while landing.side.readable && said.is_none() {
+            match ferry.down.fill(&deck.pool, &mut landing.side, &mut |word| _ = said.get_or_insert(word)) {
+                Flow::Idle if ferry.down.ended && said.is_none() => {
+                    return self.fell_through(deck, slot, Ending::Broken);
+                }
+                Flow::Idle => {}
+                Flow::More => return self.more.push(slot),
+                Flow::Malformed => return self.fell_through(deck, slot, Ending::Error),
+                _ => return self.fell_through(deck, slot, Ending::Broken),
+            }
+        }
+        match said {
+            None if ferry.down.buffer.as_ref().is_some_and(Buffer::is_empty) => ferry.down.buffer = None,
+            None => {}
+            Some(Word::Up) => self.begin(deck, slot),
+            Some(Word::Busy) => self.fell_through(deck, slot, Ending::Refused),
+            Some(Word::Move) => self.fell_through(deck, slot, Ending::CalledOff),
+            Some(_) => self.fell_through(deck, slot, Ending::Error),
+        }
+    }
+
+    /// The host has taken it: from here on lines pass both ways.
+    fn begin(&mut self, deck: &mut Deck, slot: usize) {
+        let ferry = &mut self.slab[slot];
+        let Some(landing) = ferry.landing.as_ref() else { return };
+        if ferry.client.is_none() {
+            return self.fell_through(deck, slot, Ending::CalledOff);
+        }
+        let (id, host) = (ferry.arrival.id, deck.hosts.berth(landing.host).id);
+        if ferry.stage == Stage::Held {
+            deck.events.push(Event::Begun { id, took: deck.now - landing.since });
+        } else {
+            deck.events.push(Event::Standing(ferry.arrival, host));
+        }
+        ferry.stage = Stage::Open;
+        // What the client sent behind its first line goes first on the way up.
+        ferry.up.buffer = ferry.letter.take().and_then(|mut letter| {
+            letter.sent(ferry.letter_length + 2);
+            let mut at = 0;
+            while at < letter.waiting().len() {
+                at += ferry.up.scanner.step(&letter.waiting()[at..]).map_or(usize::MAX / 2, |(took, _)| took);
+            }
+            (!letter.is_empty()).then_some(letter)
+        });
+        self.pass(deck, slot);
+    }
+
+    /// Passes lines both ways, and ends the one side as the other ended.
+    fn pass(&mut self, deck: &mut Deck, slot: usize) {
+        let ferry = &mut self.slab[slot];
+        let (Some(client), Some(landing)) = (ferry.client.as_mut(), ferry.landing.as_mut()) else { return };
+        let (now, host, id) = (deck.now, landing.host, ferry.arrival.id);
+
+        let asked = &mut ferry.asked;
+        let up = match ferry.client_ended {
+            Some(_) => Flow::Idle,
+            None => ferry.up.run(&deck.pool, client, &mut landing.side, |_| asked.push_back(now)),
+        };
+        let (bye, moved) = (&mut landing.said_bye, &mut landing.said_move);
+        let (events, hosts) = (&mut deck.events, &mut deck.hosts);
+        let down = ferry.down.run(&deck.pool, &mut landing.side, client, |word| match word {
+            Word::Load(load) => events.push(Event::LoadNow { id, load }),
+            Word::Bye => *bye = true,
+            Word::Move => *moved = true,
+            _ => {
+                if let Some(then) = asked.pop_front() {
+                    hosts.answered(host, now.saturating_sub(then));
+                }
+            }
+        });
+
+        let broke = if landing.said_bye { Ending::Done } else { Ending::Broken };
+        let ended = match (landing.said_bye, landing.said_move, ferry.client_ended) {
+            (true, ..) => Ending::Done,
+            (_, false, None) => Ending::Broken,
+            _ => Ending::CalledOff,
+        };
+        match (down, up) {
+            (Flow::Ended, _) => {
+                self.over(deck, slot, ended);
+                return self.close(deck, slot);
+            }
+            (Flow::Broken, _) => {
+                self.over(deck, slot, broke);
+                return self.remove(slot, true);
+            }
+            (Flow::Malformed, _) => {
+                info!(deck.log, "cut off"; "why" => "a host's line that is too long");
+                self.over(deck, slot, Ending::Broken);
+                return self.remove(slot, true);
+            }
+            (Flow::Refused, _) | (_, Flow::Broken) => {
+                return self.client_broke(deck, slot);
+            }
+            (_, Flow::Malformed) => {
+                info!(deck.log, "cut off"; "why" => "a client's line that is too long");
+                return self.client_broke(deck, slot);
+            }
+            (_, Flow::Ended) => {
+                landing.side.socket.end_sending();
+                ferry.client_ended = Some(now);
+            }
+            // The host takes no more: what it still says, or its end, comes down.
+            (_, Flow::Refused) => ferry.up.buffer = None,
+            (Flow::More, _) | (_, Flow::More) => self.more.push(slot),
+            _ => {}
+        }
+        self.move_now(deck, slot);
+    }
+
+    /// The client's connection broke: its host's is reset in turn.
+    fn client_broke(&mut self, deck: &mut Deck, slot: usize) {
+        if let Some(landing) = self.over(deck, slot, Ending::CalledOff) {
+            landing.side.socket.reset();
+        }
+        self.remove(slot, true);
+    }
+
+    /// Tells the module how an open connection ended, and takes its host's side off.
+    fn over(&mut self, deck: &mut Deck, slot: usize, ending: Ending) -> Option<Landing> {
+        let ferry = &mut self.slab[slot];
+        let landing = ferry.landing.take()?;
+        deck.events.push(Event::Ended {
+            id: ferry.arrival.id,
+            hand_off: landing.number,
+            host: deck.hosts.berth(landing.host).id,
+            over: true,
+            ending,
+            gauges: Vec::new(),
+        });
+        Some(landing)
+    }
+
+    /// The module wants the client to come again.
+    pub fn move_on(&mut self, deck: &mut Deck, id: AttachmentId) {
+        let Some(slot) = self.find(id) else { return };
+        let ferry = &mut self.slab[slot];
+        if ferry.stage == Stage::Open && ferry.moving.is_none() {
+            ferry.moving = Some(deck.now + MOVE_WITHIN);
+            ferry.ending = Ending::CalledOff;
+            self.move_now(deck, slot);
+        }
+    }
+
+    /// Sends the client away once it stands between two lines.
+    fn move_now(&mut self, deck: &mut Deck, slot: usize) {
+        let Some(ferry) = self.slab.get_mut(slot) else { return };
+        let Some(by) = ferry.moving.filter(|_| ferry.stage == Stage::Open) else { return };
+        let between =
+            ferry.down.buffer.as_ref().is_none_or(Buffer::is_empty) && ferry.down.scanner.between_lines();
+        if !between || (!ferry.up.scanner.between_lines() && deck.now < by) {
+            return;
+        }
+        let ending = ferry.ending;
+        self.over(deck, slot, ending);
+        self.answer(deck, slot, b"MOVE\r\n");
+    }
+
+    /// The module's final answer, where no host gave one.
+    pub fn dismiss(&mut self, deck: &mut Deck, id: AttachmentId, wait: Nanos) {
+        let Some(slot) = self.find(id) else { return };
+        if wait >= MILLI {
+            self.answer(deck, slot, format!("BUSY {}\r\n", wait / MILLI).as_bytes());
+        } else {
+            self.answer(deck, slot, b"BUSY\r\n");
+        }
+    }
+
+    pub fn give_up(&mut self, deck: &mut Deck, id: AttachmentId) {
+        if let Some(slot) = self.find(id) {
+            self.answer(deck, slot, b"ERR\r\n");
+        }
+    }
+
+    pub fn call_off(&mut self, deck: &mut Deck, id: AttachmentId, hand_off: u32) {
+        let Some(slot) = self.find(id) else { return };
+        let ferry = &self.slab[slot];
+        if ferry.stage == Stage::Held && ferry.landing.as_ref().is_some_and(|l| l.number == hand_off) {
+            self.fell_through(deck, slot, Ending::CalledOff);
+        }
+    }
+
+    /// Writes a last line to the client and ends its connection.
+    fn answer(&mut self, deck: &mut Deck, slot: usize, line: &[u8]) {
+        let ferry = &mut self.slab[slot];
+        ferry.letter = None;
+        ferry.landing = None;
+        if ferry.client.is_none() {
+            return self.remove(slot, false);
+        }
+        ferry.down = Lane::default();
+        if let Some(mut buffer) = deck.pool.take() {
+            buffer.put(line);
+            ferry.down.buffer = Some(buffer);
+        } else if let Some(client) = &ferry.client {
+            _ = client.socket.send(line);
+        }
+        self.close(deck, slot);
+    }
+
+    /// Ends the client's connection in order, once all that waits is through.
+    fn close(&mut self, deck: &mut Deck, slot: usize) {
+        let ferry = &mut self.slab[slot];
+        ferry.stage = Stage::Closing(deck.now + LINGER);
+        ferry.up = Lane::default();
+        ferry.down.ended = false;
+        self.see_off(deck, slot);
+    }
+
+    fn see_off(&mut self, deck: &mut Deck, slot: usize) {
+        let ferry = &mut self.slab[slot];
+        let Some(client) = ferry.client.as_mut() else { return self.remove(slot, false) };
+        if !ferry.down.ended {
+            match ferry.down.flush(client) {
+                Flow::Ended => client.socket.end_sending(),
+                Flow::Idle => return,
+                _ => return self.remove(slot, true),
+            }
+            ferry.down.ended = true;
+        }
+        let Some(mut waste) = deck.pool.take() else { return };
+        while client.readable {
+            waste.clear();
+            match client.socket.receive(waste.spare()) {
+                Ok(0) => return self.remove(slot, false),
+                Ok(_) => {}
+                Err(Errno::AGAIN) => client.readable = false,
+                Err(_) => return self.remove(slot, false),
+            }
+        }
+        if deck.budget.tight() {
+            self.remove(slot, false);
+        }
+    }
+
+    /// The one place where a ferry's sockets and buffers are given back.
+    fn remove(&mut self, slot: usize, reset: bool) {
+        let ferry = self.slab.remove(slot);
+        if let Some(client) = ferry.client.filter(|_| reset) {
+            client.socket.reset();
+        }
+    }
+
+    /// Looks over all: what has waited too long, and which lines go unanswered.
+    pub fn sweep(&mut self, deck: &mut Deck) {
+        let now = deck.now;
+        let slots: Vec<usize> = self.slab.iter().map(|(slot, _)| slot).collect();
+        for slot in slots {
+            let Some(ferry) = self.slab.get_mut(slot) else { continue };
+            match ferry.stage {
+                Stage::Knocking => {
+                    let patience = if deck.budget.tight() { SECOND } else { SILENT_CLIENT };
+                    if now >= ferry.since + patience {
+                        self.remove(slot, false);
+                    }
+                }
+                Stage::Returning(next) if ferry.landing.is_none() && now >= next => self.go_back(deck, slot),
+                Stage::Closing(by) if now >= by => self.remove(slot, true),
+                Stage::Open => self.look_after(deck, slot),
+                _ => {}
+            }
+        }
+    }
+
+    fn look_after(&mut self, deck: &mut Deck, slot: usize) {
+        let now = deck.now;
+        let ferry = &mut self.slab[slot];
+        let Some(landing) = ferry.landing.as_ref() else { return };
+        if ferry.client_ended.is_some_and(|t| now >= t + LAST_WORDS) {
+            self.over(deck, slot, Ending::CalledOff);
+            return self.remove(slot, false);
+        }
+        if let Some(&then) = ferry.asked.front() {
+            deck.hosts.unanswered(landing.host, now.saturating_sub(then));
+            if now >= then + SILENT_HOST && ferry.moving.is_none() {
+                debug!(deck.log, "silent"; "host" => &deck.hosts.berth(landing.host).name);
+                ferry.moving = Some(now + MOVE_WITHIN);
+                ferry.ending = Ending::Broken;
+            }
+        }
+        if ferry.moving.is_some_and(|by| now >= by + LINGER) {
+            // The host has stopped in the middle of a line, and the client takes no other there.
+            self.over(deck, slot, Ending::Broken);
+            return self.remove(slot, true);
+        }
+        self.move_now(deck, slot);
+    }
+}
--- /dev/null
+++ b/node/src/main.rs
@@ -0,0 +1,200 @@
+//! The node's start, its signals and its one loop. It owns the order of a turn: gather what is ready,
+//! hand it to the module in one go with one reading of the clock, carry out what came back. It must
+//! never decide anything that the module decides, nor wait for anything but the poller.
+
+mod deck;
+mod discovery;
+mod ferry;
+mod hosts;
+mod http;
+mod lines;
+mod list;
+mod log;
+mod papers;
+mod poller;
+mod pool;
+mod probe;
+mod sockets;
+
+use deck::{Clock, Deck};
+use discovery::Discovery;
+use ferry::Ferries;
+use hosts::Hosts;
+use papers::Papers;
+use poller::{Mark, Poller};
+use pool::Pool;
+use probe::Probes;
+use reedferry::{Action, Balancer, Event, Nanos, MILLI, SECOND};
+use slog::{info, warn};
+use sockets::{Budget, Socket};
+use std::io::Read;
+use std::os::unix::net::UnixStream;
+
+/// How often the node looks over its connections.
+const SWEEP: Nanos = 100 * MILLI;
+
+fn main() {
+    if let Err(why) = run() {
+        eprintln!("reedferry: {why}");
+        std::process::exit(1);
+    }
+}
+
+fn mark(part: u8) -> Mark {
+    Mark { part, slot: 0, stamp: 0 }
+}
+
+struct Node {
+    deck: Deck,
+    module: Balancer,
+    ferries: Ferries,
+    discovery: Discovery,
+    probes: Probes,
+    door: Socket,
+    signal: UnixStream,
+    actions: Vec<Action>,
+    sweeps: u64,
+}
+
+fn run() -> Result<(), String> {
+    let papers = Papers::read()?;
+    let (log, backlog) = log::logger(&papers.name);
+    let clock = Clock::start();
+    let poller = Poller::new().map_err(|e| format!("cannot poll: {e}"))?;
+    let budget = Budget::new(papers.sockets);
+    let door =
+        budget.listen(&papers.listen).map_err(|e| format!("cannot listen on {}: {e}", papers.listen))?;
+    let (signal, teller) = UnixStream::pair().map_err(|e| format!("cannot make a pair of sockets: {e}"))?;
+    signal.set_nonblocking(true).map_err(|e| format!("cannot set up signals: {e}"))?;
+    signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, teller)
+        .map_err(|e| format!("cannot set up signals: {e}"))?;
+    poller.watch(&door, mark(deck::DOOR)).map_err(|e| format!("cannot poll: {e}"))?;
+    poller.watch(&signal, mark(deck::SIGNAL)).map_err(|e| format!("cannot poll: {e}"))?;
+
+    let now = clock.read();
+    let mut deck = Deck {
+        now,
+        poller,
+        budget,
+        // A quarter of the memory; the rest is the program's own and a reserve.
+        pool: Pool::new((papers.memory / 4 / pool::SIZE).max(64)),
+        hosts: Hosts::new(papers.terms.zones.clone(), papers.charter.shortest_message_time()),
+        terms: papers.terms.clone(),
+        events: Vec::new(),
+        log: log.clone(),
+        stamps: 0,
+    };
+    let mut actions = Vec::new();
+    let unasked = !papers.charter.roll_on_request;
+    let module = Balancer::new(papers.charter.clone(), papers.seed, now, &mut actions);
+    let mut revision = 0;
+    if !papers.known.is_empty() {
+        let mut reader = list::Reader::default();
+        let known = reader.feed(&papers.known).and_then(|()| reader.finish());
+        let known = known.map_err(|e| format!("known: {e}"))?;
+        revision = known.revision;
+        let event = deck.hosts.told(now, known, true);
+        deck.events.push(event);
+    }
+    let hosts = deck.hosts.count();
+    // The system deals out the port where none is named.
+    let listen = door.address().unwrap_or(papers.listen);
+    info!(log, "started"; "listen" => %listen, "hosts" => hosts, "revision" => revision,
+        "sockets" => papers.sockets, "memory_mb" => papers.memory >> 20);
+    let mut node = Node {
+        deck,
+        module,
+        ferries: Ferries::default(),
+        discovery: Discovery::new(papers.discovery, revision, unasked),
+        probes: Probes::default(),
+        door,
+        signal,
+        actions,
+        sweeps: 0,
+    };
+    node.deck.poller.remind(now + SWEEP, mark(deck::SWEEP), 0);
+    loop {
+        node.decide();
+        backlog.drain();
+        node.gather(&clock).map_err(|e| format!("cannot poll: {e}"))?;
+    }
+}
+
+impl Node {
+    /// Gathers what has come since the last turn.
+    fn gather(&mut self, clock: &Clock) -> Result<(), rustix::io::Errno> {
+        let mut ready = Vec::new();
+        let at_once = !self.deck.events.is_empty() || self.ferries.busy();
+        self.deck.poller.wait(clock.read(), at_once, &mut ready)?;
+        self.deck.now = clock.read();
+        for one in ready {
+            let deck = &mut self.deck;
+            match one.mark.part {
+                deck::DOOR => self.ferries.accept(deck, &self.door),
+                deck::SIGNAL => self.signalled(),
+                deck::DISCOVERY => self.discovery.ready(deck, one),
+                deck::PROBE => self.probes.ready(deck, one),
+                _ => self.ferries.ready(deck, one),
+            }
+        }
+        if self.ferries.busy() {
+            self.ferries.resume(&mut self.deck, &self.door);
+        }
+        while let Some((mark, word)) = self.deck.poller.due(self.deck.now) {
+            let deck = &mut self.deck;
+            match mark.part {
+                deck::MODULE => deck.events.push(Event::Timer { mark: word }),
+                deck::HOST => self.ferries.due(deck, mark, word),
+                deck::PROBE => self.probes.due(deck, mark),
+                _ => self.sweep(),
+            }
+        }
+        Ok(())
+    }
+
+    /// Hands what was gathered to the module and carries out what it orders.
+    fn decide(&mut self) {
+        for event in std::mem::take(&mut self.deck.events) {
+            self.module.handle(self.deck.now, event, &mut self.actions);
+        }
+        for action in std::mem::take(&mut self.actions) {
+            let deck = &mut self.deck;
+            match action {
+                Action::HandOff { id, host, until } => self.ferries.hand_off(deck, id, host, until),
+                Action::Dismiss { id, wait } => self.ferries.dismiss(deck, id, wait),
+                Action::GiveUp { id } => self.ferries.give_up(deck, id),
+                Action::Move { id } => self.ferries.move_on(deck, id),
+                Action::CallOff { id, hand_off } => self.ferries.call_off(deck, id, hand_off),
+                Action::WakeAt { time, mark: word } => deck.poller.remind(time, mark(deck::MODULE), word),
+                Action::AskRoll => self.discovery.ask(deck),
+                Action::FollowRoll => self.discovery.follow(deck),
+                Action::Probe { host } => self.probes.send(deck, host),
+                Action::Log(text) => info!(deck.log, "{}", text),
+            }
+        }
+    }
+
+    fn sweep(&mut self) {
+        let deck = &mut self.deck;
+        self.sweeps += 1;
+        self.ferries.accept(deck, &self.door);
+        self.ferries.sweep(deck);
+        self.discovery.sweep(deck);
+        if self.sweeps.is_multiple_of(SECOND / SWEEP) {
+            deck.hosts.look(&mut deck.events);
+        }
+        deck.poller.remind(deck.now + SWEEP, mark(deck::SWEEP), 0);
+    }
+
+    fn signalled(&mut self) {
+        let (mut told, mut count) = ([0; 16], 0);
+        while let Ok(more @ 1..) = (&self.signal).read(&mut told) {
+            count += more;
+        }
+        if count == 0 {
+            return;
+        }
+        warn!(self.deck.log, "asked to stop"; "connections" => self.ferries.count(),
+            "descriptors" => self.deck.budget.taken());
+    }
+}
--- /dev/null
+++ b/node/src/papers.rs
@@ -0,0 +1,89 @@
+//! The node's papers: what it is told at its start, by the file that `GW_CONFIG` names. They are read
+//! once and never changed. Whatever is missing or malformed is one plain line, and no node starts.
+
+use reedferry::Charter;
+use reedferry_terms::Terms;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+#[derive(Deserialize)]
+struct Sheet {
+    name: String,
+    listen: String,
+    discovery: String,
+    #[serde(default)]
+    seed: Seed,
+    limits: Limits,
+    #[serde(default)]
+    known: serde_json::Value,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    memory_mb: f64,
+    sockets: usize,
+}
+
+/// Hexadecimal text, or a number.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Seed {
+    Text(String),
+    Number(u64),
+}
+
+impl Default for Seed {
+    fn default() -> Self {
+        Seed::Number(0)
+    }
+}
+
+pub struct Papers {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub memory: usize,
+    pub sockets: usize,
+    /// The roll as last known, in discovery's own form.
+    pub known: Vec<u8>,
+    pub charter: Charter,
+    pub terms: Terms,
+}
+
+impl Papers {
+    pub fn read() -> Result<Papers, String> {
+        let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG is not set".to_string())?;
+        let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+        Papers::decode(&text).map_err(|e| format!("{path}: {e}"))
+    }
+
+    pub fn decode(text: &[u8]) -> Result<Papers, String> {
+        let sheet: Sheet = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+        let address = |what: &str, text: &str| {
+            text.parse::<SocketAddr>().map_err(|_| format!("{what} {text:?} is no address with a port"))
+        };
+        if !(1.0..1e9).contains(&sheet.limits.memory_mb) {
+            return Err(format!("limits: memory_mb is {}", sheet.limits.memory_mb));
+        }
+        let (charter, terms) = reedferry_terms::from_value(sheet.settings)?;
+        Ok(Papers {
+            listen: address("listen", &sheet.listen)?,
+            discovery: address("discovery", &sheet.discovery)?,
+            name: sheet.name,
+            seed: match sheet.seed {
+                Seed::Number(seed) => seed,
+                Seed::Text(text) => crate::lines::word(&text).unwrap_or(0),
+            },
+            memory: (sheet.limits.memory_mb * 1024.0 * 1024.0) as usize,
+            sockets: sheet.limits.sockets,
+            known: match sheet.known {
+                serde_json::Value::Null => Vec::new(),
+                known => known.to_string().into_bytes(),
+            },
+            charter,
+            terms,
+        })
+    }
+}
--- /dev/null
+++ b/node/src/poller.rs
@@ -0,0 +1,120 @@
+//! The poller and the timers. It owns the epoll instance and the heap of what falls due. It must never
+//! know what a [`Mark`] stands for: it carries marks and gives them back. Sockets are watched by edges,
+//! so who is told of one reads or writes until the kernel has no more.
+
+use reedferry::Nanos;
+use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
+use rustix::event::Timespec;
+use rustix::io::Errno;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::os::fd::{AsFd, OwnedFd};
+
+/// Whose socket it is: a part of the node, a slot of that part, and a stamp that no later holder of the
+/// slot bears. Guards: an event of a closed socket that meets the next one in its slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Mark {
+    pub part: u8,
+    pub slot: u32,
+    pub stamp: u32,
+}
+
+const SLOT_BITS: u32 = 24;
+
+impl Mark {
+    fn packed(self) -> u64 {
+        u64::from(self.part) << 56 | u64::from(self.slot) << 32 | u64::from(self.stamp)
+    }
+
+    fn unpacked(word: u64) -> Self {
+        Mark {
+            part: (word >> 56) as u8,
+            slot: (word >> 32) as u32 & ((1 << SLOT_BITS) - 1),
+            stamp: word as u32,
+        }
+    }
+}
+
+/// What has become possible on a socket.
+#[derive(Clone, Copy, Debug)]
+pub struct Readiness {
+    pub mark: Mark,
+    pub read: bool,
+    pub write: bool,
+}
+
+pub struct Poller {
+    epoll: OwnedFd,
+    events: Vec<epoll::Event>,
+    due: BinaryHeap<Reverse<(Nanos, u64, Mark, u64)>>,
+    set: u64,
+}
+
+impl Poller {
+    pub fn new() -> Result<Self, Errno> {
+        let epoll = epoll::create(CreateFlags::CLOEXEC)?;
+        Ok(Poller { epoll, events: Vec::with_capacity(512), due: BinaryHeap::new(), set: 0 })
+    }
+
+    /// Watches a socket until it is closed.
+    pub fn watch(&self, socket: &impl AsFd, mark: Mark) -> Result<(), Errno> {
+        let flags = EventFlags::IN | EventFlags::OUT | EventFlags::RDHUP | EventFlags::ET;
+        epoll::add(&self.epoll, socket, EventData::new_u64(mark.packed()), flags)
+    }
+
+    /// Has `mark` come back with `word` at `time`. Timers that fall due together come back as set.
+    pub fn remind(&mut self, time: Nanos, mark: Mark, word: u64) {
+        self.set += 1;
+        self.due.push(Reverse((time, self.set, mark, word)));
+    }
+
+    /// The next timer due at `now`.
+    pub fn due(&mut self, now: Nanos) -> Option<(Mark, u64)> {
+        let Reverse((time, ..)) = self.due.peek()?;
+        if *time > now {
+            return None;
+        }
+        self.due.pop().map(|Reverse((_, _, mark, word))| (mark, word))
+    }
+
+    /// Waits until something is ready or due, or not at all, and appends what is ready.
+    pub fn wait(&mut self, now: Nanos, at_once: bool, into: &mut Vec<Readiness>) -> Result<(), Errno> {
+        let next = self.due.peek().map(|Reverse((time, ..))| time.saturating_sub(now));
+        let span = if at_once { Some(0) } else { next };
+        let span =
+            span.map(|n| Timespec { tv_sec: (n / 1_000_000_000) as i64, tv_nsec: (n % 1_000_000_000) as _ });
+        self.events.clear();
+        match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut self.events), span.as_ref()) {
+            Ok(_) | Err(Errno::INTR) => {}
+            Err(e) => return Err(e),
+        }
+        for event in &self.events {
+            let flags = event.flags;
+            let broken = flags.intersects(EventFlags::ERR | EventFlags::HUP);
+            into.push(Readiness {
+                mark: Mark::unpacked(event.data.u64()),
+                read: broken || flags.intersects(EventFlags::IN | EventFlags::RDHUP),
+                write: broken || flags.contains(EventFlags::OUT),
+            });
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn marks_come_back_whole_and_timers_in_order() {
+        let mark = Mark { part: 3, slot: 0xab_cdef, stamp: u32::MAX };
+        assert_eq!(Mark::unpacked(mark.packed()), mark);
+        let mut poller = Poller::new().unwrap();
+        for (time, word) in [(20, 1), (10, 2), (20, 3)] {
+            poller.remind(time, mark, word);
+        }
+        let all: Vec<u64> = std::iter::from_fn(|| poller.due(20)).map(|(_, word)| word).collect();
+        assert_eq!(all, [2, 1, 3]);
+        assert!(poller.due(u64::MAX).is_none());
+    }
+}
--- /dev/null
+++ b/node/src/probe.rs
@@ -0,0 +1,101 @@
+//! Probes of hosts. It owns the connections of probes that are out, one a probe. It must never send a
+//! probe that the module did not ask for, nor let one outlast its time.
+
+use crate::deck::{Deck, PROBE};
+use crate::lines::{self, Scanner, Word};
+use crate::poller::{Mark, Readiness};
+use crate::pool::Buffer;
+use crate::sockets::Socket;
+use reedferry::{Ending, Event, HostId, Nanos};
+use rustix::io::Errno;
+use slab::Slab;
+
+struct Probe {
+    host: HostId,
+    socket: Socket,
+    stamp: u32,
+    asked: bool,
+    heard: Option<Buffer>,
+}
+
+#[derive(Default)]
+pub struct Probes {
+    slab: Slab<Probe>,
+}
+
+impl Probes {
+    pub fn send(&mut self, deck: &mut Deck, host: HostId) {
+        let address = deck.hosts.index(host).and_then(|h| deck.hosts.berth(h).address);
+        let opened = match address {
+            Some(address) if deck.budget.room(1) => deck.budget.connect(&address).ok(),
+            _ => None,
+        };
+        let Some((socket, _)) = opened else {
+            return Self::tell(deck, host, Ending::Unconnected, Vec::new());
+        };
+        let entry = self.slab.vacant_entry();
+        let Ok(mark) = deck.watch(&socket, PROBE, entry.key()) else {
+            return Self::tell(deck, host, Ending::Unconnected, Vec::new());
+        };
+        entry.insert(Probe { host, socket, stamp: mark.stamp, asked: false, heard: None });
+        let until: Nanos = deck.now + 2 * deck.terms.connect_within;
+        deck.poller.remind(until, mark, 0);
+    }
+
+    fn tell(deck: &mut Deck, host: HostId, ending: Ending, gauges: Vec<f64>) {
+        deck.events.push(Event::Probed { host, ending, gauges });
+    }
+
+    fn end(&mut self, deck: &mut Deck, slot: usize, ending: Ending, gauges: Vec<f64>) {
+        let probe = self.slab.remove(slot);
+        Self::tell(deck, probe.host, ending, gauges);
+    }
+
+    pub fn due(&mut self, deck: &mut Deck, mark: Mark) {
+        let slot = mark.slot as usize;
+        if let Some(probe) = self.slab.get(slot).filter(|p| p.stamp == mark.stamp) {
+            let ending = if probe.asked { Ending::TimedOut } else { Ending::Unconnected };
+            self.end(deck, slot, ending, Vec::new());
+        }
+    }
+
+    pub fn ready(&mut self, deck: &mut Deck, ready: Readiness) {
+        let slot = ready.mark.slot as usize;
+        let Some(probe) = self.slab.get_mut(slot).filter(|p| p.stamp == ready.mark.stamp) else { return };
+        if ready.write && !probe.asked {
+            let line: &[u8] = if deck.terms.gauges.is_empty() { b"PING\r\n" } else { b"STATS\r\n" };
+            if probe.socket.connected().is_err() || probe.socket.send(line) != Ok(line.len()) {
+                return self.end(deck, slot, Ending::Unconnected, Vec::new());
+            }
+            probe.asked = true;
+        }
+        if !ready.read || !probe.asked {
+            return;
+        }
+        let Some(mut heard) = probe.heard.take().or_else(|| deck.pool.take()) else {
+            return self.end(deck, slot, Ending::NeverSent, Vec::new());
+        };
+        loop {
+            if heard.spare().is_empty() {
+                return self.end(deck, slot, Ending::Error, Vec::new());
+            }
+            match probe.socket.receive(heard.spare()) {
+                Ok(0) => return self.end(deck, slot, Ending::Broken, Vec::new()),
+                Ok(count) => heard.filled(count),
+                Err(Errno::AGAIN) => break,
+                Err(_) => return self.end(deck, slot, Ending::Broken, Vec::new()),
+            }
+        }
+        match lines::first(heard.waiting()) {
+            Ok(None) => probe.heard = Some(heard),
+            Ok(Some((line, length))) => {
+                let said =
+                    Scanner::default().step(&heard.waiting()[..length]).ok().and_then(|(_, said)| said);
+                let ending = if said == Some(Word::Pong) { Ending::Done } else { Ending::Error };
+                let gauges = lines::report(line, &deck.terms.gauges);
+                self.end(deck, slot, ending, gauges);
+            }
+            Err(_) => self.end(deck, slot, Ending::Error, Vec::new()),
+        }
+    }
+}
--- /dev/null
+++ b/node/src/sockets.rs
@@ -0,0 +1,151 @@
+//! Sockets and the descriptor budget. It owns the count of open descriptors: a [`Socket`] is counted
+//! when it is made and given back in one place, when it is dropped. It must never let the count pass the
+//! limit, nor let new work use up the reserve: a client that the machine has accepted already still gets
+//! its answer from it.
+
+use rustix::io::Errno;
+use rustix::net::{self, sockopt, AddressFamily, RecvFlags, SendFlags, Shutdown, SocketFlags, SocketType};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Standard streams, the poller, the signal's pair and a little more.
+const OWN: usize = 12;
+const BACKLOG: i32 = 4096;
+
+pub struct Budget {
+    taken: Rc<Cell<usize>>,
+    most: usize,
+    reserve: usize,
+}
+
+impl Budget {
+    pub fn new(limit: usize) -> Self {
+        Budget {
+            taken: Rc::new(Cell::new(OWN)),
+            most: limit.max(2 * OWN),
+            reserve: (limit / 8).clamp(16, 128).min(limit / 2),
+        }
+    }
+
+    /// Whether so many more may be opened for new work.
+    pub fn room(&self, count: usize) -> bool {
+        self.taken.get() + count + self.reserve <= self.most
+    }
+
+    /// Whether the reserve itself runs out.
+    pub fn tight(&self) -> bool {
+        self.taken.get() + self.reserve / 2 > self.most
+    }
+
+    pub fn taken(&self) -> usize {
+        self.taken.get()
+    }
+
+    fn own(&self, fd: OwnedFd) -> Socket {
+        self.taken.set(self.taken.get() + 1);
+        Socket { fd, taken: self.taken.clone() }
+    }
+
+    fn stream(&self, address: &SocketAddr) -> Result<Socket, Errno> {
+        if self.taken.get() >= self.most {
+            return Err(Errno::MFILE);
+        }
+        let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        Ok(self.own(net::socket_with(family, SocketType::STREAM, flags, None)?))
+    }
+
+    pub fn listen(&self, address: &SocketAddr) -> Result<Socket, Errno> {
+        let socket = self.stream(address)?;
+        sockopt::set_socket_reuseaddr(&socket, true)?;
+        net::bind(&socket, address)?;
+        net::listen(&socket, BACKLOG)?;
+        Ok(socket)
+    }
+
+    /// The next connection that waits to be taken.
+    pub fn accept(&self, listener: &Socket) -> Result<Socket, Errno> {
+        if self.taken.get() >= self.most {
+            return Err(Errno::MFILE);
+        }
+        let fd = net::accept_with(listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC)?;
+        let socket = self.own(fd);
+        socket.tune();
+        Ok(socket)
+    }
+
+    /// A connection on its way up; `up` tells whether it stands already.
+    pub fn connect(&self, address: &SocketAddr) -> Result<(Socket, bool), Errno> {
+        let socket = self.stream(address)?;
+        socket.tune();
+        match net::connect(&socket, address) {
+            Ok(()) => Ok((socket, true)),
+            Err(Errno::INPROGRESS | Errno::INTR) => Ok((socket, false)),
+            Err(e) => Err(e),
+        }
+    }
+}
+
+pub struct Socket {
+    fd: OwnedFd,
+    taken: Rc<Cell<usize>>,
+}
+
+impl Socket {
+    fn tune(&self) {
+        // Neither matters enough to refuse a connection over it.
+        let _ = sockopt::set_tcp_nodelay(self, true);
+        let _ = sockopt::set_socket_keepalive(self, true);
+    }
+
+    pub fn address(&self) -> Option<SocketAddr> {
+        net::getsockname(self).ok().and_then(|a| a.try_into().ok())
+    }
+
+    pub fn receive(&self, into: &mut [u8]) -> Result<usize, Errno> {
+        loop {
+            match net::recv(self, &mut *into, RecvFlags::empty()) {
+                Err(Errno::INTR) => {}
+                other => return other.map(|(count, _)| count),
+            }
+        }
+    }
+
+    pub fn send(&self, bytes: &[u8]) -> Result<usize, Errno> {
+        loop {
+            match net::send(self, bytes, SendFlags::NOSIGNAL) {
+                Err(Errno::INTR) => {}
+                other => return other,
+            }
+        }
+    }
+
+    /// How the connect went.
+    pub fn connected(&self) -> Result<(), Errno> {
+        sockopt::socket_error(self)?
+    }
+
+    pub fn end_sending(&self) {
+        let _ = net::shutdown(self, Shutdown::Write);
+    }
+
+    /// Ends the connection by a reset instead of an orderly end.
+    pub fn reset(self) {
+        let _ = sockopt::set_socket_linger(&self, Some(Duration::ZERO));
+    }
+}
+
+impl AsFd for Socket {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.fd.as_fd()
+    }
+}
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        self.taken.set(self.taken.get() - 1);
+    }
+}
--- a/adapter/src/terms.rs
+++ b/terms/src/lib.rs
@@ -1,10 +1,11 @@
-//! Decodes the settings text of an instance into the module's charter.
+//! Decodes the settings that a node is given at its start: into the module's [`Charter`], and into the
+//! few [`Terms`] that the program round the module needs beside it. The adapter and the node share it.
 
-use reedferry::{Charter, Circle, Effect, Gauge, Nanos, Offering};
+use reedferry::{Charter, Circle, Effect, Gauge, Nanos, Offering, SECOND};
 use serde::Deserialize;
 
 #[derive(Deserialize)]
-struct Terms {
+struct Text {
     balancers: u32,
     index: u32,
     #[serde(default)]
@@ -22,10 +23,22 @@
     reporting: Reporting,
     #[serde(default)]
     extra: Extra,
+    #[serde(default)]
+    zones: Vec<String>,
+    #[serde(default)]
+    tenants: Vec<Tenant>,
+}
+#[derive(Deserialize)]
+struct Tenant {
+    name: String,
 }
 #[derive(Deserialize)]
 struct Kind {
+    #[serde(default)]
+    name: String,
     contract_time: f64,
+    #[serde(default)]
+    expiry: f64,
     effect: String,
     #[serde(default)]
     group: String,
@@ -45,6 +58,8 @@
     ask_within: f64,
     cold: f64,
     cold_from: f64,
+    #[serde(default)]
+    drain_grace: f64,
     tip_after: f64,
     tip_multiple: f64,
 }
@@ -53,6 +68,8 @@
     #[serde(default)]
     cancel: bool,
     #[serde(default)]
+    connect_timeout: f64,
+    #[serde(default)]
     max_retry_after: f64,
     #[serde(default)]
     may_probe: bool,
@@ -91,10 +108,34 @@
     (ms * 1e6).round().clamp(0.0, 9e18) as Nanos
 }
 
+/// What the program round the module needs of the settings.
+#[derive(Clone, Debug, Default)]
+pub struct Terms {
+    /// The names on the wire, in the order of the indices that stand for them.
+    pub offerings: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    /// The values of a load report, in order.
+    pub gauges: Vec<String>,
+    pub connect_within: Nanos,
+    pub drain_grace: Nanos,
+    /// The longest time that any client waits for its answer.
+    pub longest_expiry: Nanos,
+}
+
+/// The module's charter alone.
 pub fn charter(text: &[u8]) -> Result<Charter, String> {
-    let mut value: serde_json::Value = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    decode(text).map(|(charter, _)| charter)
+}
+
+pub fn decode(text: &[u8]) -> Result<(Charter, Terms), String> {
+    let value = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    from_value(value)
+}
+
+pub fn from_value(mut value: serde_json::Value) -> Result<(Charter, Terms), String> {
     strip_nulls(&mut value);
-    let terms: Terms = serde_json::from_value(value).map_err(|e| format!("settings: {e}"))?;
+    let terms: Text = serde_json::from_value(value).map_err(|e| format!("settings: {e}"))?;
     if terms.offerings.is_empty() {
         return Err("settings: no offering is listed".into());
     }
@@ -126,7 +167,7 @@
         _ => Gauge::Other,
     };
     let limits = &terms.policy_limits;
-    Ok(Charter {
+    let charter = Charter {
         node: terms.index,
         nodes: terms.balancers.max(1),
         zone: terms.zone,
@@ -147,5 +188,19 @@
         move_charge: terms.charges.moves,
         probe_for_gauges: limits.may_probe && terms.reporting.via == "pull",
         gauges: terms.reporting.fields.iter().map(field).collect(),
-    })
+    };
+    let connect_within = match nanos(limits.connect_timeout) {
+        0 => SECOND / 4,
+        within => within,
+    };
+    let terms = Terms {
+        longest_expiry: nanos(terms.offerings.iter().map(|o| o.expiry).fold(0.0, f64::max)),
+        offerings: terms.offerings.into_iter().map(|o| o.name).collect(),
+        tenants: terms.tenants.into_iter().map(|t| t.name).collect(),
+        zones: terms.zones,
+        gauges: terms.reporting.fields,
+        connect_within,
+        drain_grace: nanos(terms.contract.drain_grace),
+    };
+    Ok((charter, terms))
 }
