Move clients before their host or their node goes away

The module left connections on a draining host until it cut them off, and knew no planned stop: SIGTERM was only logged, so all that the node held would have been lost at SIGKILL.

--- a/node/src/deck.rs
+++ b/node/src/deck.rs
@@ -48,6 +48,8 @@
     pub events: Vec<Event>,
     pub log: Logger,
     pub stamps: u32,
+    /// From when the program may end, once it has been asked to stop.
+    pub leaving: Option<Nanos>,
 }
 
 impl Deck {
--- a/node/src/ferry.rs
+++ b/node/src/ferry.rs
@@ -381,7 +381,7 @@
     fn go_back(&mut self, deck: &mut Deck, slot: usize) {
         let ferry = &mut self.slab[slot];
         let until = ferry.since + ferry.arrival.time_left.max(STANDING_WITHIN);
-        let Some(host) = ferry.home.filter(|_| deck.now < until) else {
+        let Some(host) = ferry.home.filter(|_| deck.now < until && deck.leaving.is_none()) else {
             return self.answer(deck, slot, b"ERR\r\n");
         };
         ferry.stage = Stage::Returning(deck.now + STANDING_PAUSE);
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -32,6 +32,10 @@
 
 /// How often the node looks over its connections.
 const SWEEP: Nanos = 100 * MILLI;
+/// After a call to stop, for how long the front still deals out connections to this node, and how much
+/// longer than the longest expiry it has until it is killed.
+const STILL_COME: Nanos = 400 * MILLI;
+const BEYOND_EXPIRY: Nanos = 700 * MILLI;
 
 fn main() {
     if let Err(why) = run() {
@@ -83,6 +87,7 @@
         events: Vec::new(),
         log: log.clone(),
         stamps: 0,
+        leaving: None,
     };
     let mut actions = Vec::new();
     let unasked = !papers.charter.roll_on_request;
@@ -116,6 +121,11 @@
     loop {
         node.decide();
         backlog.drain();
+        if node.deck.leaving.is_some_and(|t| node.deck.now >= t) && node.ferries.count() == 0 {
+            info!(log, "stopped");
+            backlog.drain();
+            return Ok(());
+        }
         node.gather(&clock).map_err(|e| format!("cannot poll: {e}"))?;
     }
 }
@@ -191,9 +201,13 @@
         while let Ok(more @ 1..) = (&self.signal).read(&mut told) {
             count += more;
         }
-        if count == 0 {
+        // The first word of the poller is that the pair is ready, not that a signal came.
+        if count == 0 || self.deck.leaving.is_some() {
             return;
         }
+        let (now, expiry) = (self.deck.now, self.deck.terms.longest_expiry);
+        self.deck.leaving = Some(now + expiry + BEYOND_EXPIRY);
+        self.deck.events.push(Event::Leaving { from: now + STILL_COME, by: now + expiry.max(STILL_COME) });
         warn!(self.deck.log, "asked to stop"; "connections" => self.ferries.count(),
             "descriptors" => self.deck.budget.taken());
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,12 +41,14 @@
 const FADE: f64 = 0.98;
 /// Message time over what is wanted from which a host counts as late.
 const LATE: f64 = 0.6;
+/// How often a node that stops sends clients away, and the mark of that timer.
+const PARTING: Nanos = SECOND / 20;
+const PART: u64 = 1;
 const MUTATION: (f64, f64) = (0.25, 0.05);
 /// What a host's first connection of a group costs, in usual loads, and a crossing, in mean own loads.
 const GROUP_PRICE: f64 = 2.0;
 const HOME: f64 = 4.0;
 const CROSSING: f64 = 18.0;
-/// Usual loads that a host's own load is blurred by: what one node sees of it is a sample.
 /// Seconds within which a cut is to let the work piled up at a host drain.
 const DRAIN: f64 = 2.0;
 /// Most usual loads that what a node cannot see of a host is taken for.
@@ -57,6 +59,16 @@
     ($out:expr, $($text:tt)*) => { $out.push(Action::Log(format!($($text)*))) };
 }
 
+/// Puts a note into an inbox and has its part read until that is empty.
+macro_rules! deliver {
+    ($inbox:expr, $note:ident, $read:expr) => {{
+        $inbox.push_back($note);
+        while let Some($note) = $inbox.pop_front() {
+            $read;
+        }
+    }};
+}
+
 impl Host {
     fn ready(&self) -> bool {
         self.listed && self.listing.standing == Standing::Ready
@@ -149,12 +161,10 @@
         if self.conns.is_empty() {
             (self.ahead, self.load, self.shared) = (0.0, 0.0, 0.0);
         }
-        if let Some(group) = conn.group {
-            if let Some(held) = self.groups.get_mut(&group) {
-                *held -= 1;
-                if *held == 0 {
-                    self.groups.remove(&group);
-                }
+        if let Some((group, held)) = conn.group.and_then(|g| Some((g, self.groups.get_mut(&g)?))) {
+            *held -= 1;
+            if *held == 0 {
+                self.groups.remove(&group);
             }
         }
         if conn.end >= self.longest {
@@ -225,20 +235,15 @@
                 if ending == Ending::TimedOut {
                     at.post.push_back((To::Ledger, Note::SetUp(length)));
                 }
-                let why = match ending {
-                    Ending::Refused => "refused",
-                    Ending::Unconnected => "unconnected",
-                    Ending::TimedOut => "silent",
-                    Ending::Error => "error",
-                    Ending::Broken => "broken",
-                    _ => return,
-                };
+                if matches!(ending, Ending::Done | Ending::CalledOff | Ending::NeverSent) {
+                    return;
+                }
                 // Guards: a host that fails fast looks empty and draws the clients. Where most hand-offs
                 // fail, the cause is not the host's, and a mask would leave the rest to carry all.
                 if !at.desk.common()
                     || matches!(ending, Ending::Refused | Ending::Unconnected | Ending::Broken)
                 {
-                    self.mask(now, at.chance, why, at.out);
+                    self.mask(now, at.chance, ending.word(), at.out);
                 }
             }
             Note::LoadNow { slot, load } => {
@@ -298,6 +303,13 @@
     /// Cuts the own load of a host whose messages come late, the least paid first, and lets the
     /// ceiling rise again while they do not. Guards: a host with work piled up serves nobody.
     fn shift(&mut self, now: Nanos, mean: f64, refuge: f64, at: &mut Room) {
+        // Guards: connections cut off when a host that drains goes away. Half of the rest at a time, as
+        // word of it comes late and all at once would storm the others.
+        if self.listed && self.listing.standing == Standing::Draining {
+            let begun = self.conns.iter().filter(|c| c.begun).map(|c| c.slot);
+            let half = self.conns.len().div_ceil(2);
+            return at.post.extend(begun.take(half).map(|slot| (To::Desk, Note::Shift { slot })));
+        }
         let slow = self.slow(now);
         if slow < LATE {
             // The longer it has been well, the faster.
@@ -374,8 +386,8 @@
     /// Share of the hosts that are in time and not masked; hosts in the own zone.
     refuge: f64,
     near: f64,
-    /// What a host without a ceiling is taken to bear, a size. Guards: many nodes that each know nothing
-    /// of a host and all send to it. Where most have a ceiling, one without counts as having theirs.
+    /// What a host without a ceiling is taken to bear, a size: where most have one, theirs. Guards: many
+    /// nodes that each know nothing of a host and all send to it.
     typical: f64,
     /// The price of a crossing. Guards: a zone with more traffic than its hosts bear, whose nodes go on
     /// to fill it: the more of the own hosts that word came of are pressed, the less.
@@ -592,7 +604,9 @@
         let mut post = |to, note| self.post.push_back((to, note));
         match (event, slot, host.or(at)) {
             (Event::Roll { kind, hosts }, ..) => self.list(now, kind, hosts),
+            (Event::Timer { mark: PART }, ..) => post(To::Desk, Note::Part),
             (Event::Timer { .. }, ..) => self.pulse(now, out),
+            (Event::Leaving { from, by }, ..) => post(To::Desk, Note::Leaving { from, by }),
             (Event::Arrived(arrival), ..) => post(To::Desk, Note::Arrived(arrival)),
             (Event::Standing(arrival, _), _, Some(host)) => post(To::Desk, Note::Standing(arrival, host)),
             (Event::Left { .. }, Some(slot), _) => post(To::Desk, Note::Left { slot }),
@@ -725,41 +739,21 @@
         while let Some((to, note)) = self.post.pop_front() {
             match to {
                 To::Host(host) => {
-                    self.hosts[host].inbox.push_back(note);
                     let cold = self.hosts[host].cold(now, &self.charter);
                     let count = if cold { self.survey(now).count } else { 0.0 };
-                    while let Some(note) = self.hosts[host].inbox.pop_front() {
+                    deliver!(self.hosts[host].inbox, note, {
                         let chance = self.rng.random();
                         let (charter, ledger, post) = (&self.charter, &self.ledger, &mut self.post);
-                        let desk = &self.desk;
-                        let mut room = Room { charter, ledger, post, out, chance, count, desk };
+                        let mut room = Room { charter, ledger, post, out, chance, count, desk: &self.desk };
                         self.hosts[host].read(note, now, &mut room);
-                    }
-                }
-                To::Desk => {
-                    self.desk.inbox.push_back(note);
-                    while let Some(note) = self.desk.inbox.pop_front() {
-                        self.attend(now, note, out);
-                    }
-                }
-                To::Helm => {
-                    self.helm.inbox.push_back(note);
-                    while let Some(note) = self.helm.inbox.pop_front() {
-                        self.helm.read(note, &mut self.rng, out);
-                    }
-                }
-                To::Ledger => {
-                    self.ledger.inbox.push_back(note);
-                    while let Some(note) = self.ledger.inbox.pop_front() {
-                        self.ledger.read(note, now);
-                    }
-                }
-                To::Roll => {
-                    self.roll.inbox.push_back(note);
-                    while let Some(note) = self.roll.inbox.pop_front() {
-                        self.roll.read(note, now, self.rng.random(), self.charter.ask_within, out);
-                    }
+                    })
                 }
+                To::Desk => deliver!(self.desk.inbox, note, self.attend(now, note, out)),
+                To::Helm => deliver!(self.helm.inbox, note, self.helm.read(note, &mut self.rng, out)),
+                To::Ledger => deliver!(self.ledger.inbox, note, self.ledger.read(note, now)),
+                To::Roll => deliver!(self.roll.inbox, note, {
+                    self.roll.read(note, now, self.rng.random(), self.charter.ask_within, out)
+                }),
             }
         }
     }
@@ -824,6 +818,12 @@
             // Guards: a node that dismisses nearly all, hears of nothing and goes on for ever.
             Note::Pulse { .. } => self.desk.late *= FADE,
             Note::Homeward => self.homeward(now),
+            Note::Leaving { from, by } => {
+                self.desk.leaving = Some(by);
+                log!(out, "leaving held={}", self.desk.names.len());
+                out.push(Action::WakeAt { time: from, mark: PART });
+            }
+            Note::Part => self.part(now, out),
             Note::Shift { slot } => {
                 if let Some(attachment) = self.desk.slots[slot].as_mut().filter(|a| a.begun && !a.moved) {
                     attachment.moved = true;
@@ -834,6 +834,17 @@
         }
     }
 
+    /// Sends the clients of a node that stops away, evenly over the time that is left. Guards: hosts and
+    /// store stormed by all of them at once; those left cut off when the node goes.
+    fn part(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        let left = self.desk.leaving.map_or(0, |by| by.saturating_sub(now));
+        let open = |slot: &usize| self.desk.slots[*slot].as_ref().is_some_and(|a| a.begun && !a.moved);
+        let slots: Vec<usize> = (0..self.desk.slots.len()).filter(open).collect();
+        let share = slots.len().div_ceil((left / PARTING + 1) as usize);
+        self.post.extend(slots.into_iter().take(share).map(|slot| (To::Desk, Note::Shift { slot })));
+        out.push(Action::WakeAt { time: now + PARTING, mark: PART });
+    }
+
     /// Moves a few connections that cross zones back, where a crossing costs more than a move and the
     /// score itself would now place them in the node's own zone.
     fn homeward(&mut self, now: Nanos) {
@@ -921,11 +932,13 @@
         let vector = self.helm.next;
         // Guards: hosts that many nodes fill up again as fast as each cuts its one connection there. The
         // less a node sees of the hosts, the more of what it might hold to ceilings it dismisses by chance.
-        let shed = self.desk.sheds() && attachment.hand_offs == 0 && {
-            let view = self.survey(now);
-            let blind = view.unseen / (view.mean + view.unseen);
-            draw(tie, 0) < SHED * blind * (self.desk.late - MANY) / (1.0 - MANY)
-        };
+        let shed = attachment.hand_offs == 0
+            && (self.desk.leaving.is_some()
+                || self.desk.sheds() && {
+                    let view = self.survey(now);
+                    let blind = view.unseen / (view.mean + view.unseen);
+                    draw(tie, 0) < SHED * blind * (self.desk.late - MANY) / (1.0 - MANY)
+                });
         let chosen = if late || !again || shed { None } else { self.choose(now, attachment, vector, tie) };
         let Some(host) = chosen else { return self.answer(slot, out) };
         // An irreversible hand-off that timed out could not be followed by anything: it gets all the time.
--- a/src/records.rs
+++ b/src/records.rs
@@ -27,6 +27,8 @@
     Returned { slot: usize, over: bool, ending: Ending },
     Left { slot: usize },
     Homeward,
+    Leaving { from: Nanos, by: Nanos },
+    Part,
     Shift { slot: usize },
     Judged { vector: usize, spread: f64, longest: f64 },
     Lived { key: Option<u64>, length: Nanos },
@@ -118,6 +120,8 @@
     pub trouble: f64,
     /// Share of the last connections that met late messages at their host.
     pub late: f64,
+    /// The node stops, and by when its clients are to be gone.
+    pub leaving: Option<Nanos>,
 }
 
 /// Past lengths by client key, usual loads by offering, and how long set-ups take.
--- a/src/types.rs
+++ b/src/types.rs
@@ -186,6 +186,20 @@
 }
 
 impl Ending {
+    /// The word for it in log lines.
+    pub fn word(self) -> &'static str {
+        match self {
+            Ending::Done => "done",
+            Ending::Error => "error",
+            Ending::Refused => "refused",
+            Ending::TimedOut => "silent",
+            Ending::Unconnected => "unconnected",
+            Ending::Broken => "broken",
+            Ending::CalledOff => "called-off",
+            Ending::NeverSent => "never-sent",
+        }
+    }
+
     /// Whether this ending proves that the hand-off never ran.
     pub fn never_ran(self) -> bool {
         matches!(self, Ending::Refused | Ending::Unconnected | Ending::NeverSent)
@@ -227,6 +241,12 @@
     Timer {
         mark: u64,
     },
+    /// This node is asked to stop: new connections come to others after `from`, and its clients are to
+    /// be gone by `by`.
+    Leaving {
+        from: Nanos,
+        by: Nanos,
+    },
     Probed {
         host: HostId,
         ending: Ending,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -6,9 +6,11 @@
 //!     MS arrive ID KEY=VALUE ...     an attachment; MS arrive A-B EVERY KEY=VALUE ... many of them
 //!     MS open ID HOST KEY=VALUE ...  a connection open before the start
 //!     MS begun ID | MS ended ID HOW | MS left ID | MS load ID CORES | MS slow HOST MS | MS wait
+//!     MS leaving FROM BY             the node stops: both times counted from then
 //!     auto HOST ... | shut HOST ...  set-ups there stand, or are refused, at once from now on
 //!     sends ID HOST[|HOST] | dismisses ID | gives-up ID | moves ID | asks | calls-off ID | quiet
 //!     count HOST MIN MAX             hand-offs to the host since the last count of it
+//!     held HOST MIN MAX              connections that stand at the host, or anywhere by the name all
 //!     used MIN MAX                   hosts with hand-offs since the last such count
 //!
 //! Expectations speak of the actions since the last event. Throughout, the runner lets hand-offs
@@ -303,6 +305,14 @@
                 let (least, most) = (num(words[2]) as u32, num(words[3]) as u32);
                 assert!((least..=most).contains(&count), "{count} hand-offs to {}", words[1]);
             }
+            "held" => {
+                let at = |t: &&Taken| {
+                    t.begun && t.out.is_some_and(|(on, _)| words[1] == "all" || on == host(words[1]))
+                };
+                let held = self.taken.values().filter(at).count();
+                let (least, most) = (num(words[2]) as usize, num(words[3]) as usize);
+                assert!((least..=most).contains(&held), "{held} held at {}", words[1]);
+            }
             "used" => {
                 let used = std::mem::take(&mut self.counts).len();
                 assert!(
@@ -342,6 +352,10 @@
                         self.taken.get_mut(&id(2).0).unwrap().answered = true;
                         self.tell(Event::Left { id: id(2) });
                     }
+                    "leaving" => {
+                        let (from, by) = (self.now + ms(words[2]), self.now + ms(words[3]));
+                        self.tell(Event::Leaving { from, by });
+                    }
                     "load" => self.tell(Event::LoadNow { id: id(2), load: num(words[3]) }),
                     "slow" => self.tell(Event::MessageTime { host: host(words[2]), time: ms(words[3]) }),
                     other => panic!("unknown step {other}"),
