--- a/node/src/ferry.rs
+++ b/node/src/ferry.rs
@@ -586,7 +586,7 @@
             Word::Move => *moved = true,
             _ => {
                 if let Some(then) = asked.pop_front() {
-                    hosts.answered(host, now.saturating_sub(then));
+                    hosts.answered(host, then, now);
                 }
             }
         });
@@ -793,7 +793,7 @@
             return self.remove(slot, false);
         }
         if let Some(&then) = ferry.asked.front() {
-            deck.hosts.unanswered(landing.host, now.saturating_sub(then));
+            deck.hosts.unanswered(landing.host, then);
             if now >= then + SILENT_HOST && ferry.moving.is_none() {
                 debug!(deck.log, "silent"; "host" => &deck.hosts.berth(landing.host).name);
                 ferry.moving = Some(now + MOVE_WITHIN);
--- a/node/src/hosts.rs
+++ b/node/src/hosts.rs
@@ -4,7 +4,7 @@
 
 use crate::lines;
 use crate::list::{List, Member};
-use reedferry::{Event, HostId, Listing, Nanos, RollKind, Standing, SECOND};
+use reedferry::{Event, HostId, Listing, Nanos, RollKind, Standing, MILLI, SECOND};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
@@ -13,10 +13,62 @@
     pub id: HostId,
     pub address: Option<SocketAddr>,
     pub left_since: Option<Nanos>,
-    /// Message times since the last look, the shortest ever, and whether the module was told of long ones.
+    /// Message times since the last second's look, and the shortest ever: the way there and back.
     times: Vec<Nanos>,
     shortest: Nanos,
+    /// The last line answered: when it went and how long it took.
+    latest: Option<(Nanos, Nanos)>,
+    /// When the last line went that was answered in good time, and the oldest that is not answered.
+    well: Nanos,
+    oldest: Option<Nanos>,
+    /// Whether the module was last told of long times, and when the last second's look was.
     told_long: bool,
+    looked: Nanos,
+}
+
+impl Berth {
+    /// The time beyond which a line waits not for a mere pause of its host but for work piled up.
+    const SURE: Nanos = 150 * MILLI;
+    /// What a second adds to the message time at the most.
+    const STEEPEST: f64 = 4.0;
+
+    /// How long a line sent now would take where work has begun to pile up since the last line that was
+    /// answered in good time. Guards: a jam told by the age of what waits in it, which is a fraction of it.
+    fn piled_up(&self, now: Nanos) -> Nanos {
+        let since = |then: Nanos| now.saturating_sub(then) as f64;
+        let steep = |(sent, time): (Nanos, Nanos)| time as f64 / sent.saturating_sub(self.well).max(1) as f64;
+        let waiting = self.oldest.map(|then| (then, now.saturating_sub(then)));
+        let risen = waiting.into_iter().chain(self.latest).filter(|(sent, _)| *sent > self.well);
+        let steepest = risen.map(steep).fold(0.0, f64::max);
+        (steepest.min(Self::STEEPEST) * since(self.well)) as Nanos
+    }
+
+    /// What a message takes here now, as far as it can be seen, where a second's look is due or work has
+    /// just begun to pile up.
+    fn look(&mut self, now: Nanos, long: Nanos) -> Option<Nanos> {
+        let age = self.oldest.map_or(0, |then| now.saturating_sub(then));
+        let last = self.latest.filter(|(sent, time)| sent + time + SECOND / 2 > now).map_or(0, |(_, t)| t);
+        let worst = age.max(last);
+        let time = if worst > Self::SURE && !self.told_long {
+            self.piled_up(now).max(worst)
+        } else if now < self.looked + SECOND {
+            return None;
+        } else if worst > Self::SURE {
+            worst
+        } else if self.times.is_empty() {
+            self.looked = now;
+            return None;
+        } else {
+            let middle = self.times.len() / 2;
+            *self.times.select_nth_unstable(middle).1
+        };
+        self.looked = now;
+        self.times.clear();
+        let time = time.saturating_sub(if self.shortest > SECOND { 0 } else { self.shortest });
+        let tell = time > long || self.told_long;
+        self.told_long = time > long;
+        tell.then_some(time)
+    }
 }
 
 #[derive(Default)]
@@ -79,7 +131,11 @@
                 left_since: None,
                 times: Vec::new(),
                 shortest: Nanos::MAX,
+                latest: None,
+                well: now,
+                oldest: None,
                 told_long: false,
+                looked: now,
             });
             self.all.len() - 1
         });
@@ -101,39 +157,93 @@
         }
     }
 
-    /// A message was answered within `time`.
-    pub fn answered(&mut self, host: usize, time: Nanos) {
+    /// A line that went at `sent` has been answered.
+    pub fn answered(&mut self, host: usize, sent: Nanos, now: Nanos) {
         let berth = &mut self.all[host];
+        let time = now.saturating_sub(sent);
         berth.shortest = berth.shortest.min(time);
+        berth.latest = Some((sent, time));
+        if time <= self.long.saturating_add(berth.shortest) {
+            berth.well = berth.well.max(sent);
+        }
         if berth.times.len() < MOST_TIMES {
             berth.times.push(time);
         }
     }
 
-    /// A message has gone unanswered for `time` so far.
-    pub fn unanswered(&mut self, host: usize, time: Nanos) {
-        if time > self.long {
-            let berth = &mut self.all[host];
-            if berth.times.len() < MOST_TIMES {
-                berth.times.push(time);
-            }
-        }
+    /// A line that went at `sent` is not answered yet.
+    pub fn unanswered(&mut self, host: usize, sent: Nanos) {
+        let oldest = &mut self.all[host].oldest;
+        *oldest = Some(oldest.map_or(sent, |then| then.min(sent)));
     }
 
-    /// Tells what messages take at each host, once a second: the middle of what was measured, without
-    /// the way there and back, while that is long, and once more when it is not.
-    pub fn look(&mut self, events: &mut Vec<Event>) {
-        for berth in self.all.iter_mut().filter(|b| !b.times.is_empty()) {
-            let middle = berth.times.len() / 2;
-            let (_, &mut time, _) = berth.times.select_nth_unstable(middle);
-            berth.times.clear();
-            let way = if berth.shortest > SECOND { 0 } else { berth.shortest };
-            let time = time.saturating_sub(way);
-            let long = time > self.long;
-            if long || berth.told_long {
+    /// Tells what messages take at each host: at once when work piles up, else once a second while they
+    /// take long, and once more when they do not.
+    pub fn look(&mut self, now: Nanos, events: &mut Vec<Event>) {
+        for berth in &mut self.all {
+            if let Some(time) = berth.look(now, self.long) {
                 events.push(Event::MessageTime { host: berth.id, time });
             }
-            berth.told_long = long;
+            berth.oldest = None;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const T: Nanos = 1_000 * SECOND;
+
+    fn one() -> Hosts {
+        let mut hosts = Hosts::new(Vec::new(), 48 * MILLI);
+        let text = br#"{"revision":1,"complete":true,"members":[{"id":"a","phase":"active"}]}"#;
+        let mut reader = crate::list::Reader::default();
+        reader.feed(text).unwrap();
+        hosts.told(T, reader.finish().unwrap(), true);
+        hosts.answered(0, T + 100 * MILLI, T + 102 * MILLI);
+        hosts
+    }
+
+    fn look(hosts: &mut Hosts, now: Nanos) -> Option<Nanos> {
+        let mut events = Vec::new();
+        hosts.look(now, &mut events);
+        events.first().map(|e| match e {
+            Event::MessageTime { time, .. } => *time / MILLI,
+            other => panic!("{other:?}"),
+        })
+    }
+
+    #[test]
+    fn a_jam_is_told_at_once_and_at_its_size_to_be() {
+        let mut hosts = one();
+        // Sent 200 ms after the last good one and 200 ms old: one sent now is to take twice that.
+        hosts.unanswered(0, T + 300 * MILLI);
+        assert!((395..=400).contains(&look(&mut hosts, T + 500 * MILLI).unwrap()));
+        hosts.unanswered(0, T + 300 * MILLI);
+        assert_eq!(look(&mut hosts, T + 600 * MILLI), None, "told again within the second");
+        hosts.unanswered(0, T + 300 * MILLI);
+        assert_eq!(look(&mut hosts, T + 1600 * MILLI), Some(1298));
+        hosts.answered(0, T + 1700 * MILLI, T + 1705 * MILLI);
+        assert_eq!(look(&mut hosts, T + 2600 * MILLI), Some(3), "and once more when it is over");
+        hosts.answered(0, T + 2700 * MILLI, T + 2705 * MILLI);
+        assert_eq!(look(&mut hosts, T + 3600 * MILLI), None);
+    }
+
+    #[test]
+    fn a_pause_is_not_told_and_steady_lateness_is_once_a_second() {
+        let mut hosts = one();
+        hosts.unanswered(0, T + 300 * MILLI);
+        assert_eq!(look(&mut hosts, T + 390 * MILLI), None);
+        for n in 0..5 {
+            hosts.answered(0, T + 400 * MILLI, T + (440 + n) * MILLI);
+        }
+        assert_eq!(look(&mut hosts, T + 900 * MILLI), None);
+        assert_eq!(look(&mut hosts, T + 1000 * MILLI), Some(40));
+        // An old slow answer among quick ones says nothing of now.
+        for n in 0..5 {
+            hosts.answered(0, T + 1400 * MILLI, T + (1402 + n) * MILLI);
         }
+        assert_eq!(look(&mut hosts, T + 2000 * MILLI), Some(2));
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -24,7 +24,7 @@
 use poller::{Mark, Poller};
 use pool::Pool;
 use probe::Probes;
-use reedferry::{Action, Balancer, Event, Nanos, MILLI, SECOND};
+use reedferry::{Action, Balancer, Event, Nanos, MILLI};
 use slog::{info, warn};
 use sockets::{Budget, Socket};
 use std::io::Read;
@@ -57,7 +57,6 @@
     door: Socket,
     signal: UnixStream,
     actions: Vec<Action>,
-    sweeps: u64,
 }
 
 fn run() -> Result<(), String> {
@@ -115,7 +114,6 @@
         door,
         signal,
         actions,
-        sweeps: 0,
     };
     node.deck.poller.remind(now + SWEEP, mark(deck::SWEEP), 0);
     loop {
@@ -186,13 +184,10 @@
 
     fn sweep(&mut self) {
         let deck = &mut self.deck;
-        self.sweeps += 1;
         self.ferries.accept(deck, &self.door);
         self.ferries.sweep(deck);
         self.discovery.sweep(deck);
-        if self.sweeps.is_multiple_of(SECOND / SWEEP) {
-            deck.hosts.look(&mut deck.events);
-        }
+        deck.hosts.look(deck.now, &mut deck.events);
         deck.poller.remind(deck.now + SWEEP, mark(deck::SWEEP), 0);
     }
 
