Count hosts that shed or let a set-up time out as late

On sockets a slow host answers lines at once, so no message time tells of it; what does is that it sheds (8 to 16 connections broke, 30 were kept and earned nothing until it was well) and that set-ups time out there. Ruled out: the nodes' own delay (median 0.15 ms), masks (they hold off only new ones). Lines at fault: Host::read on Ended, which masked but left what stood; Host::shift, which knew message times alone.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -100,6 +100,11 @@
         f64::from(u8::from(now < self.slow_told + 5 * PULSE)) * self.slowness
     }
 
+    fn late(&mut self, now: Nanos, time: Nanos, charter: &Charter) {
+        self.slowness = time as f64 / charter.shortest_message_time().max(1) as f64;
+        self.slow_told = now;
+    }
+
     /// Whether the budget of a cold host has room for one more from this node.
     fn cold_room(&self, now: Nanos, count: f64, charter: &Charter) -> bool {
         !self.cold(now, charter) || self.credit_at(now, count, charter).0 >= 1.0
@@ -190,12 +195,10 @@
     fn read(&mut self, note: Note, now: Nanos, at: &mut Room) {
         match note {
             Note::Listed(listing, first) => {
-                let restarted = self.listed && listing.started != self.listing.started;
-                let fresh = !self.listed || restarted;
+                let fresh = !self.listed || listing.started != self.listing.started;
                 if fresh && listing.standing == Standing::Ready {
                     (self.newcomer, self.credit, self.turn) = (!first, 0.0, 0);
-                    (self.masked_until, self.strikes) = (0, 0);
-                    self.slowness = 0.0;
+                    (self.masked_until, self.strikes, self.slowness) = (0, 0, 0.0);
                 }
                 self.listed = listing.standing != Standing::Gone;
                 self.gone_since = now;
@@ -234,7 +237,13 @@
                 }
                 if ending == Ending::TimedOut {
                     at.post.push_back((To::Ledger, Note::SetUp(length)));
+                    // Guards: connections left at a slow host whose messages tell nothing of it.
+                    let wanted = at.charter.shortest_message_time() as f64;
+                    if !at.desk.common() && length as f64 > self.slow(now) * wanted {
+                        self.late(now, length, at.charter);
+                    }
                 }
+                self.broken += u32::from(conn.begun && ending == Ending::Broken);
                 if matches!(ending, Ending::Done | Ending::CalledOff | Ending::NeverSent) {
                     return;
                 }
@@ -254,16 +263,10 @@
                     self.count(found, now, at.ledger);
                 }
             }
-            Note::Slow(time) => {
-                let wanted = at.charter.shortest_message_time();
-                let slowness = time as f64 / wanted.max(1) as f64;
-                (self.slowness, self.slow_told) = (slowness, now);
-            }
+            Note::Slow(time) => self.late(now, time, at.charter),
             Note::Gauged { load, backlog } => {
-                let wanted = at.charter.shortest_message_time();
-                let late = backlog.unwrap_or(0.0) * SECOND as f64 / wanted.max(1) as f64;
-                let full = load.map_or(0.0, |l| if l > 0.9 { l } else { 0.0 });
-                (self.slowness, self.slow_told) = (late.max(full), now);
+                self.late(now, (backlog.unwrap_or(0.0) * SECOND as f64) as Nanos, at.charter);
+                self.slowness = self.slowness.max(load.filter(|&l| l > 0.9).unwrap_or(0.0));
             }
             Note::Step { mean } => {
                 (self.ahead, self.load, self.longest) = (0.0, 0.0, 0);
@@ -310,6 +313,10 @@
             let half = self.conns.len().div_ceil(2);
             return at.post.extend(begun.take(half).map(|slot| (To::Desk, Note::Shift { slot })));
         }
+        // Guards: connections left at a host that sheds: it breaks many and keeps the rest.
+        if 8 * std::mem::take(&mut self.broken) as usize > self.conns.len() {
+            self.late(now, SECOND, at.charter);
+        }
         let slow = self.slow(now);
         if slow < LATE {
             // The longer it has been well, the faster.
@@ -473,9 +480,7 @@
         }
         let old = self.vectors;
         let beaten = (0..4).find(|&b| (0..4).any(|a| old[a].dominates(&old[b])));
-        for v in &mut self.vectors {
-            *v = Vector { balance: v.balance, gap: v.gap, ..Vector::default() };
-        }
+        self.vectors = old.map(|v| Vector { balance: v.balance, gap: v.gap, ..Vector::default() });
         let Some(beaten) = beaten else { return };
         // Two parents of the rest, crossed at one point; then each weight may mutate.
         let mother = (beaten + rng.random_range(1..4)) % 4;
@@ -902,11 +907,8 @@
         let Some(attachment) = self.desk.slots[slot].as_ref() else { return };
         let (id, ran) = (attachment.id, attachment.may_have_run.is_some());
         let offering = &self.charter.offerings[attachment.arrival.offering];
-        let harmless = match offering.effect {
-            Effect::Redoable => true,
-            Effect::Labelled => !ran || offering.circle == Circle::All,
-            Effect::Irreversible => !ran,
-        };
+        let dropped = offering.effect == Effect::Labelled && offering.circle == Circle::All;
+        let harmless = !ran || dropped || offering.effect == Effect::Redoable;
         // Spread, so that the clients do not come back in step.
         let wait = self.charter.longest_advice as f64 * self.rng.random_range(0.25..1.0);
         let dismissal = Action::Dismiss { id, wait: wait as Nanos };
--- a/src/records.rs
+++ b/src/records.rs
@@ -81,6 +81,8 @@
     /// Message time over what is wanted, and when that was told.
     pub slowness: f64,
     pub slow_told: Nanos,
+    /// Open connections that it broke since the last look.
+    pub broken: u32,
     /// Own load now, and how much of it the host has shown to bear from this node.
     pub load: f64,
     pub ceiling: Option<f64>,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -7,6 +7,7 @@
 //!     MS open ID HOST KEY=VALUE ...  a connection open before the start
 //!     MS begun ID | MS ended ID HOW | MS left ID | MS load ID CORES | MS slow HOST MS | MS wait
 //!     MS leaving FROM BY             the node stops: both times counted from then
+//!     MS breaks HOST N               so many open connections break there, or all of them by a large N
 //!     auto HOST ... | shut HOST ...  set-ups there stand, or are refused, at once from now on
 //!     sends ID HOST[|HOST] | dismisses ID | gives-up ID | moves ID | asks | calls-off ID | quiet
 //!     count HOST MIN MAX             hand-offs to the host since the last count of it
@@ -352,6 +353,12 @@
                         self.taken.get_mut(&id(2).0).unwrap().answered = true;
                         self.tell(Event::Left { id: id(2) });
                     }
+                    "breaks" => {
+                        let at = |t: &Taken| t.begun && t.out.is_some_and(|(on, _)| on == host(words[2]));
+                        let held = self.taken.iter().filter(|(_, t)| at(t)).map(|(id, _)| *id);
+                        let some: Vec<u64> = held.take(num(words[3]) as usize).collect();
+                        some.into_iter().for_each(|id| self.end(id, Ending::Broken, true));
+                    }
                     "leaving" => {
                         let (from, by) = (self.now + ms(words[2]), self.now + ms(words[3]));
                         self.tell(Event::Leaving { from, by });
