--- a/node/src/ferry.rs
+++ b/node/src/ferry.rs
@@ -169,6 +169,9 @@
     letter: Option<Buffer>,
     letter_length: usize,
     home: Option<usize>,
+    /// How long the client waits, and how long the hand-off that is out is given.
+    waits: Nanos,
+    given: Nanos,
     up: Lane,
     down: Lane,
     hand_offs: u32,
@@ -221,6 +224,8 @@
                 letter: None,
                 letter_length: 0,
                 home: None,
+                waits: 0,
+                given: 0,
                 up: Lane::default(),
                 down: Lane::default(),
                 hand_offs: 0,
@@ -308,7 +313,7 @@
                             usual_load: request.usual_load,
                             midway: false,
                         };
-                        ferry.since = deck.now;
+                        (ferry.since, ferry.waits) = (deck.now, request.wait);
                         ferry.letter_length = length - 2;
                         if let Some(home) = request.at {
                             ferry.home = deck.hosts.named(home);
@@ -380,7 +385,7 @@
     /// Tries a connection that stood before the run at its host again.
     fn go_back(&mut self, deck: &mut Deck, slot: usize) {
         let ferry = &mut self.slab[slot];
-        let until = ferry.since + ferry.arrival.time_left.max(STANDING_WITHIN);
+        let until = ferry.since + ferry.waits.min(STANDING_WITHIN);
         let Some(host) = ferry.home.filter(|_| deck.now < until && deck.leaving.is_none()) else {
             return self.answer(deck, slot, b"ERR\r\n");
         };
@@ -437,7 +442,7 @@
         });
         ferry.down = Lane::default();
         ferry.up = Lane::default();
-        ferry.arrival.time_left = until.saturating_sub(deck.now);
+        ferry.given = until.saturating_sub(deck.now);
         let by = deck.now + deck.terms.connect_within;
         if by < until {
             deck.poller.remind(by, mark, CONNECT);
@@ -507,7 +512,7 @@
                 let (Some(letter), Some(mut out)) = (ferry.letter.as_ref(), deck.pool.take()) else {
                     return self.fell_through(deck, slot, Ending::NeverSent);
                 };
-                let wait = (landing.since + ferry.arrival.time_left).saturating_sub(deck.now);
+                let wait = (landing.since + ferry.given).saturating_sub(deck.now);
                 let mut digits = String::new();
                 let line = &letter.waiting()[..ferry.letter_length];
                 lines::onward(line, wait, &mut digits).iter().for_each(|piece| _ = out.put(piece));
