--- /dev/null
+++ b/node/tests/sockets.rs
@@ -0,0 +1,366 @@
+//! The program itself, started and spoken to over sockets, among stand-ins for all that it meets.
+
+mod common;
+
+use common::*;
+use serde_json::{json, Value};
+use std::time::{Duration, Instant};
+
+fn start(hosts: &Hosts, adjust: impl FnOnce(&mut Value)) -> (Node, Discovery) {
+    let discovery = Discovery::start();
+    let mut papers = papers(hosts, discovery.address);
+    adjust(&mut papers);
+    (Node::start(&papers), discovery)
+}
+
+#[test]
+fn an_attachment_is_served_and_lines_pass_both_ways_unchanged() {
+    let hosts = Hosts::start(1);
+    let (node, _) = start(&hosts, |_| {});
+    let mut client = Peer::connect(node.address);
+    client.say("PING");
+    client.hears("PONG");
+    client.write("OPEN 9b1f 7f3a c=chat,t=acme,d=2000,g=5c0f,r=1,zz=9\r");
+    client.write("\n");
+    let (_, mut host) = hosts.accept();
+    let line = host.hear();
+    let wait: u64 = line.strip_prefix("OPEN 9b1f 7f3a c=chat,t=acme,d=").unwrap().split(',').next().unwrap().parse().unwrap();
+    assert!(line.ends_with(",g=5c0f,r=1,zz=9") && (100..2000).contains(&wait), "{line}");
+    host.write("UP 77aa\r\nLOAD 2500\r\nhalf");
+    client.hears("UP 77aa");
+    client.hears("LOAD 2500");
+    client.say("up 1");
+    host.hears("up 1");
+    host.write(" a line\r\nBYE\r\n");
+    client.hears("half a line");
+    client.hears("BYE");
+    host.end_sending();
+    client.hears("end");
+    host.hears("end");
+}
+
+#[test]
+fn endings_are_passed_on_in_kind() {
+    let hosts = Hosts::start(1);
+    let (node, _) = start(&hosts, |_| {});
+    let (mut client, _, host) = node.served(&hosts);
+    host.reset();
+    client.hears("reset");
+    let (client, _, mut host) = node.served(&hosts);
+    client.reset();
+    host.hears("reset");
+    let (mut client, _, mut host) = node.served(&hosts);
+    client.end_sending();
+    host.hears("end");
+    host.say("BYE");
+    host.end_sending();
+    client.hears("BYE");
+    client.hears("end");
+}
+
+#[test]
+fn what_one_host_turns_away_or_breaks_goes_to_another() {
+    let mut hosts = Hosts::start(3);
+    // One of the three is a port at which nobody listens.
+    hosts.addresses[0] = nowhere();
+    let (node, _) = start(&hosts, |_| {});
+    for answer in ["BUSY\r\n", "ERR\r\n", "", "what\r\n", "UP"] {
+        let mut client = node.open(OPEN);
+        let (first, mut host) = hosts.accept();
+        host.hear();
+        host.write(answer);
+        host.end_sending();
+        let (second, mut host) = hosts.accept();
+        assert_ne!(first, second);
+        host.hear();
+        host.say("UP 1");
+        client.hears("UP 1");
+    }
+}
+
+#[test]
+fn what_no_host_takes_is_dismissed_at_once_with_a_wait() {
+    let mut hosts = Hosts::start(2);
+    hosts.addresses = vec![nowhere(), nowhere()];
+    let (node, _) = start(&hosts, |_| {});
+    let began = Instant::now();
+    let mut client = node.open(OPEN);
+    let answer = client.hear();
+    let wait: u64 = answer.strip_prefix("BUSY ").unwrap().parse().unwrap();
+    assert!((250..=1000).contains(&wait) && began.elapsed() < Duration::from_secs(1));
+    client.hears("end");
+}
+
+#[test]
+fn an_irreversible_one_that_may_have_run_is_given_up_and_never_sent_again() {
+    let hosts = Hosts::start(2);
+    let (node, _) = start(&hosts, |p| p["settings"]["offerings"][0]["effect"] = json!("single_shot"));
+    let mut client = node.open(OPEN);
+    let (_, mut host) = hosts.accept();
+    host.hear();
+    host.end_sending();
+    client.hears("ERR");
+    // What never ran may go again.
+    let mut client = node.open(OPEN);
+    let (_, mut host) = hosts.accept();
+    host.hear();
+    host.say("BUSY");
+    let (_, mut host) = hosts.accept();
+    host.hear();
+    host.say("UP 2");
+    client.hears("UP 2");
+}
+
+#[test]
+fn a_host_that_says_nothing_is_left_in_time_and_its_client_may_leave() {
+    let hosts = Hosts::start(1);
+    let (node, _) = start(&hosts, |_| {});
+    let began = Instant::now();
+    let mut client = node.open(&OPEN.replace("d=2000", "d=400"));
+    let (_, mut host) = hosts.accept();
+    host.hear();
+    assert!(client.hear().starts_with("BUSY"));
+    assert!(began.elapsed() < Duration::from_millis(466));
+    host.hears("end");
+    let client = node.open(OPEN);
+    let (_, mut host) = hosts.accept();
+    host.hear();
+    drop(client);
+    host.hears("end");
+}
+
+#[test]
+fn clients_are_moved_between_two_lines_before_their_host_goes_away() {
+    let hosts = Hosts::start(2);
+    let (node, discovery) = start(&hosts, |_| {});
+    discovery.calls(2);
+    let (mut client, number, mut host) = node.served(&hosts);
+    host.write("half");
+    assert_eq!(client.bytes(4), b"half");
+    discovery.change(member(number, &hosts.addresses[number].to_string(), "leaving"));
+    // Served at the other one, since the node has been told.
+    eventually("new ones go on to the host that leaves", || {
+        let mut client = node.open(OPEN);
+        let (at, mut host) = hosts.accept();
+        host.say("BUSY");
+        if at != number {
+            return true;
+        }
+        client.hear();
+        false
+    });
+    host.write(" a line\r\n");
+    client.hears(" a line");
+    client.hears("MOVE");
+    client.hears("end");
+    host.hears("end");
+}
+
+#[test]
+fn a_planned_stop_moves_every_client_and_answers_new_ones() {
+    let hosts = Hosts::start(1);
+    let (mut node, _) = start(&hosts, |p| p["settings"]["offerings"][0]["expiry"] = json!(900.0));
+    let all: Vec<_> = (0..12).map(|_| node.served(&hosts)).collect();
+    let began = Instant::now();
+    node.stop();
+    node.logs("leaving held=12");
+    let mut late = node.open(OPEN);
+    assert!(late.hear().starts_with("BUSY"));
+    for (mut client, _, mut host) in all {
+        client.hears("MOVE");
+        client.hears("end");
+        host.hears("end");
+    }
+    assert!(began.elapsed() < Duration::from_millis(1600) && began.elapsed() > Duration::from_millis(400));
+    assert!(node.wait().success());
+    assert!(began.elapsed() >= Duration::from_millis(1600));
+}
+
+#[test]
+fn connections_that_stood_before_go_back_to_their_host() {
+    let hosts = Hosts::start(3);
+    let (node, _) = start(&hosts, |_| {});
+    for wanted in [2, 0, 1] {
+        let mut client = node.open(&format!("{OPEN},at=s-{wanted}"));
+        let (number, mut host) = hosts.accept();
+        assert_eq!(number, wanted);
+        host.hear();
+        host.say("BUSY");
+        // It is tried again there, and nowhere else.
+        let (number, mut host) = hosts.accept();
+        assert_eq!(number, wanted);
+        host.hear();
+        host.say("UP 5");
+        client.hears("UP 5");
+    }
+    node.open(&format!("{OPEN},at=s-9")).hears("ERR");
+}
+
+#[test]
+fn malformed_input_ends_its_own_connection_alone() {
+    let hosts = Hosts::start(2);
+    let (mut node, _) = start(&hosts, |_| {});
+    let (mut client, _, mut host) = node.served(&hosts);
+    let long = "x".repeat(5000);
+    for line in ["OPEN a b c=other,t=acme,d=100", "OPEN a b d=", "HELLO", "", &long, "OPEN a b c=chat,d=1e99"] {
+        node.open(line).hears("ERR");
+    }
+    let mut bytes = Peer::connect(node.address);
+    std::io::Write::write_all(&mut bytes.stream, b"OPEN \xff\xfe a c=chat,d=1\r\n").unwrap();
+    bytes.hears("ERR");
+    drop(Peer::connect(node.address));
+    // An over-long line from a host that serves, and from a client that is served.
+    let (mut other, _, mut bad) = node.served(&hosts);
+    bad.write(&long);
+    eventually("an over-long line ends its connection", || other.hear() == "reset");
+    let (mut bad, _, mut other) = node.served(&hosts);
+    bad.write(&long);
+    eventually("an over-long line ends its connection", || other.hear() == "reset");
+    client.say("still");
+    host.hears("still");
+    assert!(node.runs());
+}
+
+#[test]
+fn the_watch_is_renewed_at_once_and_taken_up_again_when_it_fails() {
+    let mut hosts = Hosts::start(1);
+    let (node, discovery) = start(&hosts, |_| {});
+    discovery.calls(2);
+    discovery.change(member(7, "127.0.0.1:9", "active"));
+    let gaps = discovery.calls(3);
+    assert!(gaps.iter().all(|g| *g < Duration::from_millis(200)), "{gaps:?}");
+    // Cut, garbled, refused: each ends one call, and none the node.
+    let (head, cut) = ("HTTP/1.1 200 OK\r\n", "{\"revision\":9,\"complete\":true,\"members\":[");
+    discovery.answer_instead(&[
+        "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+        &format!("{head}Content-Length: {}\r\n\r\n{cut}", cut.len()),
+        "HTTP/1.1 2",
+        "SSH-2.0-x\r\n\r\n",
+    ]);
+    discovery.change(member(8, "127.0.0.1:9", "active"));
+    (0..4).for_each(|_| _ = node.logs("discovery call failed"));
+    node.logs("watch begun");
+    hosts.add();
+    discovery.change(member(0, &hosts.addresses[0].to_string(), "left"));
+    discovery.change(member(1, &hosts.addresses[1].to_string(), "active"));
+    eventually("the new host is never used", || {
+        let _client = node.open(OPEN);
+        let (at, mut host) = hosts.accept();
+        host.say("BUSY");
+        at == 1
+    });
+}
+
+#[test]
+fn a_node_serves_from_the_known_roll_while_discovery_is_down() {
+    let hosts = Hosts::start(1);
+    let node = Node::start(&papers(&hosts, nowhere()));
+    node.logs("discovery call failed");
+    node.served(&hosts);
+}
+
+#[test]
+fn changes_that_come_unasked_are_watched_for_without_being_asked() {
+    let hosts = Hosts::start(1);
+    let (_node, discovery) = start(&hosts, |p| p["settings"]["registry_mode"] = json!("pushed"));
+    discovery.calls(2);
+}
+
+#[test]
+fn a_client_of_a_host_that_falls_silent_is_moved_within_seven_seconds() {
+    let hosts = Hosts::start(1);
+    let (node, _) = start(&hosts, |_| {});
+    let (mut client, _, _host) = node.served(&hosts);
+    let began = Instant::now();
+    client.say("anyone?");
+    client.hears("MOVE");
+    client.hears("end");
+    assert!(began.elapsed() < Duration::from_secs(7));
+}
+
+#[test]
+fn at_the_descriptor_limit_all_are_answered_and_none_is_lost() {
+    let hosts = Hosts::start(1);
+    let (mut node, discovery) = start(&hosts, |p| p["limits"]["sockets"] = json!(96));
+    discovery.calls(2);
+    let before = node.descriptors();
+    let mut served = Vec::new();
+    let mut refused = 0;
+    for _ in 0..60 {
+        let mut client = node.open(OPEN);
+        // The host answers whoever comes; a client that is refused never gets there.
+        let answer = {
+            client.stream.set_read_timeout(Some(Duration::from_millis(1))).unwrap();
+            if let Some((_, mut host)) = hosts.accept_soon() {
+                host.hear();
+                host.say("UP 1");
+                served.push(host);
+            }
+            client.stream.set_read_timeout(Some(PATIENCE)).unwrap();
+            client.hear()
+        };
+        match answer.as_str() {
+            "UP 1" => {}
+            busy if busy.starts_with("BUSY") => refused += 1,
+            other => panic!("{other}"),
+        }
+        assert!(node.descriptors() <= 96);
+        std::mem::forget(client);
+    }
+    assert!(served.len() >= 20 && refused >= 10, "{} served, {refused} refused", served.len());
+    drop(served);
+    eventually("descriptors are lost", || node.descriptors() <= before + refused);
+    assert!(node.runs());
+}
+
+#[test]
+fn a_slow_reader_holds_up_only_itself_and_loses_nothing() {
+    let hosts = Hosts::start(1);
+    let (node, _) = start(&hosts, |_| {});
+    let (mut slow, _, host) = node.served(&hosts);
+    let line = "y".repeat(998) + "\r\n";
+    let lines = 20_000;
+    let text = line.clone();
+    let writer = std::thread::spawn(move || {
+        let mut host = host;
+        (0..lines).for_each(|_| host.write(&text));
+        host.say("BYE");
+        host
+    });
+    let (mut client, _, mut other) = node.served(&hosts);
+    client.say("quick");
+    other.hears("quick");
+    assert!(!writer.is_finished(), "the node took in twenty megabytes for one client");
+    for n in 0..lines {
+        assert_eq!(slow.bytes(1000), line.as_bytes(), "line {n}");
+    }
+    slow.hears("BYE");
+    writer.join().unwrap();
+}
+
+#[test]
+fn bad_papers_are_one_plain_line_and_no_start() {
+    let hosts = Hosts::start(1);
+    let good = papers(&hosts, nowhere());
+    let mut all = vec!["".to_string(), "{".into(), "{}".into(), "[1]".into()];
+    for (path, value) in [
+        ("/listen", json!("nowhere")),
+        ("/discovery", json!(7)),
+        ("/limits/memory_mb", json!(-1)),
+        ("/settings/offerings", json!([])),
+        ("/settings/offerings/0/effect", json!("odd")),
+        ("/known/members/0/phase", json!("asleep")),
+    ] {
+        let mut bad = good.clone();
+        *bad.pointer_mut(path).unwrap() = value;
+        all.push(bad.to_string());
+    }
+    for text in all {
+        let output = program(&text).output().unwrap();
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success() && said.starts_with("reedferry: "), "{text}: {said}");
+        assert_eq!(said.trim_end().lines().count(), 1, "{said}");
+    }
+    let output = program("").env_remove("GW_CONFIG").output().unwrap();
+    assert_eq!(String::from_utf8(output.stderr).unwrap(), "reedferry: GW_CONFIG is not set\n");
+}
