--- a/node/src/ferry.rs
+++ b/node/src/ferry.rs
@@ -3,6 +3,7 @@
 //! an answer, which the module does, nor answer an attachment twice or let it go without an answer.
 
 use crate::deck::{Deck, CLIENT, HOST};
+use crate::hosts::Hosts;
 use crate::lines::{self, Opening, Scanner, Word};
 use crate::poller::{Mark, Readiness};
 use crate::pool::{Buffer, Pool};
@@ -12,6 +13,7 @@
 use slab::Slab;
 use slog::{debug, info};
 use std::collections::VecDeque;
+use std::rc::Rc;
 
 /// How long a connection may stay without a first line.
 const SILENT_CLIENT: Nanos = 10 * SECOND;
@@ -54,8 +56,10 @@
 enum Flow {
     /// Nothing can be done until a socket is ready.
     Idle,
-    /// There is more to do, or no buffer to do it with.
+    /// There is more to do.
     More,
+    /// There is no buffer to do it with.
+    Starved,
     /// The sender has ended in order, and all that it sent is through.
     Ended,
     /// The sender's connection broke.
@@ -108,7 +112,7 @@
         if self.buffer.is_none() {
             self.buffer = pool.take();
         }
-        let Some(buffer) = self.buffer.as_mut() else { return Flow::More };
+        let Some(buffer) = self.buffer.as_mut() else { return Flow::Starved };
         let had = buffer.waiting().len();
         match from.socket.receive(buffer.spare()) {
             Ok(0) => self.ended = true,
@@ -136,13 +140,44 @@
 struct Landing {
     side: Side,
     host: usize,
+    /// Keeps the host's record from serving another host.
+    _lease: Rc<()>,
     number: u32,
     since: Nanos,
     /// Whether the connection stands, and the line's last byte is written.
     connected: bool,
     written: bool,
-    said_bye: bool,
-    said_move: bool,
+    said: Said,
+}
+
+/// What a host has said of the end.
+#[derive(Default)]
+struct Said {
+    bye: bool,
+    moved: bool,
+}
+
+impl Said {
+    /// Takes in a line that a host sent on an open connection.
+    fn heard(
+        &mut self,
+        word: Word,
+        (id, host): (AttachmentId, usize),
+        now: Nanos,
+        asked: &mut VecDeque<Nanos>,
+        (events, hosts): (&mut Vec<Event>, &mut Hosts),
+    ) {
+        match word {
+            Word::Load(load) => events.push(Event::LoadNow { id, load }),
+            Word::Bye => self.bye = true,
+            Word::Move => self.moved = true,
+            _ => {
+                if let Some(then) = asked.pop_front() {
+                    hosts.answered(host, then, now);
+                }
+            }
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -187,6 +222,8 @@
     slab: Slab<Ferry>,
     /// Those with more to do than a turn allows.
     more: Vec<usize>,
+    /// Those that wait for a buffer, until the next sweep.
+    starved: Vec<usize>,
     door_open: bool,
 }
 
@@ -287,7 +324,7 @@
             if ferry.letter.is_none() {
                 ferry.letter = deck.pool.take();
             }
-            let Some(letter) = ferry.letter.as_mut() else { return self.more.push(slot) };
+            let Some(letter) = ferry.letter.as_mut() else { return self.starved.push(slot) };
             match lines::first(letter.waiting()) {
                 Ok(None) => {}
                 Ok(Some((line, length))) => match lines::opening(line) {
@@ -395,11 +432,14 @@
 
     /// Carries out a hand-off.
     pub fn hand_off(&mut self, deck: &mut Deck, id: AttachmentId, host: HostId, until: Nanos) {
-        let Some(slot) = self.find(id) else { return };
-        let ferry = &mut self.slab[slot];
-        if ferry.stage != Stage::Held || ferry.landing.is_some() || ferry.client.is_none() {
+        let held = |f: &Ferry| f.stage == Stage::Held && f.landing.is_none() && f.client.is_some();
+        let Some(slot) = self.find(id).filter(|&slot| held(&self.slab[slot])) else {
+            // Guards: a record kept for ever of a client that left while the module chose.
+            let (ending, gauges) = (Ending::NeverSent, Vec::new());
+            deck.events.push(Event::Ended { id, hand_off: 0, host, over: true, ending, gauges });
             return;
-        }
+        };
+        let ferry = &mut self.slab[slot];
         let number = ferry.hand_offs;
         ferry.hand_offs += 1;
         let index = deck.hosts.index(host);
@@ -433,12 +473,12 @@
         ferry.landing = Some(Landing {
             side,
             host,
+            _lease: deck.hosts.berth(host).lease.clone(),
             number: ferry.hand_offs.saturating_sub(1),
             since: deck.now,
             connected,
             written: false,
-            said_bye: false,
-            said_move: false,
+            said: Said::default(),
         });
         ferry.down = Lane::default();
         ferry.up = Lane::default();
@@ -524,22 +564,22 @@
                 _ => return self.fell_through(deck, slot, Ending::Unconnected),
             }
         }
-        let mut said = None;
-        while landing.side.readable && said.is_none() {
-            match ferry.down.fill(&deck.pool, &mut landing.side, &mut |word| _ = said.get_or_insert(word)) {
-                Flow::Idle if ferry.down.ended && said.is_none() => {
+        let mut said = Vec::new();
+        while landing.side.readable && said.is_empty() {
+            match ferry.down.fill(&deck.pool, &mut landing.side, &mut |word| said.push(word)) {
+                Flow::Idle if ferry.down.ended && said.is_empty() => {
                     return self.fell_through(deck, slot, Ending::Broken);
                 }
                 Flow::Idle => {}
-                Flow::More => return self.more.push(slot),
+                Flow::Starved => return self.starved.push(slot),
                 Flow::Malformed => return self.fell_through(deck, slot, Ending::Error),
                 _ => return self.fell_through(deck, slot, Ending::Broken),
             }
         }
-        match said {
+        match said.first() {
             None if ferry.down.buffer.as_ref().is_some_and(Buffer::is_empty) => ferry.down.buffer = None,
             None => {}
-            Some(Word::Up) => self.begin(deck, slot),
+            Some(Word::Up) => self.begin(deck, slot, &said[1..]),
             Some(Word::Busy) => self.fell_through(deck, slot, Ending::Refused),
             Some(Word::Move) => self.fell_through(deck, slot, Ending::CalledOff),
             Some(_) => self.fell_through(deck, slot, Ending::Error),
@@ -547,9 +587,9 @@
     }
 
     /// The host has taken it: from here on lines pass both ways.
-    fn begin(&mut self, deck: &mut Deck, slot: usize) {
+    fn begin(&mut self, deck: &mut Deck, slot: usize, behind: &[Word]) {
         let ferry = &mut self.slab[slot];
-        let Some(landing) = ferry.landing.as_ref() else { return };
+        let Some(landing) = ferry.landing.as_mut() else { return };
         if ferry.client.is_none() {
             return self.fell_through(deck, slot, Ending::CalledOff);
         }
@@ -560,6 +600,16 @@
             deck.events.push(Event::Standing(ferry.arrival, host));
         }
         ferry.stage = Stage::Open;
+        // Guards: a first load told in one piece with the answer, and lost to the module.
+        behind.iter().for_each(|word| {
+            landing.said.heard(
+                *word,
+                (id, landing.host),
+                deck.now,
+                &mut ferry.asked,
+                (&mut deck.events, &mut deck.hosts),
+            )
+        });
         // What the client sent behind its first line goes first on the way up.
         ferry.up.buffer = ferry.letter.take().and_then(|mut letter| {
             letter.sent(ferry.letter_length + 2);
@@ -583,21 +633,14 @@
             Some(_) => Flow::Idle,
             None => ferry.up.run(&deck.pool, client, &mut landing.side, |_| asked.push_back(now)),
         };
-        let (bye, moved) = (&mut landing.said_bye, &mut landing.said_move);
         let (events, hosts) = (&mut deck.events, &mut deck.hosts);
-        let down = ferry.down.run(&deck.pool, &mut landing.side, client, |word| match word {
-            Word::Load(load) => events.push(Event::LoadNow { id, load }),
-            Word::Bye => *bye = true,
-            Word::Move => *moved = true,
-            _ => {
-                if let Some(then) = asked.pop_front() {
-                    hosts.answered(host, then, now);
-                }
-            }
+        let said = &mut landing.said;
+        let down = ferry.down.run(&deck.pool, &mut landing.side, client, |word| {
+            said.heard(word, (id, host), now, &mut ferry.asked, (events, hosts));
         });
 
-        let broke = if landing.said_bye { Ending::Done } else { Ending::Broken };
-        let ended = match (landing.said_bye, landing.said_move, ferry.client_ended) {
+        let broke = if landing.said.bye { Ending::Done } else { Ending::Broken };
+        let ended = match (landing.said.bye, landing.said.moved, ferry.client_ended) {
             (true, ..) => Ending::Done,
             (_, false, None) => Ending::Broken,
             _ => Ending::CalledOff,
@@ -630,6 +673,7 @@
             // The host takes no more: what it still says, or its end, comes down.
             (_, Flow::Refused) => ferry.up.buffer = None,
             (Flow::More, _) | (_, Flow::More) => self.more.push(slot),
+            (Flow::Starved, _) | (_, Flow::Starved) => self.starved.push(slot),
             _ => {}
         }
         self.move_now(deck, slot);
@@ -771,6 +815,7 @@
     /// Looks over all: what has waited too long, and which lines go unanswered.
     pub fn sweep(&mut self, deck: &mut Deck) {
         let now = deck.now;
+        self.more.append(&mut self.starved);
         let slots: Vec<usize> = self.slab.iter().map(|(slot, _)| slot).collect();
         for slot in slots {
             let Some(ferry) = self.slab.get_mut(slot) else { continue };
@@ -782,7 +827,7 @@
                     }
                 }
                 Stage::Returning(next) if ferry.landing.is_none() && now >= next => self.go_back(deck, slot),
-                Stage::Closing(by) if now >= by => self.remove(slot, true),
+                Stage::Closing(by) if now >= by => self.remove(slot, false),
                 Stage::Open => self.look_after(deck, slot),
                 _ => {}
             }
--- a/node/src/hosts.rs
+++ b/node/src/hosts.rs
@@ -7,12 +7,15 @@
 use reedferry::{Event, HostId, Listing, Nanos, RollKind, Standing, MILLI, SECOND};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 pub struct Berth {
     pub name: String,
     pub id: HostId,
     pub address: Option<SocketAddr>,
     pub left_since: Option<Nanos>,
+    /// Held by every connection that knows this record by its index.
+    pub lease: Rc<()>,
     /// Message times since the last second's look, and the shortest ever: the way there and back.
     times: Vec<Nanos>,
     shortest: Nanos,
@@ -29,6 +32,25 @@
 }
 
 impl Berth {
+    fn new(name: String, id: HostId, now: Nanos) -> Self {
+        Berth {
+            name,
+            id,
+            address: None,
+            left_since: None,
+            lease: Rc::new(()),
+            times: Vec::new(),
+            shortest: Nanos::MAX,
+            latest: None,
+            well: now,
+            oldest: None,
+            waiting: 0,
+            told_long: false,
+            told_hung: false,
+            looked: now,
+        }
+    }
+
     /// The time beyond which a line waits not for a mere pause of its host but for work piled up.
     const SURE: Nanos = 150 * MILLI;
     /// The time after which a host that answers none of several lines is taken to answer none at all, and
@@ -90,6 +112,8 @@
     long: Nanos,
 }
 
+/// How long the record of a host that is gone is kept.
+const KEPT: Nanos = 3600 * SECOND;
 /// Samples kept a host between two looks.
 const MOST_TIMES: usize = 64;
 
@@ -133,23 +157,18 @@
 
     fn listed(&mut self, now: Nanos, member: Member) -> Listing {
         let id = HostId(lines::hash(&member.name));
-        let host = *self.by_id.entry(id).or_insert_with(|| {
-            self.all.push(Berth {
-                name: member.name,
-                id,
-                address: None,
-                left_since: None,
-                times: Vec::new(),
-                shortest: Nanos::MAX,
-                latest: None,
-                well: now,
-                oldest: None,
-                waiting: 0,
-                told_long: false,
-                told_hung: false,
-                looked: now,
-            });
-            self.all.len() - 1
+        let host = self.index(id).unwrap_or_else(|| {
+            // The record of a host long gone serves again: a node runs for months.
+            let old =
+                |b: &Berth| b.left_since.is_some_and(|t| now > t + KEPT) && Rc::strong_count(&b.lease) == 1;
+            let spare = self.all.iter().position(old).unwrap_or(self.all.len());
+            let fresh = Berth::new(member.name, id, now);
+            match self.all.get_mut(spare) {
+                Some(old) => _ = self.by_id.remove(&std::mem::replace(old, fresh).id),
+                None => self.all.push(fresh),
+            }
+            self.by_id.insert(id, spare);
+            spare
         });
         let berth = &mut self.all[host];
         berth.address = member.address.or(berth.address);
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -36,6 +36,8 @@
 /// longer than the longest expiry it has until it is killed.
 const STILL_COME: Nanos = 400 * MILLI;
 const BEYOND_EXPIRY: Nanos = 700 * MILLI;
+/// What the last clients that are moved need to be gone by the longest expiry.
+const LAST_MOVES: Nanos = 300 * MILLI;
 
 fn main() {
     if let Err(why) = run() {
@@ -202,7 +204,8 @@
         }
         let (now, expiry) = (self.deck.now, self.deck.terms.longest_expiry);
         self.deck.leaving = Some(now + expiry + BEYOND_EXPIRY);
-        self.deck.events.push(Event::Leaving { from: now + STILL_COME, by: now + expiry.max(STILL_COME) });
+        let by = now + expiry.saturating_sub(LAST_MOVES).max(STILL_COME);
+        self.deck.events.push(Event::Leaving { from: now + STILL_COME, by });
         warn!(self.deck.log, "asked to stop"; "connections" => self.ferries.count(),
             "descriptors" => self.deck.budget.taken());
     }
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -279,9 +279,16 @@
 fn a_client_of_a_host_that_falls_silent_is_moved_within_seven_seconds() {
     let hosts = Hosts::start(1);
     let (node, _) = start(&hosts, |_| {});
-    let (mut client, _, _host) = node.served(&hosts);
+    let mut client = node.open(OPEN);
+    let (_, mut host) = hosts.accept();
+    host.hear();
+    // The load comes in one piece with the answer and counts all the same.
+    host.write("UP 1\r\nLOAD 2500000\r\n");
+    client.hears("UP 1");
+    client.hears("LOAD 2500000");
     let began = Instant::now();
     client.say("anyone?");
+    node.logs("load=2.50");
     client.hears("MOVE");
     client.hears("end");
     assert!(began.elapsed() < Duration::from_secs(7));
