Forget the breaks of a host that has none left

A host that had broken all it held at 6.1 s was cut at 12.6 s, when it held one again: the breaks were only read while it held something.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -247,7 +247,8 @@
                 if ending == Ending::TimedOut {
                     self.waited(now, length, at);
                 }
-                self.broken += u32::from(conn.begun && ending == Ending::Broken);
+                let broke = u32::from(conn.begun && ending == Ending::Broken);
+                self.broken = if self.conns.is_empty() { 0 } else { self.broken + broke };
                 if matches!(ending, Ending::Done | Ending::CalledOff | Ending::NeverSent) {
                     return;
                 }
@@ -316,7 +317,7 @@
             let half = self.conns.len().div_ceil(2);
             return at.post.extend(begun.take(half).map(|slot| (To::Desk, Note::Shift { slot })));
         }
-        // Guards: connections left at a host that sheds: it breaks many and keeps the rest.
+        // Guards: clients left at a host that sheds: it breaks many and keeps some; one that died has none.
         if 8 * std::mem::take(&mut self.broken) as usize > self.conns.len() {
             self.late(now, SECOND, at.charter);
         }
@@ -468,9 +469,8 @@
 
 impl Vector {
     fn dominates(&self, other: &Vector) -> bool {
-        let (a, b) = (self.judged as f64, other.judged as f64);
-        let spread = (self.spread / a, other.spread / b);
-        let longest = (self.longest / a, other.longest / b);
+        let spread = (self.spread / self.judged as f64, other.spread / other.judged as f64);
+        let longest = (self.longest / self.judged as f64, other.longest / other.judged as f64);
         spread.0 <= spread.1 && longest.0 <= longest.1 && (spread.0 < spread.1 || longest.0 < longest.1)
     }
 }
