--- a/node/src/deck.rs
+++ b/node/src/deck.rs
@@ -50,6 +50,8 @@
     pub stamps: u32,
     /// From when the program may end, once it has been asked to stop.
     pub leaving: Option<Nanos>,
+    /// Whether new work was last held off for want of descriptors or buffers.
+    pub scarce: bool,
 }
 
 impl Deck {
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -212,7 +212,7 @@
         }
         self.revision = list.revision;
         let now = deck.now;
-        let event = deck.hosts.told(now, list, false);
+        let event = deck.hosts.told(now, list, false, &deck.log);
         deck.events.push(event);
     }
 
--- a/node/src/ferry.rs
+++ b/node/src/ferry.rs
@@ -11,7 +11,7 @@
 use reedferry::{Arrival, AttachmentId, Ending, Event, HostId, Nanos, MILLI, SECOND};
 use rustix::io::Errno;
 use slab::Slab;
-use slog::{debug, info};
+use slog::{info, warn};
 use std::collections::VecDeque;
 use std::rc::Rc;
 
@@ -459,6 +459,11 @@
         let address = deck.hosts.berth(host).address.ok_or(Ending::Unconnected)?;
         // Guards: new work that eats up what the machine's accepted clients are to be answered from.
         if !deck.budget.room(1) || deck.pool.left() < 16 {
+            if !deck.scarce {
+                deck.scarce = true;
+                let (taken, buffers) = (deck.budget.taken(), deck.pool.left());
+                warn!(deck.log, "out of descriptors or buffers"; "taken" => taken, "buffers" => buffers);
+            }
             return Err(Ending::NeverSent);
         }
         let (socket, connected) = match deck.budget.connect(&address) {
@@ -845,7 +850,7 @@
         if let Some(&then) = ferry.asked.front() {
             deck.hosts.unanswered(landing.host, then);
             if now >= then + SILENT_HOST && ferry.moving.is_none() {
-                debug!(deck.log, "silent"; "host" => &deck.hosts.berth(landing.host).name);
+                warn!(deck.log, "silent"; "host" => &deck.hosts.berth(landing.host).name);
                 ferry.moving = Some(now + MOVE_WITHIN);
                 ferry.ending = Ending::Broken;
             }
--- a/node/src/hosts.rs
+++ b/node/src/hosts.rs
@@ -5,6 +5,7 @@
 use crate::lines;
 use crate::list::{List, Member};
 use reedferry::{Event, HostId, Listing, Nanos, RollKind, Standing, MILLI, SECOND};
+use slog::{info, Logger};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -140,7 +141,7 @@
     }
 
     /// Takes a list in, and gives what the module is to be told.
-    pub fn told(&mut self, now: Nanos, list: List, cached: bool) -> Event {
+    pub fn told(&mut self, now: Nanos, list: List, cached: bool, log: &Logger) -> Event {
         let kind = match (cached, list.complete) {
             (true, _) => RollKind::Cached,
             (_, true) => RollKind::Full,
@@ -152,17 +153,18 @@
                 berth.left_since.get_or_insert(now);
             }
         }
-        let hosts = list.members.into_iter().map(|m| self.listed(now, m)).collect();
+        let hosts = list.members.into_iter().map(|m| self.listed(now, m, log)).collect();
         Event::Roll { kind, hosts }
     }
 
-    fn listed(&mut self, now: Nanos, member: Member) -> Listing {
+    fn listed(&mut self, now: Nanos, member: Member, log: &Logger) -> Listing {
         let id = HostId(lines::hash(&member.name));
         let host = self.index(id).unwrap_or_else(|| {
             // The record of a host long gone serves again: a node runs for months.
             let old =
                 |b: &Berth| b.left_since.is_some_and(|t| now > t + KEPT) && Rc::strong_count(&b.lease) == 1;
             let spare = self.all.iter().position(old).unwrap_or(self.all.len());
+            info!(log, "host listed"; "name" => &member.name, "hash" => format!("{:x}", id.0));
             let fresh = Berth::new(member.name, id, now);
             match self.all.get_mut(spare) {
                 Some(old) => _ = self.by_id.remove(&std::mem::replace(old, fresh).id),
@@ -233,7 +235,7 @@
         let text = br#"{"revision":1,"complete":true,"members":[{"id":"a","phase":"active"}]}"#;
         let mut reader = crate::list::Reader::default();
         reader.feed(text).unwrap();
-        hosts.told(T, reader.finish().unwrap(), true);
+        hosts.told(T, reader.finish().unwrap(), true, &Logger::root(slog::Discard, slog::o!()));
         hosts.answered(0, T + 100 * MILLI, T + 102 * MILLI);
         hosts
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -89,6 +89,7 @@
         log: log.clone(),
         stamps: 0,
         leaving: None,
+        scarce: false,
     };
     let mut actions = Vec::new();
     let unasked = !papers.charter.roll_on_request;
@@ -99,7 +100,7 @@
         let known = reader.feed(&papers.known).and_then(|()| reader.finish());
         let known = known.map_err(|e| format!("known: {e}"))?;
         revision = known.revision;
-        let event = deck.hosts.told(now, known, true);
+        let event = deck.hosts.told(now, known, true, &log);
         deck.events.push(event);
     }
     let hosts = deck.hosts.count();
@@ -188,6 +189,10 @@
         let deck = &mut self.deck;
         self.ferries.accept(deck, &self.door);
         self.ferries.sweep(deck);
+        if deck.scarce && deck.budget.room(8) {
+            deck.scarce = false;
+            info!(deck.log, "descriptors to spare again"; "taken" => deck.budget.taken());
+        }
         self.discovery.sweep(deck);
         deck.hosts.look(deck.now, &mut deck.events);
         deck.poller.remind(deck.now + SWEEP, mark(deck::SWEEP), 0);
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -323,8 +323,10 @@
         assert!(node.descriptors() <= 96);
         std::mem::forget(client);
     }
+    node.logs("out of descriptors");
     assert!(served.len() >= 20 && refused >= 10, "{} served, {refused} refused", served.len());
     drop(served);
+    node.logs("descriptors to spare again");
     eventually("descriptors are lost", || node.descriptors() <= before + refused);
     assert!(node.runs());
 }
