--- a/node/src/sockets.rs
+++ b/node/src/sockets.rs
@@ -5,6 +5,7 @@
 
 use rustix::io::Errno;
 use rustix::net::{self, sockopt, AddressFamily, RecvFlags, SendFlags, Shutdown, SocketFlags, SocketType};
+use rustix::process::{getrlimit, setrlimit, Resource};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
@@ -21,8 +22,21 @@
     reserve: usize,
 }
 
+/// How many descriptors the system lets the program have, of those it is to have.
+fn granted(limit: usize) -> usize {
+    let mut system = getrlimit(Resource::Nofile);
+    let wanted = system.maximum.map_or(limit as u64, |most| most.min(limit as u64));
+    if system.current.is_some_and(|now| now < wanted) {
+        // Where that is not allowed, what is there must do.
+        system.current = Some(wanted);
+        _ = setrlimit(Resource::Nofile, system);
+    }
+    getrlimit(Resource::Nofile).current.map_or(limit, |now| (now as usize).min(limit))
+}
+
 impl Budget {
     pub fn new(limit: usize) -> Self {
+        let limit = granted(limit);
         Budget {
             taken: Rc::new(Cell::new(OWN)),
             most: limit.max(2 * OWN),
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -262,7 +262,25 @@
 
 impl Node {
     pub fn start(papers: &Value) -> Self {
-        let mut child = program(&papers.to_string()).spawn().unwrap();
+        Node::launch(program(&papers.to_string()))
+    }
+
+    /// One that the system allows no more than so many descriptors.
+    pub fn start_within(papers: &Value, descriptors: usize) -> Self {
+        let plain = program(&papers.to_string());
+        let mut command = Command::new("sh");
+        command.args([
+            "-c",
+            &format!("ulimit -n {descriptors}; exec \"$0\""),
+            env!("CARGO_BIN_EXE_reedferry"),
+        ]);
+        command.envs(plain.get_envs().filter_map(|(name, value)| Some((name, value?))));
+        command.stdout(Stdio::piped()).stderr(Stdio::piped()).stdin(Stdio::null());
+        Node::launch(command)
+    }
+
+    fn launch(mut command: Command) -> Self {
+        let mut child = command.spawn().unwrap();
         let (sender, log) = channel();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -297,7 +297,18 @@
 #[test]
 fn at_the_descriptor_limit_all_are_answered_and_none_is_lost() {
     let hosts = Hosts::start(1);
-    let (mut node, discovery) = start(&hosts, |p| p["limits"]["sockets"] = json!(96));
+    let (node, discovery) = start(&hosts, |p| p["limits"]["sockets"] = json!(96));
+    crowd(node, &hosts, &discovery);
+}
+
+#[test]
+fn so_they_are_where_the_system_allows_fewer_than_the_papers() {
+    let (hosts, discovery) = (Hosts::start(1), Discovery::start());
+    crowd(Node::start_within(&papers(&hosts, discovery.address), 96), &hosts, &discovery);
+}
+
+/// Opens more connections than 96 descriptors carry.
+fn crowd(mut node: Node, hosts: &Hosts, discovery: &Discovery) {
     discovery.calls(2);
     let before = node.descriptors();
     let mut served = Vec::new();
