--- a/node/src/ferry.rs
+++ b/node/src/ferry.rs
@@ -4,9 +4,10 @@
 
 use crate::deck::{Deck, CLIENT, HOST};
 use crate::hosts::Hosts;
-use crate::lines::{self, Opening, Scanner, Word};
+use crate::lane::{Flow, Lane, Side};
+use crate::lines::{self, Opening, Word};
 use crate::poller::{Mark, Readiness};
-use crate::pool::{Buffer, Pool};
+use crate::pool::Buffer;
 use crate::sockets::Socket;
 use reedferry::{Arrival, AttachmentId, Ending, Event, HostId, Nanos, MILLI, SECOND};
 use rustix::io::Errno;
@@ -29,113 +30,11 @@
 /// How long a connection that stood before is asked for, and the pause between two tries.
 const STANDING_WITHIN: Nanos = 40 * SECOND;
 const STANDING_PAUSE: Nanos = SECOND / 4;
-/// Buffers moved for one connection before the others have their turn.
-const TURN: usize = 8;
 const ACCEPTS: usize = 256;
 
 const CONNECT: u64 = 0;
 const UNTIL: u64 = 1;
 
-struct Side {
-    socket: Socket,
-    stamp: u32,
-    readable: bool,
-    writable: bool,
-}
-
-/// What flows one way.
-#[derive(Default)]
-struct Lane {
-    buffer: Option<Buffer>,
-    scanner: Scanner,
-    ended: bool,
-}
-
-/// Where a lane has got to.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Flow {
-    /// Nothing can be done until a socket is ready.
-    Idle,
-    /// There is more to do.
-    More,
-    /// There is no buffer to do it with.
-    Starved,
-    /// The sender has ended in order, and all that it sent is through.
-    Ended,
-    /// The sender's connection broke.
-    Broken,
-    /// The receiver's connection broke.
-    Refused,
-    Malformed,
-}
-
-impl Lane {
-    fn run(&mut self, pool: &Pool, from: &mut Side, to: &mut Side, mut heard: impl FnMut(Word)) -> Flow {
-        for _ in 0..TURN {
-            match self.flush(to) {
-                Flow::Ended => {}
-                other => return other,
-            }
-            if self.ended {
-                return Flow::Ended;
-            }
-            if !from.readable {
-                return Flow::Idle;
-            }
-            match self.fill(pool, from, &mut heard) {
-                Flow::Idle => {}
-                other => return other,
-            }
-        }
-        Flow::More
-    }
-
-    /// Sends what waits; `Ended` once nothing does.
-    fn flush(&mut self, to: &mut Side) -> Flow {
-        while let Some(buffer) = self.buffer.as_mut().filter(|b| !b.is_empty()) {
-            if !to.writable {
-                return Flow::Idle;
-            }
-            match to.socket.send(buffer.waiting()) {
-                Ok(count) => buffer.sent(count),
-                Err(Errno::AGAIN) => to.writable = false,
-                Err(_) => return Flow::Refused,
-            }
-        }
-        // An idle connection holds no buffer.
-        self.buffer = None;
-        Flow::Ended
-    }
-
-    /// Reads once; `Idle` where that went as it should.
-    fn fill(&mut self, pool: &Pool, from: &mut Side, heard: &mut impl FnMut(Word)) -> Flow {
-        if self.buffer.is_none() {
-            self.buffer = pool.take();
-        }
-        let Some(buffer) = self.buffer.as_mut() else { return Flow::Starved };
-        let had = buffer.waiting().len();
-        match from.socket.receive(buffer.spare()) {
-            Ok(0) => self.ended = true,
-            Ok(count) => {
-                buffer.filled(count);
-                let mut at = had;
-                while at < buffer.waiting().len() {
-                    match self.scanner.step(&buffer.waiting()[at..]) {
-                        Ok((took, said)) => {
-                            at += took;
-                            said.into_iter().for_each(&mut *heard);
-                        }
-                        Err(_) => return Flow::Malformed,
-                    }
-                }
-            }
-            Err(Errno::AGAIN) => from.readable = false,
-            Err(_) => return Flow::Broken,
-        }
-        Flow::Idle
-    }
-}
-
 /// A hand-off, or the connection that came of it.
 struct Landing {
     side: Side,
--- a/node/src/lines.rs
+++ b/node/src/lines.rs
@@ -241,6 +241,16 @@
         assert!(first(b"PING\n").is_err() && first(&[b'x'; LONGEST]).is_err());
     }
 
+    #[test]
+    fn reads_a_load_report_by_name_or_in_order() {
+        let names = ["x0".to_string(), "x1".to_string()];
+        assert_eq!(report(b"PONG x1=0.5,x0=2", &names), [2.0, 0.5]);
+        assert_eq!(report(b"PONG 2 0.5", &names), [2.0, 0.5]);
+        for poor in [&b"PONG"[..], b"PONG x0=2", b"PONG x0=nan,x1=1", b"PONG \xff", b"ERR no such thing"] {
+            assert!(report(poor, &names).is_empty());
+        }
+    }
+
     #[test]
     fn finds_lines_however_they_are_split() {
         let text = b"UP 17\r\nLOAD 2500\r\nhello there\r\nBYE\r\nMO";
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -7,6 +7,7 @@
 mod ferry;
 mod hosts;
 mod http;
+mod lane;
 mod lines;
 mod list;
 mod log;
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -275,6 +275,23 @@
     discovery.calls(2);
 }
 
+#[test]
+fn hosts_whose_load_comes_by_probes_are_probed_and_left_when_crowded() {
+    let hosts = Hosts::start(1);
+    let (node, _) = start(&hosts, |p| {
+        p["settings"]["reporting"] = json!({"fields": ["x0", "x1"], "via": "pull"});
+    });
+    let (mut client, _, mut serving) = node.served(&hosts);
+    serving.say("LOAD 500000");
+    client.hears("LOAD 500000");
+    let (_, mut probe) = hosts.accept();
+    probe.hears("STATS");
+    probe.say("PONG x0=1.5,x1=4.0");
+    probe.hears("end");
+    node.logs("cut host=");
+    client.hears("MOVE");
+}
+
 #[test]
 fn a_client_of_a_host_that_falls_silent_is_moved_within_seven_seconds() {
     let hosts = Hosts::start(1);
