Count a long set-up only where the last ones were not long too

Cause of the module's loss of 0.022: Host::waited took host after host for late when clients came back in crowds and the store made all set-ups long.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -86,10 +86,6 @@
         (self.ahead + self.shared) / self.listing.size
     }
 
-    fn remaining(&self, now: Nanos) -> Nanos {
-        self.longest.saturating_sub(now)
-    }
-
     /// Whether it is known to bear no more than it has, or is masked.
     fn pressed(&self, now: Nanos) -> bool {
         self.ceiling.is_some() || now < self.masked_until
@@ -195,7 +191,9 @@
     /// Takes a long set-up for late messages. Guards: clients left at a host whose messages tell nothing.
     fn waited(&mut self, now: Nanos, took: Nanos, at: &mut Room) {
         let known = self.slow(now) * at.charter.shortest_message_time() as f64;
-        if !at.desk.common() && took as f64 > known.max(6.0 * at.ledger.set_up) {
+        // Guards: hosts taken for late one after the other while a store that all set-ups share is.
+        let usual = at.ledger.set_up.max(at.ledger.recent / 2.0);
+        if !at.desk.common() && took as f64 > known.max(6.0 * usual) {
             self.late(now, took, at.charter);
         }
         at.post.push_back((To::Ledger, Note::SetUp(took)));
@@ -210,8 +208,7 @@
                     (self.masked_until, self.strikes, self.slowness) = (0, 0, 0.0);
                 }
                 self.listed = listing.standing != Standing::Gone;
-                self.gone_since = now;
-                self.listing = listing;
+                (self.gone_since, self.listing) = (now, listing);
                 self.listing.size = if listing.size > 0.0 { listing.size } else { 1.0 };
             }
             Note::Unlisted => (self.listed, self.gone_since) = (false, now),
@@ -284,7 +281,7 @@
                     at.out.push(Action::Probe { host: self.id });
                 }
                 let spread = if mean > 0.0 { (self.own() / mean - 1.0).powi(2) } else { 0.0 };
-                let longest = self.remaining(now) as f64;
+                let longest = self.longest.saturating_sub(now) as f64;
                 let late = self.slow(now) >= LATE;
                 for conn in &mut self.conns {
                     if conn.begun && now >= conn.since + STEP {
@@ -345,13 +342,13 @@
         // Guards: cut to nothing by what other nodes placed there, and empty long after it is well.
         let floor = if part < 1.0 { FLOOR * mean * self.listing.size } else { 0.0 };
         let ceiling = (self.ceiling.unwrap_or(self.borne()).min(self.borne()) * (1.0 - part)).max(floor);
+        self.ceiling = Some(ceiling);
         if self.borne() <= floor {
-            self.ceiling = Some(ceiling);
             return;
         }
         let (own, conns) = (self.borne(), self.conns.len());
         log!(at.out, "cut host={:x} slow={slow:.1} load={own:.2} to={ceiling:.2} conns={conns}", self.id.0);
-        (self.ceiling, self.cut, self.slowness_at_cut) = (Some(ceiling), now, slow);
+        (self.cut, self.slowness_at_cut) = (now, slow);
         let luck = at.chance.to_bits();
         let payoff = |n: usize| at.charter.offerings[self.conns[n].offering].payoff.max(1e-6);
         let mut order: Vec<(f64, usize)> = (0..self.conns.len())
@@ -461,7 +458,10 @@
                 self.usual[offering] = blend(self.usual[offering]);
                 self.unit = blend(self.unit);
             }
-            Note::SetUp(took) => self.set_up += (took as f64 - self.set_up) / 16.0,
+            Note::SetUp(took) => {
+                self.set_up += (took as f64 - self.set_up) / 16.0;
+                self.recent += (took as f64 - self.recent) / 2.0;
+            }
             _ => {}
         }
     }
@@ -494,8 +494,7 @@
         for weight in &mut weights {
             if rng.random::<f64>() < MUTATION.0 {
                 let (u, v): (f64, f64) = (rng.random(), rng.random());
-                let normal = (-2.0 * (1.0 - u).ln()).sqrt() * (std::f64::consts::TAU * v).cos();
-                *weight += MUTATION.1 * normal;
+                *weight += MUTATION.1 * (-2.0 * (1.0 - u).ln()).sqrt() * (std::f64::consts::TAU * v).cos();
             }
         }
         let balance = weights[0].max(0.1);
@@ -509,8 +508,7 @@
     fn read(&mut self, note: Note, now: Nanos, chance: f64, ask_within: Nanos, out: &mut Vec<Action>) {
         match note {
             Note::Told(RollKind::Failed) => {
-                (self.following, self.called) = (false, None);
-                self.failures += 1;
+                (self.following, self.called, self.failures) = (false, None, self.failures + 1);
                 // Spread and growing, so that the nodes do not storm the one list service.
                 let wait = ((SECOND / 2) << self.failures.min(4)).min(ask_within / 4);
                 self.next = now + (wait as f64 * (0.5 + chance)) as Nanos;
@@ -1051,7 +1049,7 @@
         let own = if host.newcomer { host.own().max(view.mean) } else { host.own() };
         let with = own + (ask.ahead + self.opening(host, ask)) / host.listing.size;
         let balance = (with + view.unseen) * (1.0 + host.slow(now)) / (view.mean + view.unseen);
-        let apart = |l: f64| ((host.remaining(now) as f64 - l).abs() / HORIZON).min(1.0);
+        let apart = |l: f64| ((host.longest.saturating_sub(now) as f64 - l).abs() / HORIZON).min(1.0);
         let score = weights.balance * balance + weights.gap * ask.length.map_or(0.0, apart);
 
         let crossing = if host.listing.zone == self.charter.zone { 0.0 } else { view.crossing };
--- a/src/records.rs
+++ b/src/records.rs
@@ -136,6 +136,8 @@
     pub usual: Vec<Option<f64>>,
     pub unit: Option<f64>,
     pub set_up: f64,
+    /// The same for the last one or two, at whatever host.
+    pub recent: f64,
 }
 
 #[derive(Clone, Copy, Default)]
