Count long set-ups at the first host of a row, and not at others

The guard before held back a second long set-up at the same crowded host too. Now the first host of a row of long set-ups counts, others in the row do not.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -192,11 +192,11 @@
     fn waited(&mut self, now: Nanos, took: Nanos, at: &mut Room) {
         let known = self.slow(now) * at.charter.shortest_message_time() as f64;
         // Guards: hosts taken for late one after the other while a store that all set-ups share is.
-        let usual = at.ledger.set_up.max(at.ledger.recent / 2.0);
-        if !at.desk.common() && took as f64 > known.max(6.0 * usual) {
+        let shared = at.desk.common() || at.ledger.long.is_some_and(|host| host != self.id);
+        if !shared && took as f64 > known.max(6.0 * at.ledger.set_up) {
             self.late(now, took, at.charter);
         }
-        at.post.push_back((To::Ledger, Note::SetUp(took)));
+        at.post.push_back((To::Ledger, Note::SetUp(self.id, took)));
     }
 
     fn read(&mut self, note: Note, now: Nanos, at: &mut Room) {
@@ -458,9 +458,10 @@
                 self.usual[offering] = blend(self.usual[offering]);
                 self.unit = blend(self.unit);
             }
-            Note::SetUp(took) => {
+            Note::SetUp(host, took) => {
+                let long = took as f64 > 6.0 * self.set_up;
+                self.long = self.long.or(Some(host)).filter(|_| long);
                 self.set_up += (took as f64 - self.set_up) / 16.0;
-                self.recent += (took as f64 - self.recent) / 2.0;
             }
             _ => {}
         }
--- a/src/records.rs
+++ b/src/records.rs
@@ -33,7 +33,7 @@
     Judged { vector: usize, spread: f64, longest: f64 },
     Lived { key: Option<u64>, length: Nanos },
     Weighed { offering: usize, load: f64 },
-    SetUp(Nanos),
+    SetUp(HostId, Nanos),
     Fared { late: bool },
     Told(RollKind),
 }
@@ -136,8 +136,8 @@
     pub usual: Vec<Option<f64>>,
     pub unit: Option<f64>,
     pub set_up: f64,
-    /// The same for the last one or two, at whatever host.
-    pub recent: f64,
+    /// The first host of those whose set-ups have taken long since one did not.
+    pub long: Option<HostId>,
 }
 
 #[derive(Clone, Copy, Default)]
