--- a/node/src/ferry.rs
+++ b/node/src/ferry.rs
@@ -102,7 +102,8 @@
     /// The client's first line and how long it is, kept until a host has taken it.
     letter: Option<Buffer>,
     letter_length: usize,
-    home: Option<usize>,
+    /// Where it stood before the run.
+    home: Option<HostId>,
     /// How long the client waits, and how long the hand-off that is out is given.
     waits: Nanos,
     given: Nanos,
@@ -252,7 +253,7 @@
                         (ferry.since, ferry.waits) = (deck.now, request.wait);
                         ferry.letter_length = length - 2;
                         if let Some(home) = request.at {
-                            ferry.home = deck.hosts.named(home);
+                            ferry.home = Some(HostId(lines::hash(home)));
                             ferry.stage = Stage::Returning(deck.now);
                             return self.go_back(deck, slot);
                         }
@@ -322,11 +323,14 @@
     fn go_back(&mut self, deck: &mut Deck, slot: usize) {
         let ferry = &mut self.slab[slot];
         let until = ferry.since + ferry.waits.min(STANDING_WITHIN);
-        let Some(host) = ferry.home.filter(|_| deck.now < until && deck.leaving.is_none()) else {
+        if deck.now >= until || deck.leaving.is_some() {
             return self.answer(deck, slot, b"ERR\r\n");
-        };
+        }
         ferry.stage = Stage::Returning(deck.now + STANDING_PAUSE);
-        _ = self.launch(deck, slot, host, until);
+        // Guards: connections lost whose host joined after the list that this node was started with.
+        if let Some(host) = ferry.home.and_then(|home| deck.hosts.index(home)) {
+            _ = self.launch(deck, slot, host, until);
+        }
     }
 
     /// Carries out a hand-off.
--- a/node/src/hosts.rs
+++ b/node/src/hosts.rs
@@ -132,10 +132,6 @@
         self.by_id.get(&id).copied()
     }
 
-    pub fn named(&self, name: &str) -> Option<usize> {
-        self.index(HostId(lines::hash(name)))
-    }
-
     pub fn berth(&self, host: usize) -> &Berth {
         &self.all[host]
     }
