Read the papers again on SIGHUP and follow discovery at its new address

At fault: main.rs set up SIGTERM alone, and Discovery kept its address and version for life. Excluded: papers half read, as no file was read.

Now SIGHUP is taken from the first line of the program on; the file is decoded whole before anything changes; discovery drops its calls at the old address at once and asks the new one for its whole list, whose version starts afresh.

--- a/node/src/deck.rs
+++ b/node/src/deck.rs
@@ -14,12 +14,13 @@
 /// The parts that marks are dealt out to.
 pub const MODULE: u8 = 0;
 pub const DOOR: u8 = 1;
-pub const SIGNAL: u8 = 2;
+pub const STOP: u8 = 2;
 pub const DISCOVERY: u8 = 3;
 pub const CLIENT: u8 = 4;
 pub const HOST: u8 = 5;
 pub const PROBE: u8 = 6;
 pub const SWEEP: u8 = 7;
+pub const REREAD: u8 = 8;
 
 /// Unix time that never goes back: the system's time at the start and a steady clock since.
 pub struct Clock {
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -42,7 +42,8 @@
 
 pub struct Discovery {
     address: SocketAddr,
-    revision: u64,
+    /// The version reached; none before the service at this address has given its whole list.
+    revision: Option<u64>,
     calls: [Call; 2],
     following: bool,
     /// The watch is kept up without being asked for.
@@ -52,11 +53,24 @@
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr, revision: u64, unasked: bool) -> Self {
+    pub fn new(address: SocketAddr, revision: Option<u64>, unasked: bool) -> Self {
         let calls = [Call::default(), Call::default()];
         Discovery { address, revision, calls, following: false, unasked, next: 0, failures: 0 }
     }
 
+    /// Goes over to the service at another address, at once and from its whole list on: versions are each
+    /// service's own. Guards: a node that follows a service which has been replaced, or that waits for
+    /// the new one to pass a version of the old.
+    pub fn go_over(&mut self, deck: &mut Deck, address: SocketAddr) {
+        let asked = self.calls[ASK].out;
+        self.calls = [Call::default(), Call::default()];
+        (self.address, self.revision, self.following, self.failures) = (address, None, false, 0);
+        self.call(deck, WATCH, 0);
+        if asked {
+            self.call(deck, ASK, 0);
+        }
+    }
+
     /// The module wants the whole roll once.
     pub fn ask(&mut self, deck: &mut Deck) {
         if !self.calls[ASK].out {
@@ -74,9 +88,9 @@
     }
 
     fn call(&mut self, deck: &mut Deck, which: usize, hold: Nanos) {
-        let path = match which {
-            WATCH => format!("/v1/servers?from={}&hold_ms={}", self.revision, hold / MILLI),
-            _ => "/v1/servers".to_string(),
+        let path = match self.revision.filter(|_| which == WATCH) {
+            Some(from) => format!("/v1/servers?from={from}&hold_ms={}", hold / MILLI),
+            None => "/v1/servers".to_string(),
         };
         let call = &mut self.calls[which];
         call.request = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address).into_bytes();
@@ -196,7 +210,7 @@
         self.take(deck, which, list);
         if which == WATCH {
             if !self.following {
-                info!(deck.log, "watch begun"; "revision" => self.revision);
+                info!(deck.log, "watch begun"; "at" => %self.address, "revision" => self.revision);
             }
             (self.following, self.failures) = (true, 0);
             // At once: a watch whose next call comes late is a new one.
@@ -206,11 +220,11 @@
 
     fn take(&mut self, deck: &mut Deck, which: usize, list: List) {
         // An answer that is older than what is known, as a call that waited long may bring, is no news.
-        if which == ASK && list.revision < self.revision {
+        if which == ASK && self.revision.is_some_and(|known| list.revision < known) {
             deck.events.push(Event::Roll { kind: RollKind::Changes, hosts: Vec::new() });
             return;
         }
-        self.revision = list.revision;
+        self.revision = Some(list.revision);
         let now = deck.now;
         let event = deck.hosts.told(now, list, false, &deck.log);
         deck.events.push(event);
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -58,11 +58,25 @@
     discovery: Discovery,
     probes: Probes,
     door: Socket,
-    signal: UnixStream,
+    stop: UnixStream,
+    reread: UnixStream,
+    papers: Papers,
     actions: Vec<Action>,
 }
 
+/// Where a signal is told from now on.
+fn signal(which: i32) -> Result<UnixStream, String> {
+    let (told, teller) = UnixStream::pair().map_err(|e| format!("cannot make a pair of sockets: {e}"))?;
+    told.set_nonblocking(true).map_err(|e| format!("cannot set up signals: {e}"))?;
+    signal_hook::low_level::pipe::register(which, teller)
+        .map_err(|e| format!("cannot set up signals: {e}"))?;
+    Ok(told)
+}
+
 fn run() -> Result<(), String> {
+    // First of all. Guards: a node ended by a call to read its papers that comes while it starts.
+    let stop = signal(signal_hook::consts::SIGTERM)?;
+    let reread = signal(signal_hook::consts::SIGHUP)?;
     let papers = Papers::read()?;
     let (log, backlog) = log::logger(&papers.name);
     let clock = Clock::start();
@@ -70,12 +84,9 @@
     let budget = Budget::new(papers.sockets);
     let door =
         budget.listen(&papers.listen).map_err(|e| format!("cannot listen on {}: {e}", papers.listen))?;
-    let (signal, teller) = UnixStream::pair().map_err(|e| format!("cannot make a pair of sockets: {e}"))?;
-    signal.set_nonblocking(true).map_err(|e| format!("cannot set up signals: {e}"))?;
-    signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, teller)
-        .map_err(|e| format!("cannot set up signals: {e}"))?;
     poller.watch(&door, mark(deck::DOOR)).map_err(|e| format!("cannot poll: {e}"))?;
-    poller.watch(&signal, mark(deck::SIGNAL)).map_err(|e| format!("cannot poll: {e}"))?;
+    poller.watch(&stop, mark(deck::STOP)).map_err(|e| format!("cannot poll: {e}"))?;
+    poller.watch(&reread, mark(deck::REREAD)).map_err(|e| format!("cannot poll: {e}"))?;
 
     let now = clock.read();
     let mut deck = Deck {
@@ -95,12 +106,12 @@
     let mut actions = Vec::new();
     let unasked = !papers.charter.roll_on_request;
     let module = Balancer::new(papers.charter.clone(), papers.seed, now, &mut actions);
-    let mut revision = 0;
+    let mut revision = None;
     if !papers.known.is_empty() {
         let mut reader = list::Reader::default();
         let known = reader.feed(&papers.known).and_then(|()| reader.finish());
         let known = known.map_err(|e| format!("known: {e}"))?;
-        revision = known.revision;
+        revision = Some(known.revision);
         let event = deck.hosts.told(now, known, true, &log);
         deck.events.push(event);
     }
@@ -116,7 +127,9 @@
         discovery: Discovery::new(papers.discovery, revision, unasked),
         probes: Probes::default(),
         door,
-        signal,
+        stop,
+        reread,
+        papers,
         actions,
     };
     node.deck.poller.remind(now + SWEEP, mark(deck::SWEEP), 0);
@@ -143,7 +156,8 @@
             let deck = &mut self.deck;
             match one.mark.part {
                 deck::DOOR => self.ferries.accept(deck, &self.door),
-                deck::SIGNAL => self.signalled(),
+                deck::STOP => self.part(),
+                deck::REREAD => self.read_again(),
                 deck::DISCOVERY => self.discovery.ready(deck, one),
                 deck::PROBE => self.probes.ready(deck, one),
                 _ => self.ferries.ready(deck, one),
@@ -199,13 +213,8 @@
         deck.poller.remind(deck.now + SWEEP, mark(deck::SWEEP), 0);
     }
 
-    fn signalled(&mut self) {
-        let (mut told, mut count) = ([0; 16], 0);
-        while let Ok(more @ 1..) = (&self.signal).read(&mut told) {
-            count += more;
-        }
-        // The first word of the poller is that the pair is ready, not that a signal came.
-        if count == 0 || self.deck.leaving.is_some() {
+    fn part(&mut self) {
+        if !came(&self.stop) || self.deck.leaving.is_some() {
             return;
         }
         let (now, expiry) = (self.deck.now, self.deck.terms.longest_expiry);
@@ -215,4 +224,34 @@
         warn!(self.deck.log, "asked to stop"; "connections" => self.ferries.count(),
             "descriptors" => self.deck.budget.taken());
     }
+
+    /// Takes the papers up afresh: discovery alone may change in a node that runs.
+    fn read_again(&mut self) {
+        if !came(&self.reread) {
+            return;
+        }
+        // Guards: a node ended or led astray by papers that are half written or wrong.
+        let fresh = match Papers::read() {
+            Ok(fresh) => fresh,
+            Err(why) => return warn!(self.deck.log, "papers not taken up"; "why" => why),
+        };
+        let kept = self.papers.kept_from(&fresh);
+        if !kept.is_empty() {
+            warn!(self.deck.log, "kept until the next start"; "parts" => kept.join(" "));
+        }
+        info!(self.deck.log, "papers read again"; "discovery" => %fresh.discovery);
+        if fresh.discovery != self.papers.discovery {
+            self.papers.discovery = fresh.discovery;
+            self.discovery.go_over(&mut self.deck, fresh.discovery);
+        }
+    }
+}
+
+/// Whether a signal came: the first word of the poller is merely that the pair is ready.
+fn came(mut signal: &UnixStream) -> bool {
+    let (mut told, mut count) = ([0; 16], 0);
+    while let Ok(more @ 1..) = signal.read(&mut told) {
+        count += more;
+    }
+    count > 0
 }
--- a/node/src/papers.rs
+++ b/node/src/papers.rs
@@ -1,5 +1,6 @@
-//! The node's papers: what it is told at its start, by the file that `GW_CONFIG` names. They are read
-//! once and never changed. Whatever is missing or malformed is one plain line, and no node starts.
+//! The node's papers: what it is told by the file that `GW_CONFIG` names, at its start and again whenever
+//! it is asked to read them afresh. Whatever is missing or malformed is one plain line: no node starts
+//! with it, and one that runs keeps what it has.
 
 use reedferry::Charter;
 use reedferry_terms::Terms;
@@ -50,6 +51,8 @@
     pub known: Vec<u8>,
     pub charter: Charter,
     pub terms: Terms,
+    /// What holds until the node is started again, each part by its name as it was written.
+    fixed: [(&'static str, serde_json::Value); 4],
 }
 
 impl Papers {
@@ -60,7 +63,10 @@
     }
 
     pub fn decode(text: &[u8]) -> Result<Papers, String> {
-        let sheet: Sheet = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+        let whole: serde_json::Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+        let part = |name| (name, whole.get(name).cloned().unwrap_or_default());
+        let fixed = ["name", "listen", "limits", "settings"].map(part);
+        let sheet = Sheet::deserialize(whole).map_err(|e| e.to_string())?;
         let address = |what: &str, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| format!("{what} {text:?} is no address with a port"))
         };
@@ -84,6 +90,13 @@
             },
             charter,
             terms,
+            fixed,
         })
     }
+
+    /// The parts that these papers change and that a node which runs does not take up.
+    pub fn kept_from(&self, other: &Papers) -> Vec<&'static str> {
+        let pairs = self.fixed.iter().zip(&other.fixed);
+        pairs.filter(|(mine, theirs)| mine != theirs).map(|(mine, _)| mine.0).collect()
+    }
 }
--- a/node/src/sockets.rs
+++ b/node/src/sockets.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Standard streams, the poller, the signal's pair and a little more.
+/// Standard streams, the poller, the signals' pairs and a little more.
 const OWN: usize = 12;
 const BACKLOG: i32 = 4096;
 
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -243,6 +243,7 @@
 /// A node that runs.
 pub struct Node {
     child: Child,
+    papers: std::path::PathBuf,
     pub address: SocketAddr,
     log: Receiver<String>,
 }
@@ -280,11 +281,12 @@
     }
 
     fn launch(mut command: Command) -> Self {
+        let papers = command.get_envs().find(|(name, _)| *name == "GW_CONFIG").unwrap().1.unwrap().into();
         let mut child = command.spawn().unwrap();
         let (sender, log) = channel();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
-        let mut node = Node { child, address: nowhere(), log };
+        let mut node = Node { child, papers, address: nowhere(), log };
         let started = node.logs("started");
         let listen = started.split("listen: ").nth(1).unwrap().split(',').next().unwrap();
         node.address = listen.parse().unwrap();
@@ -320,8 +322,18 @@
     }
 
     pub fn stop(&self) {
+        self.signal(rustix::process::Signal::TERM);
+    }
+
+    /// Puts other papers in place and has the node read them.
+    pub fn reread(&self, papers: &str) {
+        std::fs::write(&self.papers, papers).unwrap();
+        self.signal(rustix::process::Signal::HUP);
+    }
+
+    fn signal(&self, signal: rustix::process::Signal) {
         let pid = rustix::process::Pid::from_child(&self.child);
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+        rustix::process::kill_process(pid, signal).unwrap();
     }
 
     pub fn wait(&mut self) -> ExitStatus {
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -269,6 +269,44 @@
     });
 }
 
+#[test]
+fn papers_read_again_lead_to_another_discovery_and_cut_nothing() {
+    let mut hosts = Hosts::start(1);
+    let (mut node, old) = start(&hosts, |_| {});
+    (0..50).for_each(|n| old.change(member(9, "127.0.0.1:9", ["leaving", "active"][n % 2])));
+    old.calls(2);
+    let (mut client, _, mut host) = node.served(&hosts);
+    // A bad file is one line, and the node follows whom it followed.
+    let mut papers = papers(&hosts, old.address);
+    for bad in ["", "{\"name\": \"n0\", \"lis", "[]"] {
+        node.reread(bad);
+        node.logs("papers not taken up");
+    }
+    old.change(member(8, "127.0.0.1:9", "active"));
+    node.logs("name: s-8");
+    // The new service counts from one again, and holds another host in place of the old ones.
+    let new = Discovery::start();
+    hosts.add();
+    new.change(member(1, &hosts.addresses[1].to_string(), "active"));
+    papers["discovery"] = json!(new.address.to_string());
+    papers["limits"]["sockets"] = json!(300);
+    node.reread(&papers.to_string());
+    node.logs("kept until the next start, node: n0, parts: limits");
+    node.logs(&format!("watch begun, node: n0, at: {}, revision: 1", new.address));
+    let others: Vec<_> = (0..3).map(|_| node.served(&hosts)).collect();
+    assert!(others.iter().all(|(_, at, _)| *at == 1));
+    client.say("still");
+    host.hears("still");
+    // What comes next is followed, over and over, and so is a call to stop right behind it.
+    (0..20).for_each(|_| node.reread(&papers.to_string()));
+    new.change(member(7, "127.0.0.1:9", "active"));
+    node.logs("name: s-7");
+    node.reread(&papers.to_string());
+    node.stop();
+    client.hears("MOVE");
+    assert!(node.wait().success());
+}
+
 #[test]
 fn a_node_serves_from_the_known_roll_while_discovery_is_down() {
     let hosts = Hosts::start(1);
