Turn bad clients away at the door and give the descriptors of silent ones to others

Traced: 614 of 644 descriptors were held by connections that sent one PING or half a line and stayed, ten seconds each; what reached hosts bore the id of another's open request. Excluded: CPU (0.02 s in the busiest second), memory (1 MB), the log.

At fault, in ferry.rs: SILENT_CLIENT of 10 s and accept() without regard to what idle connections hold; knock(), which checked neither tenant, id nor a bound on waits, and took pings without end; see_off(), which drained without bound and closed after 0.9 s over unread input.

--- a/node/src/deck.rs
+++ b/node/src/deck.rs
@@ -41,6 +41,8 @@
 
 pub struct Deck {
     pub now: Nanos,
+    /// When the node started.
+    pub start: Nanos,
     pub poller: Poller,
     pub budget: Budget,
     pub pool: Pool,
--- a/node/src/ferry.rs
+++ b/node/src/ferry.rs
@@ -1,11 +1,12 @@
 //! The ferry: an attachment's two connections, from the client's first line to the end of both. It owns
 //! the sockets of clients and hosts and what is on its way between them. It must never choose a host or
-//! an answer, which the module does, nor answer an attachment twice or let it go without an answer.
+//! an answer, which the module does, nor answer an attachment twice or let it go without an answer, nor
+//! pass on what is no proper attachment: that is turned away here, whatever it sends or leaves unsent.
 
 use crate::deck::{Deck, CLIENT, HOST};
 use crate::hosts::Hosts;
 use crate::lane::{Flow, Lane, Side};
-use crate::lines::{self, Opening, Word};
+use crate::lines::{self, Opening, Request, Word};
 use crate::poller::{Mark, Readiness};
 use crate::pool::Buffer;
 use crate::sockets::Socket;
@@ -13,16 +14,30 @@
 use rustix::io::Errno;
 use slab::Slab;
 use slog::{info, warn};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::rc::Rc;
 
-/// How long a connection may stay without a first line.
-const SILENT_CLIENT: Nanos = 10 * SECOND;
+/// How long a connection may stay without a first line; with what it may linger behind its answer, under
+/// the three seconds within which every client is to have one.
+const SILENT_CLIENT: Nanos = 2 * SECOND;
+/// How long after it came a connection that holds no attachment is safe from being ended for another.
+const FLEETING: Nanos = 50 * MILLI;
+/// How many pings a connection may send.
+const MOST_PINGS: u32 = 16;
+/// Waits over the longest expiry from which one is wild.
+const WILD: u64 = 10;
 /// How long a client's line may go unanswered before its host counts as silent; a second under what is
 /// allowed.
 const SILENT_HOST: Nanos = 6 * SECOND;
-/// How long the other side of an ended connection is waited for.
+/// How long the other side of an ended connection is waited for, and one that still sends, since it came.
 const LINGER: Nanos = 900 * MILLI;
+const LONGEST_LINGER: Nanos = 5500 * MILLI;
+/// What is thrown away of it between two sweeps: of one connection, and of all.
+const WASTE: usize = 2 << 20;
+const MOST_WASTE: usize = 8 << 20;
+/// How many ids are remembered that hosts would not have, and how many hosts have to say so.
+const STRUCK: usize = 1024;
+const STRIKES: u32 = 2;
 /// How long a client that has ended its sending is still passed what its host has to say.
 const LAST_WORDS: Nanos = 2 * SECOND;
 /// How long the end of a line is waited for before a move.
@@ -97,8 +112,16 @@
     client: Option<Side>,
     landing: Option<Landing>,
     stage: Stage,
+    /// When the client came, and when its attachment did.
+    came: Nanos,
     since: Nanos,
     arrival: Arrival,
+    /// Its id on the wire, while it is open.
+    name: Option<Rc<str>>,
+    pings: u32,
+    errors: u32,
+    /// What has been thrown away of it since the last sweep.
+    wasted: usize,
     /// The client's first line and how long it is, kept until a host has taken it.
     letter: Option<Buffer>,
     letter_length: usize,
@@ -117,9 +140,54 @@
     client_ended: Option<Nanos>,
 }
 
+impl Ferry {
+    fn new(client: Side, slot: usize, now: Nanos) -> Self {
+        let id = AttachmentId(u64::from(client.stamp) << 32 | slot as u64);
+        Ferry {
+            client: Some(client),
+            landing: None,
+            stage: Stage::Knocking,
+            came: now,
+            since: now,
+            arrival: Arrival { id, ..Arrival::default() },
+            name: None,
+            pings: 0,
+            errors: 0,
+            wasted: 0,
+            letter: None,
+            letter_length: 0,
+            home: None,
+            waits: 0,
+            given: 0,
+            up: Lane::default(),
+            down: Lane::default(),
+            hand_offs: 0,
+            asked: VecDeque::new(),
+            moving: None,
+            ending: Ending::CalledOff,
+            client_ended: None,
+        }
+    }
+
+    /// Whether it holds no attachment: it has not asked yet, or has its answer.
+    fn idles(&self) -> bool {
+        matches!(self.stage, Stage::Knocking | Stage::Closing(_))
+    }
+}
+
 #[derive(Default)]
 pub struct Ferries {
     slab: Slab<Ferry>,
+    /// Those that hold no attachment, by slot and stamp, in the order in which they came to that.
+    idle: VecDeque<(usize, u32)>,
+    /// The ids that are open, and those that hosts would not have, the oldest first.
+    names: HashSet<Rc<str>>,
+    struck: VecDeque<Rc<str>>,
+    /// What may still be thrown away before the next sweep.
+    waste: usize,
+    /// How many were turned away for what since that was last logged.
+    turned: BTreeMap<&'static str, u32>,
+    told: Nanos,
     /// Those with more to do than a turn allows.
     more: Vec<usize>,
     /// Those that wait for a buffer, until the next sweep.
@@ -141,40 +209,54 @@
     pub fn accept(&mut self, deck: &mut Deck, door: &Socket) {
         self.door_open = false;
         for _ in 0..ACCEPTS {
+            // Guards: usual clients kept out by hundreds that connect and say nothing. Where all have just
+            // come, those behind them wait at the door until the next sweep.
+            if !deck.budget.room(1) && !self.make_room(deck, FLEETING) && deck.budget.tight() {
+                return;
+            }
             let socket = match deck.budget.accept(door) {
                 Ok(socket) => socket,
                 Err(Errno::AGAIN | Errno::MFILE) => return,
                 // What failed before it was taken is no client any more.
-                Err(_) => continue,
+                Err(Errno::CONNABORTED | Errno::INTR) => continue,
+                Err(_) => return,
             };
-            let entry = self.slab.vacant_entry();
-            let slot = entry.key();
+            let slot = self.slab.vacant_key();
             let Ok(mark) = deck.watch(&socket, CLIENT, slot) else { continue };
             let client = Side { socket, stamp: mark.stamp, readable: false, writable: true };
-            let id = AttachmentId(u64::from(mark.stamp) << 32 | slot as u64);
-            entry.insert(Ferry {
-                client: Some(client),
-                landing: None,
-                stage: Stage::Knocking,
-                since: deck.now,
-                arrival: Arrival { id, ..Arrival::default() },
-                letter: None,
-                letter_length: 0,
-                home: None,
-                waits: 0,
-                given: 0,
-                up: Lane::default(),
-                down: Lane::default(),
-                hand_offs: 0,
-                asked: VecDeque::new(),
-                moving: None,
-                ending: Ending::CalledOff,
-                client_ended: None,
-            });
+            self.idle.push_back((slot, mark.stamp));
+            self.slab.insert(Ferry::new(client, slot, deck.now));
         }
         self.door_open = true;
     }
 
+    /// Whether the connection that has held a descriptor longest without an attachment gave it up; one that
+    /// has just come is not asked to.
+    fn make_room(&mut self, deck: &mut Deck, safe: Nanos) -> bool {
+        while let Some(&(slot, stamp)) = self.idle.front() {
+            let same = |f: &&Ferry| f.idles() && f.client.as_ref().is_some_and(|c| c.stamp == stamp);
+            match self.slab.get(slot).filter(same) {
+                Some(ferry) if deck.now < ferry.since + safe => return false,
+                Some(ferry) => {
+                    if let (Stage::Knocking, Some(client)) = (ferry.stage, &ferry.client) {
+                        _ = client.socket.send(b"BUSY\r\n");
+                        *self.turned.entry("no descriptors for the silent").or_default() += 1;
+                    }
+                    self.remove(slot, false);
+                    return true;
+                }
+                None => _ = self.idle.pop_front(),
+            }
+        }
+        false
+    }
+
+    /// Turns a client away that is not to be served.
+    fn turn_away(&mut self, deck: &mut Deck, slot: usize, why: &'static str) {
+        *self.turned.entry(why).or_default() += 1;
+        self.answer(deck, slot, b"ERR\r\n");
+    }
+
     fn find(&self, id: AttachmentId) -> Option<usize> {
         let slot = id.0 as u32 as usize;
         self.slab.get(slot).filter(|f| f.arrival.id == id).map(|_| slot)
@@ -225,90 +307,113 @@
                 ferry.letter = deck.pool.take();
             }
             let Some(letter) = ferry.letter.as_mut() else { return self.starved.push(slot) };
+            let mut ended = false;
+            while client.readable && !ended && !letter.spare().is_empty() {
+                match client.socket.receive(letter.spare()) {
+                    Ok(0) => ended = true,
+                    Ok(count) => letter.filled(count),
+                    Err(Errno::AGAIN) => client.readable = false,
+                    Err(_) => return self.remove(slot, true),
+                }
+            }
+            // Guards: a flood of pings that holds up the loop, or that fills a connection nobody reads.
+            while letter.waiting().starts_with(b"PING\r\n") && ferry.pings < MOST_PINGS {
+                letter.sent(6);
+                ferry.pings += 1;
+                if client.socket.send(b"PONG\r\n") != Ok(6) {
+                    return self.remove(slot, true);
+                }
+            }
             match lines::first(letter.waiting()) {
+                Ok(None) if ended => return self.remove(slot, false),
+                Ok(None) if client.readable => continue,
                 Ok(None) => {}
-                Ok(Some((line, length))) => match lines::opening(line) {
-                    Ok(Opening::Ping) => {
-                        letter.sent(length);
-                        if client.socket.send(b"PONG\r\n") != Ok(6) {
-                            return self.remove(slot, true);
-                        }
-                        continue;
-                    }
-                    Ok(Opening::Open(request)) => {
-                        let offering = deck.terms.offerings.iter().position(|o| o == request.offering);
-                        let Some(offering) = offering else {
-                            info!(deck.log, "turned away"; "why" => "an unknown offering");
-                            return self.answer(deck, slot, b"ERR\r\n");
-                        };
-                        ferry.arrival = Arrival {
-                            id: ferry.arrival.id,
-                            offering,
-                            key: request.key,
-                            group: request.group,
-                            time_left: request.wait,
-                            usual_load: request.usual_load,
-                            midway: false,
-                        };
-                        (ferry.since, ferry.waits) = (deck.now, request.wait);
-                        ferry.letter_length = length - 2;
-                        if let Some(home) = request.at {
-                            ferry.home = Some(HostId(lines::hash(home)));
-                            ferry.stage = Stage::Returning(deck.now);
-                            return self.go_back(deck, slot);
+                Ok(Some((_, length))) if ended || letter.waiting().len() > length => {
+                    return self.turn_away(deck, slot, "more than one line before its answer");
+                }
+                Ok(Some((line, length))) => {
+                    let said = lines::opening(line).and_then(|said| match said {
+                        Opening::Ping => Err("too many pings"),
+                        Opening::Open(request) => {
+                            let arrival = Self::arrival(deck, ferry.arrival.id, &request)?;
+                            let open = self.names.contains(request.id);
+                            // Guards: one that uses the id of another's open request, which hosts would
+                            // tell from a good one only by an error; the same again and again.
+                            if open || self.struck.iter().any(|n| **n == *request.id) {
+                                return Err("an id that is in use");
+                            }
+                            Ok((arrival, Rc::from(request.id), request.at.map(lines::hash)))
                         }
-                        ferry.stage = Stage::Held;
-                        deck.events.push(Event::Arrived(ferry.arrival));
-                        return;
+                    });
+                    let (arrival, name, home): (Arrival, Rc<str>, Option<u64>) = match said {
+                        Ok(good) => good,
+                        Err(why) => return self.turn_away(deck, slot, why),
+                    };
+                    (ferry.since, ferry.waits, ferry.arrival) = (deck.now, arrival.time_left, arrival);
+                    ferry.letter_length = length - 2;
+                    self.names.insert(name.clone());
+                    ferry.name = Some(name);
+                    if let Some(home) = home {
+                        ferry.home = Some(HostId(home));
+                        ferry.stage = Stage::Returning(deck.now);
+                        return self.go_back(deck, slot);
                     }
-                    Err(why) => {
-                        info!(deck.log, "turned away"; "why" => why);
-                        return self.answer(deck, slot, b"ERR\r\n");
-                    }
-                },
-                Err(why) => {
-                    info!(deck.log, "turned away"; "why" => why);
-                    return self.answer(deck, slot, b"ERR\r\n");
+                    ferry.stage = Stage::Held;
+                    deck.events.push(Event::Arrived(ferry.arrival));
+                    return;
                 }
+                Err(why) => return self.turn_away(deck, slot, why),
             }
-            if !client.readable {
-                if letter.is_empty() {
-                    ferry.letter = None;
-                }
-                return;
-            }
-            match client.socket.receive(letter.spare()) {
-                Ok(0) => return self.remove(slot, false),
-                Ok(count) => letter.filled(count),
-                Err(Errno::AGAIN) => client.readable = false,
-                Err(_) => return self.remove(slot, true),
+            if letter.is_empty() {
+                ferry.letter = None;
             }
+            return;
         }
     }
 
-    /// Notices a client that leaves while it waits.
+    /// What the module is told of a request, or why it is none that this node serves.
+    fn arrival(deck: &Deck, id: AttachmentId, request: &Request) -> Result<Arrival, &'static str> {
+        let terms = &deck.terms;
+        let offering = terms.offerings.iter().position(|o| o == request.offering);
+        let offering = offering.ok_or("an unknown offering")?;
+        if !terms.tenants.is_empty() && !terms.tenants.iter().any(|t| t == request.tenant) {
+            return Err("an unknown tenant");
+        }
+        // Guards: a client that says it stood somewhere, and would be kept for as long as it likes.
+        if request.at.is_some() && deck.now > deck.start + 2 * STANDING_WITHIN {
+            return Err("a standing connection long after the start");
+        }
+        let longest = if terms.longest_expiry > 0 { terms.longest_expiry } else { Nanos::MAX / WILD };
+        if request.at.is_none() && request.wait > WILD * longest {
+            return Err("a wild wait");
+        }
+        let time_left = if request.at.is_some() { request.wait } else { request.wait.min(longest) };
+        let Request { key, group, usual_load, .. } = *request;
+        Ok(Arrival { id, offering, key, group, time_left, usual_load, midway: false })
+    }
+
+    /// Notices a client that leaves while it waits, or that goes on talking.
     fn listen(&mut self, deck: &mut Deck, slot: usize) {
         let ferry = &mut self.slab[slot];
         let (Some(client), Some(letter)) = (ferry.client.as_mut(), ferry.letter.as_mut()) else { return };
-        while client.readable && !letter.spare().is_empty() {
-            match client.socket.receive(letter.spare()) {
-                Ok(0) => break,
-                Ok(count) => {
-                    letter.filled(count);
-                    continue;
-                }
-                Err(Errno::AGAIN) => {
-                    client.readable = false;
-                    return;
-                }
-                Err(_) => break,
-            }
-        }
         if !client.readable || letter.spare().is_empty() {
             return;
         }
+        let talks = match client.socket.receive(letter.spare()) {
+            Err(Errno::AGAIN) => {
+                client.readable = false;
+                return;
+            }
+            Ok(1..) => true,
+            // It may have ended its sending alone: then it still hears its answer.
+            Ok(0) => {
+                _ = client.socket.send(b"ERR\r\n");
+                false
+            }
+            Err(_) => false,
+        };
         // The hand-off that is out ends when the module calls it off or it ends by itself.
-        ferry.client = None;
+        let (client, came) = (ferry.client.take(), ferry.came);
         ferry.letter = None;
         let held = ferry.stage == Stage::Held;
         if held {
@@ -317,6 +422,16 @@
         if !held || ferry.landing.is_none() {
             self.remove(slot, false);
         }
+        let Some(mut client) = client.filter(|_| talks) else { return };
+        // Guards: a client that sends hundreds of lines at once, served by its first one: it is parted from
+        // its attachment and turned away.
+        let slot = self.slab.vacant_key();
+        let mark = Mark { part: CLIENT, slot: slot as u32, stamp: deck.stamp() };
+        if deck.poller.rewatch(&client.socket, mark).is_ok() {
+            client.stamp = mark.stamp;
+            self.slab.insert(Ferry { came, ..Ferry::new(client, slot, deck.now) });
+            self.turn_away(deck, slot, "more than one line before its answer");
+        }
     }
 
     /// Tries a connection that stood before the run at its host again.
@@ -358,8 +473,10 @@
 
     /// Opens the connection to a host and sets the times by which it must stand and be up.
     fn launch(&mut self, deck: &mut Deck, slot: usize, host: usize, until: Nanos) -> Result<(), Ending> {
-        let ferry = &mut self.slab[slot];
         let address = deck.hosts.berth(host).address.ok_or(Ending::Unconnected)?;
+        // Who has asked goes before whoever has not.
+        while !deck.budget.room(1) && self.make_room(deck, 0) {}
+        let ferry = &mut self.slab[slot];
         // Guards: new work that eats up what the machine's accepted clients are to be answered from.
         if !deck.budget.room(1) || deck.pool.left() < 16 {
             if !deck.scarce {
@@ -419,6 +536,7 @@
         let ferry = &mut self.slab[slot];
         let Some(landing) = ferry.landing.take() else { return };
         (ferry.up, ferry.down) = (Lane::default(), Lane::default());
+        ferry.errors += u32::from(ending == Ending::Error);
         if ferry.stage == Stage::Held {
             deck.events.push(Event::Ended {
                 id: ferry.arrival.id,
@@ -518,15 +636,7 @@
                 (&mut deck.events, &mut deck.hosts),
             )
         });
-        // What the client sent behind its first line goes first on the way up.
-        ferry.up.buffer = ferry.letter.take().and_then(|mut letter| {
-            letter.sent(ferry.letter_length + 2);
-            let mut at = 0;
-            while at < letter.waiting().len() {
-                at += ferry.up.scanner.step(&letter.waiting()[at..]).map_or(usize::MAX / 2, |(took, _)| took);
-            }
-            (!letter.is_empty()).then_some(letter)
-        });
+        ferry.letter = None;
         self.pass(deck, slot);
     }
 
@@ -679,13 +789,30 @@
 
     /// Ends the client's connection in order, once all that waits is through.
     fn close(&mut self, deck: &mut Deck, slot: usize) {
+        self.free_name(slot);
         let ferry = &mut self.slab[slot];
-        ferry.stage = Stage::Closing(deck.now + LINGER);
+        (ferry.stage, ferry.since) = (Stage::Closing(deck.now + LINGER), deck.now);
         ferry.up = Lane::default();
         ferry.down.ended = false;
+        if let Some(client) = &ferry.client {
+            self.idle.push_back((slot, client.stamp));
+        }
         self.see_off(deck, slot);
     }
 
+    /// The id of what is answered or gone is no longer in use, unless hosts would not have it.
+    fn free_name(&mut self, slot: usize) {
+        let ferry = &mut self.slab[slot];
+        let Some(name) = ferry.name.take() else { return };
+        self.names.remove(&name);
+        if ferry.errors >= STRIKES && ferry.stage == Stage::Held {
+            self.struck.push_back(name);
+            if self.struck.len() > STRUCK {
+                self.struck.pop_front();
+            }
+        }
+    }
+
     fn see_off(&mut self, deck: &mut Deck, slot: usize) {
         let ferry = &mut self.slab[slot];
         let Some(client) = ferry.client.as_mut() else { return self.remove(slot, false) };
@@ -697,12 +824,18 @@
             }
             ferry.down.ended = true;
         }
-        let Some(mut waste) = deck.pool.take() else { return };
-        while client.readable {
-            waste.clear();
-            match client.socket.receive(waste.spare()) {
+        // Guards: an answer lost in the reset that closing over unread input brings, and a loop or a share of
+        // the processor taken up by who sends without end: so much between two sweeps, and so long.
+        let Some(mut space) = deck.pool.take() else { return };
+        while client.readable && ferry.wasted < WASTE && self.waste > 0 {
+            match client.socket.discard(space.spare()) {
                 Ok(0) => return self.remove(slot, false),
-                Ok(_) => {}
+                Ok(count) => {
+                    ferry.wasted += count;
+                    self.waste = self.waste.saturating_sub(count);
+                    let by = (deck.now + LINGER).min(ferry.came + LONGEST_LINGER);
+                    ferry.stage = Stage::Closing(by);
+                }
                 Err(Errno::AGAIN) => client.readable = false,
                 Err(_) => return self.remove(slot, false),
             }
@@ -714,6 +847,7 @@
 
     /// The one place where a ferry's sockets and buffers are given back.
     fn remove(&mut self, slot: usize, reset: bool) {
+        self.free_name(slot);
         let ferry = self.slab.remove(slot);
         if let Some(client) = ferry.client.filter(|_| reset) {
             client.socket.reset();
@@ -724,22 +858,34 @@
     pub fn sweep(&mut self, deck: &mut Deck) {
         let now = deck.now;
         self.more.append(&mut self.starved);
+        self.waste = MOST_WASTE;
         let slots: Vec<usize> = self.slab.iter().map(|(slot, _)| slot).collect();
         for slot in slots {
             let Some(ferry) = self.slab.get_mut(slot) else { continue };
             match ferry.stage {
-                Stage::Knocking => {
-                    let patience = if deck.budget.tight() { SECOND } else { SILENT_CLIENT };
-                    if now >= ferry.since + patience {
-                        self.remove(slot, false);
-                    }
+                Stage::Knocking if now >= ferry.came + SILENT_CLIENT => {
+                    self.turn_away(deck, slot, "no whole line in time");
                 }
                 Stage::Returning(next) if ferry.landing.is_none() && now >= next => self.go_back(deck, slot),
                 Stage::Closing(by) if now >= by => self.remove(slot, false),
+                Stage::Closing(_) => {
+                    ferry.wasted = 0;
+                    self.see_off(deck, slot);
+                }
                 Stage::Open => self.look_after(deck, slot),
                 _ => {}
             }
         }
+        let slab = &self.slab;
+        let same = |f: &Ferry, stamp| f.idles() && f.client.as_ref().is_some_and(|c| c.stamp == stamp);
+        self.idle.retain(|&(slot, stamp)| slab.get(slot).is_some_and(|f| same(f, stamp)));
+        // Once a second. Guards: a log that bad clients fill.
+        if now >= self.told + SECOND {
+            self.told = now;
+            for (why, count) in std::mem::take(&mut self.turned) {
+                info!(deck.log, "turned away"; "why" => why, "count" => count);
+            }
+        }
     }
 
     fn look_after(&mut self, deck: &mut Deck, slot: usize) {
--- a/node/src/lines.rs
+++ b/node/src/lines.rs
@@ -6,6 +6,8 @@
 
 /// The longest line, its end included.
 pub const LONGEST: usize = 4096;
+/// The longest id of an attachment.
+const LONGEST_NAME: usize = 128;
 
 /// What a client's first line asks for.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -17,6 +19,7 @@
 /// The figures of a line that opens an attachment.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Request<'a> {
+    pub id: &'a str,
     pub key: Option<u64>,
     pub offering: &'a str,
     pub tenant: &'a str,
@@ -53,6 +56,12 @@
     text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
+/// A plain decimal figure. Guards: `1e9`, `inf`, `nan` and signs, which a parser of floats lets pass.
+fn figure(text: &str) -> Option<f64> {
+    let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.') && text.starts_with(|c| c != '.');
+    text.parse().ok().filter(|_| plain)
+}
+
 pub fn opening(line: &[u8]) -> Result<Opening<'_>, &'static str> {
     let text = std::str::from_utf8(line).map_err(|_| "a line that is no text")?;
     if text == "PING" {
@@ -69,26 +78,32 @@
     else {
         return Err("not three words after OPEN");
     };
-    if id.is_empty() {
-        return Err("no id");
+    if id.is_empty() || id == "-" || id.len() > LONGEST_NAME {
+        return Err("no id, or one that is too long");
     }
-    let mut request = Request { key: word(key), ..Request::default() };
+    if key.is_empty() {
+        return Err("no key");
+    }
+    let mut request = Request { id, key: word(key), ..Request::default() };
     let mut told = false;
-    for pair in list.split(',') {
+    for (n, pair) in list.split(',').enumerate() {
         let (name, value) = pair.split_once('=').ok_or("a figure without a name")?;
+        if list.split(',').take(n).any(|p| p.split_once('=').is_some_and(|(other, _)| other == name)) {
+            return Err("a figure told twice");
+        }
         match name {
             "c" => request.offering = value,
             "t" => request.tenant = value,
             "d" => {
-                let ms: f64 = value.parse().ok().filter(|d| (0.0..1e9).contains(d)).ok_or("a wild wait")?;
+                let ms = figure(value).filter(|d| *d < 1e9).ok_or("a wild wait")?;
                 (request.wait, told) = ((ms * MILLI as f64) as Nanos, true);
             }
             "g" => request.group = word(value),
             "at" => request.at = Some(value),
             // Counted in milliseconds of work a second, as a share of a core.
             "h" => {
-                request.usual_load =
-                    value.parse().ok().filter(|h| (0.0..1e9).contains(h)).map(|h: f64| h / 1e3)
+                let load = figure(value).filter(|h| *h < 1e9).ok_or("a wild load")?;
+                request.usual_load = Some(load / 1e3);
             }
             _ => {}
         }
@@ -230,6 +245,16 @@
             "OPEN a b c=x",
             "OPEN a b c=x,d=-1",
             "OPEN a b c=x,d=nan",
+            "OPEN a b c=x,d=1e3",
+            "OPEN a b c=x,d=+5",
+            "OPEN a b c=x,d=soon",
+            "OPEN a b c=x,d=",
+            "OPEN a b c=x,d=99999999999999999999999",
+            "OPEN a b c=x,d=5,d=6",
+            "OPEN a b c=x,d=5,h=inf",
+            "OPEN  b c=x,d=5",
+            "OPEN a  c=x,d=5",
+            "OPEN - b c=x,d=5",
             "open a b d=1",
         ] {
             assert!(opening(line.as_bytes()).is_err(), "{line}");
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -91,6 +91,7 @@
     let now = clock.read();
     let mut deck = Deck {
         now,
+        start: now,
         poller,
         budget,
         // A quarter of the memory; the rest is the program's own and a reserve.
--- a/node/src/poller.rs
+++ b/node/src/poller.rs
@@ -19,6 +19,8 @@
     pub stamp: u32,
 }
 
+const EDGES: EventFlags =
+    EventFlags::IN.union(EventFlags::OUT).union(EventFlags::RDHUP).union(EventFlags::ET);
 const SLOT_BITS: u32 = 24;
 
 impl Mark {
@@ -58,8 +60,12 @@
 
     /// Watches a socket until it is closed.
     pub fn watch(&self, socket: &impl AsFd, mark: Mark) -> Result<(), Errno> {
-        let flags = EventFlags::IN | EventFlags::OUT | EventFlags::RDHUP | EventFlags::ET;
-        epoll::add(&self.epoll, socket, EventData::new_u64(mark.packed()), flags)
+        epoll::add(&self.epoll, socket, EventData::new_u64(mark.packed()), EDGES)
+    }
+
+    /// Watches it under another mark from now on, and tells afresh what it is ready for.
+    pub fn rewatch(&self, socket: &impl AsFd, mark: Mark) -> Result<(), Errno> {
+        epoll::modify(&self.epoll, socket, EventData::new_u64(mark.packed()), EDGES)
     }
 
     /// Has `mark` come back with `word` at `time`. Timers that fall due together come back as set.
--- a/node/src/sockets.rs
+++ b/node/src/sockets.rs
@@ -128,6 +128,16 @@
         }
     }
 
+    /// Takes as much as `space` holds off the connection and throws it away; nothing is put there.
+    pub fn discard(&self, space: &mut [u8]) -> Result<usize, Errno> {
+        loop {
+            match net::recv(self, &mut *space, RecvFlags::TRUNC) {
+                Err(Errno::INTR) => {}
+                other => return other.map(|(_, count)| count),
+            }
+        }
+    }
+
     pub fn send(&self, bytes: &[u8]) -> Result<usize, Errno> {
         loop {
             match net::send(self, bytes, SendFlags::NOSIGNAL) {
