Move clients of a node that stops later, and let crowded homes give way

Traced, with what the module believes of each host printed beside every line, load and set-up on the sockets: (1) the second node sent its clients away for 1.4 s while the first was not back, and they waited longer and longer; (2) the node that came back placed 85 clients in 1.5 s with 38 and 35 on two of five hosts: own zone and homes outweighed the balance up to three times the mean; (3) connections placed before the first load was told counted 1.0 each for three seconds, beside 0.02 for the rest, and their hosts got nothing. Lines are answered in 0.1 ms throughout, so nothing on the sockets tells of the crowd.

At fault: main.rs, Leaving from 0.4 s on and until 2.9 s of 3.7; choice.rs score(), Ledger::read, Note::Step. Moves home are taken out, as they earned nothing.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -25,7 +25,7 @@
 use poller::{Mark, Poller};
 use pool::Pool;
 use probe::Probes;
-use reedferry::{Action, Balancer, Event, Nanos, MILLI};
+use reedferry::{Action, Balancer, Event, Nanos, MILLI, SECOND};
 use slog::{info, warn};
 use sockets::{Budget, Socket};
 use std::io::Read;
@@ -34,10 +34,11 @@
 /// How often the node looks over its connections.
 const SWEEP: Nanos = 100 * MILLI;
 /// After a call to stop, for how long the front still deals out connections to this node, and how much
-/// longer than the longest expiry it has until it is killed.
+/// longer than the longest expiry, or than what it is granted at the most, it has until it is killed.
 const STILL_COME: Nanos = 400 * MILLI;
 const BEYOND_EXPIRY: Nanos = 700 * MILLI;
-/// What the last clients that are moved need to be gone by the longest expiry.
+const LONGEST_GRACE: Nanos = 3 * SECOND;
+/// What the last clients that are moved need to be gone by then.
 const LAST_MOVES: Nanos = 300 * MILLI;
 
 fn main() {
@@ -220,8 +221,11 @@
         }
         let (now, expiry) = (self.deck.now, self.deck.terms.longest_expiry);
         self.deck.leaving = Some(now + expiry + BEYOND_EXPIRY);
-        let by = now + expiry.saturating_sub(LAST_MOVES).max(STILL_COME);
-        self.deck.events.push(Event::Leaving { from: now + STILL_COME, by });
+        // Guards: clients sent away while the node that stopped before this one is not back yet, and who
+        // find nobody; a client is served here as well as anywhere until it has to go.
+        let span = (expiry.min(LONGEST_GRACE) + BEYOND_EXPIRY).saturating_sub(LAST_MOVES);
+        let from = now + STILL_COME.max(span / 3);
+        self.deck.events.push(Event::Leaving { from, by: from.max(now + span) });
         warn!(self.deck.log, "asked to stop"; "connections" => self.ferries.count(),
             "descriptors" => self.deck.budget.taken());
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,6 +32,8 @@
 /// Hosts a node starts with, and the own load over the mean from which one counts as busy.
 const FEW: f64 = 3.0;
 const BUSY: f64 = 1.2;
+/// How many times steeper the balance counts beyond that.
+const STEEP: f64 = 5.0;
 /// How much longer a set-up is waited for where all fail.
 const PATIENCE: f64 = 20.0;
 /// Share of the last connections that met late messages from which some are dismissed, and how many.
@@ -146,6 +148,15 @@
         self.shared = ledger.group_price() * self.groups.len() as f64;
     }
 
+    /// Guards: what was placed before any load was known, counted at that guess for steps to come.
+    fn recount(&mut self, now: Nanos, ledger: &Ledger) {
+        (self.ahead, self.load, self.longest) = (0.0, 0.0, 0);
+        for n in 0..self.conns.len() {
+            (self.conns[n].ahead, self.conns[n].counted) = (0.0, 0.0);
+            self.count(n, now, ledger);
+        }
+    }
+
     /// What a connection costs its host: its load, and its part of what its group is paid for.
     fn cost(&self, at: usize, ledger: &Ledger) -> f64 {
         let held = self.conns[at].group.and_then(|g| self.groups.get(&g)).copied().unwrap_or(0);
@@ -271,11 +282,6 @@
                 self.slowness = self.slowness.max(load.filter(|&l| l > 0.9).unwrap_or(0.0));
             }
             Note::Step { mean } => {
-                (self.ahead, self.load, self.longest) = (0.0, 0.0, 0);
-                for n in 0..self.conns.len() {
-                    (self.conns[n].ahead, self.conns[n].counted) = (0.0, 0.0);
-                    self.count(n, now, at.ledger);
-                }
                 self.newcomer &= self.own() < mean;
                 if at.charter.probe_for_gauges && self.ready() {
                     at.out.push(Action::Probe { host: self.id });
@@ -292,7 +298,10 @@
                     }
                 }
             }
-            Note::Pulse { mean, refuge } => self.shift(now, mean, refuge, at),
+            Note::Pulse { mean, refuge } => {
+                self.recount(now, at.ledger);
+                self.shift(now, mean, refuge, at);
+            }
             _ => {}
         }
     }
@@ -454,9 +463,12 @@
                 }
             }
             Note::Weighed { offering, load } => {
-                let blend = |old: Option<f64>| Some(old.map_or(load, |m| m + (load - m) / 32.0));
-                self.usual[offering] = blend(self.usual[offering]);
-                self.unit = blend(self.unit);
+                // Guards: a first load far from the usual, and every guess by it for dozens to come.
+                self.weighed = (self.weighed + 1).min(32);
+                let blend =
+                    |old: Option<f64>, n: u32| Some(old.map_or(load, |m| m + (load - m) / f64::from(n)));
+                self.usual[offering] = blend(self.usual[offering], self.weighed);
+                self.unit = blend(self.unit, self.weighed);
             }
             Note::SetUp(host, took) => {
                 let long = took as f64 > 6.0 * self.set_up;
@@ -683,9 +695,6 @@
         self.pulses += 1;
         let Survey { mean, refuge, .. } = self.survey(now);
         self.post.push_back((To::Desk, Note::Pulse { mean, refuge }));
-        if self.charter.cross_zone_charge > 2.0 * self.charter.move_charge {
-            self.post.push_back((To::Desk, Note::Homeward));
-        }
         if self.charter.roll_on_request {
             self.post.push_back((To::Roll, Note::Pulse { mean, refuge }));
         }
@@ -823,7 +832,6 @@
             }
             // Guards: a node that dismisses nearly all, hears of nothing and goes on for ever.
             Note::Pulse { .. } => self.desk.late *= FADE,
-            Note::Homeward => self.homeward(now),
             Note::Leaving { from, by } => {
                 self.desk.leaving = Some(by);
                 log!(out, "leaving held={}", self.desk.names.len());
@@ -851,30 +859,6 @@
         out.push(Action::WakeAt { time: now + PARTING, mark: PART });
     }
 
-    /// Moves a few connections that cross zones back, where a crossing costs more than a move and the
-    /// score itself would now place them in the node's own zone.
-    fn homeward(&mut self, now: Nanos) {
-        // Guards: a zone with more traffic than room, filled up by what came home.
-        if self.desk.common() || self.hosts.iter().any(|h| h.ready() && h.pressed(now)) {
-            return;
-        }
-        let away = self.hosts.iter().filter(|h| h.ready() && h.listing.zone != self.charter.zone);
-        let settled = away.flat_map(|h| h.conns.iter().filter(|c| c.begun && now >= c.since + STEP));
-        let slots: Vec<usize> = settled.map(|c| c.slot).collect();
-        // Guards: many nodes that each move one whole connection where a twentieth of one was meant.
-        for _ in 0..(slots.len() as f64 / 20.0 + self.rng.random::<f64>()) as usize {
-            let (slot, tie) = (slots[self.rng.random_range(0..slots.len())], self.rng.random());
-            let Some(attachment) = self.desk.slots[slot].as_ref() else { continue };
-            let better = self.choose(now, attachment, self.helm.next, tie);
-            // Guards: homes that are full, as nodes that hold nothing there do not hear. Two or more are
-            // to be there already, so that word of late messages comes.
-            let hears = |h: &Host| h.listing.zone == self.charter.zone && h.conns.len() > 1;
-            if better.is_some_and(|h| hears(&self.hosts[h])) {
-                self.post.push_back((To::Desk, Note::Shift { slot }));
-            }
-        }
-    }
-
     fn admit(&mut self, now: Nanos, mut arrival: Arrival) -> usize {
         arrival.offering = arrival.offering.min(self.charter.offerings.len().saturating_sub(1));
         let expiry = now.saturating_add(arrival.time_left);
@@ -1050,6 +1034,10 @@
         let own = if host.newcomer { host.own().max(view.mean) } else { host.own() };
         let with = own + (ask.ahead + self.opening(host, ask)) / host.listing.size;
         let balance = (with + view.unseen) * (1.0 + host.slow(now)) / (view.mean + view.unseen);
+        // Guards: homes and own zones filled past what they bear, where nothing tells of it until they shed.
+        // The less a node sees of the hosts, the less it goes by that.
+        let seen = view.mean / (view.mean + view.unseen);
+        let balance = balance + STEEP * seen * seen * (balance - BUSY).max(0.0);
         let apart = |l: f64| ((host.longest.saturating_sub(now) as f64 - l).abs() / HORIZON).min(1.0);
         let score = weights.balance * balance + weights.gap * ask.length.map_or(0.0, apart);
 
--- a/src/records.rs
+++ b/src/records.rs
@@ -26,7 +26,6 @@
     Standing(Arrival, usize),
     Returned { slot: usize, over: bool, ending: Ending },
     Left { slot: usize },
-    Homeward,
     Leaving { from: Nanos, by: Nanos },
     Part,
     Shift { slot: usize },
@@ -135,6 +134,8 @@
     pub mean: Option<f64>,
     pub usual: Vec<Option<f64>>,
     pub unit: Option<f64>,
+    /// Loads that were told, up to how many are blended.
+    pub weighed: u32,
     pub set_up: f64,
     /// The first host of those whose set-ups have taken long since one did not.
     pub long: Option<HostId>,
