Blame a host for an error only once another host has taken the same attachment

At fault: choice.rs, Note::Ended, which masked at once, and Note::Returned, which counted each of one attachment's errors. Now an error is kept with the attachment and told to the host when another one takes it; two errors end an attachment.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,6 +43,8 @@
 const FADE: f64 = 0.98;
 /// Message time over what is wanted from which a host counts as late.
 const LATE: f64 = 0.6;
+/// Hosts that fail an attachment before no other is asked.
+const UNWANTED: u32 = 2;
 /// How often a node that stops sends clients away, and the mark of that timer.
 const PARTING: Nanos = SECOND / 20;
 const PART: u64 = 1;
@@ -257,17 +259,20 @@
                 }
                 let broke = u32::from(conn.begun && ending == Ending::Broken);
                 self.broken = if self.conns.is_empty() { 0 } else { self.broken + broke };
-                if matches!(ending, Ending::Done | Ending::CalledOff | Ending::NeverSent) {
+                // An error is the host's only once another host has taken the same: see `Blamed`.
+                if matches!(ending, Ending::Done | Ending::CalledOff | Ending::NeverSent | Ending::Error) {
                     return;
                 }
-                // Guards: a host that fails fast looks empty and draws the clients. Where most hand-offs
-                // fail, the cause is not the host's, and a mask would leave the rest to carry all.
+                // Where most hand-offs fail, the cause is not the host's: a mask would leave the rest all.
                 if !at.desk.common()
                     || matches!(ending, Ending::Refused | Ending::Unconnected | Ending::Broken)
                 {
                     self.mask(now, at.chance, ending.word(), at.out);
                 }
             }
+            // Guards: a host that fails fast looks empty and draws the clients; and hosts left out for
+            // what bad clients send there.
+            Note::Blamed if !at.desk.common() => self.mask(now, at.chance, "error", at.out),
             Note::LoadNow { slot, load } => {
                 if let Some(found) = self.conns.iter().position(|c| c.slot == slot) {
                     self.conns[found].load = Some(load);
@@ -790,6 +795,7 @@
             Note::Begun { slot, .. } => {
                 if let Some(attachment) = self.desk.slots[slot].as_mut() {
                     (attachment.begun, attachment.answered) = (true, true);
+                    self.post.extend(attachment.failed.map(|host| (To::Host(host), Note::Blamed)));
                 }
                 self.desk.set_up(false, out);
             }
@@ -798,8 +804,10 @@
                 let (host, begun) = (attachment.at.take(), attachment.begun);
                 attachment.answered |= over;
                 let answered = attachment.answered;
-                // What is refused or not connected is the host's doing, no store's.
-                if !begun && matches!(ending, Ending::Error | Ending::TimedOut) {
+                // What is refused or not connected is the host's doing, no store's; what one attachment meets
+                // at host after host counts once. Guards: bad clients taken for a store that fails.
+                if !begun && attachment.tried.is_empty() && matches!(ending, Ending::Error | Ending::TimedOut)
+                {
                     self.desk.set_up(true, out);
                 }
                 if answered {
@@ -808,6 +816,9 @@
                 let Some(attachment) = self.desk.slots[slot].as_mut() else { return };
                 if let Some(host) = host {
                     attachment.tried.push(host);
+                    if ending == Ending::Error {
+                        (attachment.errors, attachment.failed) = (attachment.errors + 1, Some(host));
+                    }
                     if !ending.never_ran() && attachment.may_have_run.is_none() {
                         attachment.may_have_run = Some((host, attachment.sent));
                     }
@@ -910,7 +921,8 @@
         let last = attachment.expiry.saturating_sub(2 * self.charter.round);
         // Guards: a store that fails at once, asked five times over for each attachment.
         let most = if self.desk.common() { 1 } else { self.charter.most_hand_offs };
-        let late = now >= last || attachment.hand_offs >= most;
+        // Guards: what no host will have, as bad clients send it, offered to host after host.
+        let late = now >= last || attachment.hand_offs >= most || attachment.errors >= UNWANTED;
         let again = match (offering.effect, ran) {
             (Effect::Irreversible, Some(_)) => false,
             (Effect::Labelled, Some((_, sent))) => now < sent + offering.window,
--- a/src/records.rs
+++ b/src/records.rs
@@ -19,6 +19,7 @@
     Ended { slot: usize, ending: Ending },
     LoadNow { slot: usize, load: f64 },
     Slow(Nanos),
+    Blamed,
     Gauged { load: Option<f64>, backlog: Option<f64> },
     Step { mean: f64 },
     Pulse { mean: f64, refuge: f64 },
@@ -109,6 +110,9 @@
     pub may_have_run: Option<(usize, Nanos)>,
     pub sent: Nanos,
     pub tried: Vec<usize>,
+    /// Hand-offs that hosts failed, and the last of those hosts.
+    pub errors: u32,
+    pub failed: Option<usize>,
 }
 
 #[derive(Default)]
