Tell lengths by the time all connections lived over those that ended

What the module believed, printed each half second beside the loads told on the sockets: while the other node's clients came, one host went from 30 to 61 connections and from 0.26 to 0.91 of load, its own load in the score stayed at 0.27. Own load counts the part of ten steps that a connection is predicted to live; the first connections to end are the short ones, and clients moved counted as ended, so what was placed cost nothing. Ruled out: CPU (0.03 s in the busiest second), descriptors, discovery, lines (0.1 ms at every host throughout).

At fault: choice.rs, Note::Lived's mean of ended lengths alone, and Note::Ended, which taught it moves.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -116,10 +116,9 @@
         charter.cold_from + (1.0 - charter.cold_from) * (age / charter.cold.max(1) as f64).min(1.0)
     }
 
-    /// What a cold host may be sent by this node in this turn. Nodes take turns of `tip_after` by their
-    /// number, another order for each host, as many together as the budget has usual loads for. A turn
-    /// gives half the budget, so that a window spanning two stays within it (guards: a host pushed over
-    /// at the seam of two turns; new hosts left idle where a round of hundreds outlasts the warm-up).
+    /// What a cold host may be sent by this node in this turn of `tip_after`: by number, in another order for
+    /// each host, as many together as the budget has usual loads for; half the budget each (guards: a host
+    /// pushed over at the seam of two turns; one left idle where a round of hundreds outlasts the warm-up).
     fn credit_at(&self, now: Nanos, count: f64, charter: &Charter) -> (f64, u64) {
         let nodes = u64::from(charter.nodes.max(1));
         let fill = (count * nodes as f64 + 1.0) * self.listing.size / charter.cold.max(1) as f64;
@@ -250,7 +249,9 @@
                 let Some(found) = self.conns.iter().position(|c| c.slot == slot) else { return };
                 let conn = self.drop_conn(found);
                 let length = now - conn.since;
-                if conn.begun && matches!(ending, Ending::Done | Ending::CalledOff) {
+                // Guards: clients that this node moved, taken for ones that never stay.
+                let moved = at.desk.slots[slot].as_ref().is_some_and(|a| a.moved);
+                if conn.begun && !moved && matches!(ending, Ending::Done | Ending::CalledOff) {
                     at.post.push_back((To::Ledger, Note::Lived { key: conn.key, length }));
                     self.strikes = self.strikes.min(1);
                 }
@@ -321,8 +322,7 @@
     /// Cuts the own load of a host whose messages come late, the least paid first, and lets the
     /// ceiling rise again while they do not. Guards: a host with work piled up serves nobody.
     fn shift(&mut self, now: Nanos, mean: f64, refuge: f64, at: &mut Room) {
-        // Guards: connections cut off when a host that drains goes away. Half of the rest at a time, as
-        // word of it comes late and all at once would storm the others.
+        // Guards: connections cut off when a host that drains goes away; half at a time storms no other.
         if self.listed && self.listing.standing == Standing::Draining {
             let begun = self.conns.iter().filter(|c| c.begun).map(|c| c.slot);
             let half = self.conns.len().div_ceil(2);
@@ -351,7 +351,6 @@
             return;
         }
         let wanted = at.charter.shortest_message_time() as f64 / SECOND as f64;
-        // Where the others have room a host that hangs is left altogether.
         let part = (slow * wanted / DRAIN).clamp(0.05, if refuge > 0.7 { 1.0 } else { 0.5 });
         // Guards: cut to nothing by what other nodes placed there, and empty long after it is well.
         let floor = if part < 1.0 { FLOOR * mean * self.listing.size } else { 0.0 };
@@ -404,20 +403,18 @@
 struct Survey {
     /// Mean own load of the hosts that are neither newcomers nor masked.
     mean: f64,
-    /// What own loads are blurred by. Guards: a node of many that holds a connection at few hosts and
-    /// takes that for all their load. What it holds is a sample: the smaller, the more all count alike.
+    /// What own loads are blurred by, as what a node of many holds is but a sample. Guards: hosts judged by
+    /// a connection or two.
     unseen: f64,
     /// Share of the hosts that are in time and not masked; hosts in the own zone.
     refuge: f64,
     near: f64,
-    /// What a host without a ceiling is taken to bear, a size: where most have one, theirs. Guards: many
-    /// nodes that each know nothing of a host and all send to it.
+    /// What a host without a ceiling bears, a size: where most have one, theirs. Guards: one that all fill.
     typical: f64,
-    /// The price of a crossing. Guards: a zone with more traffic than its hosts bear, whose nodes go on
-    /// to fill it: the more of the own hosts that word came of are pressed, the less.
+    /// The price of a crossing, less where own hosts are pressed. Guards: a zone that is filled and filled.
     crossing: f64,
-    /// Own connections a size that a warm host can be taken to bear: four times the mean, or nearer the
-    /// mean the more have a ceiling. Guards: a fleet that grows and whose new hosts stay idle.
+    /// Own connections a size that a warm host bears: four times the mean, or nearer it the more have a
+    /// ceiling. Guards: a fleet that grows and whose new hosts stay idle.
     count: f64,
 }
 
@@ -455,7 +452,8 @@
         match note {
             Note::Lived { key, length } => {
                 let length = length as f64;
-                self.mean = Some(self.mean.map_or(length, |m| m + (length - m) / 32.0));
+                self.ended += 1.0;
+                self.mean = Some(self.lived.max(length) / self.ended);
                 let Some(key) = key else { return };
                 let entry = self.lengths.entry(key).or_insert((length, now));
                 *entry = (entry.0 + (length - entry.0) / 2.0, now);
@@ -475,6 +473,12 @@
                 self.usual[offering] = blend(self.usual[offering], self.weighed);
                 self.unit = blend(self.unit, self.weighed);
             }
+            // The time lived at all over the connections ended. Guards: the few that end soon after a start
+            // taken for all, and what is placed then counted as next to nothing in own loads.
+            Note::Open(count) => {
+                (self.lived, self.ended) = (FADE * self.lived + count * PULSE as f64, FADE * self.ended);
+                self.mean = self.mean.map(|m| if self.ended > 0.1 { self.lived / self.ended } else { m });
+            }
             Note::SetUp(host, took) => {
                 let long = took as f64 > 6.0 * self.set_up;
                 self.long = self.long.or(Some(host)).filter(|_| long);
@@ -700,6 +704,7 @@
         self.pulses += 1;
         let Survey { mean, refuge, .. } = self.survey(now);
         self.post.push_back((To::Desk, Note::Pulse { mean, refuge }));
+        self.post.push_back((To::Ledger, Note::Open(self.desk.names.len() as f64)));
         if self.charter.roll_on_request {
             self.post.push_back((To::Roll, Note::Pulse { mean, refuge }));
         }
@@ -859,8 +864,7 @@
         }
     }
 
-    /// Sends the clients of a node that stops away, evenly over the time that is left. Guards: hosts and
-    /// store stormed by all of them at once; those left cut off when the node goes.
+    /// Sends the clients of a node that stops away evenly. Guards: hosts and store stormed, clients cut off.
     fn part(&mut self, now: Nanos, out: &mut Vec<Action>) {
         let left = self.desk.leaving.map_or(0, |by| by.saturating_sub(now));
         let open = |slot: &usize| self.desk.slots[*slot].as_ref().is_some_and(|a| a.begun && !a.moved);
@@ -940,7 +944,6 @@
                 });
         let chosen = if late || !again || shed { None } else { self.choose(now, attachment, vector, tie) };
         let Some(host) = chosen else { return self.answer(slot, out) };
-        // An irreversible hand-off that timed out could not be followed by anything: it gets all the time.
         // Guards: a store that all set-ups share, whose answers come when the node has asked anew already.
         let patience = (offering.contract_time as f64 * 0.6).max(6.0 * self.ledger.set_up);
         let patience = (patience * (1.0 + PATIENCE * self.desk.trouble)) as Nanos;
@@ -992,10 +995,8 @@
         None
     }
 
-    /// The house habit: a node starts with few hosts and adds one whenever those are all busy. Its set for a
-    /// group is the hosts of its zone that it holds the group at, else those that it holds anything at and
-    /// the few that a draw over node and host gives it to start with. What is new joins at once. A busy host
-    /// has a ceiling or a mask, is late or bears more than its part; a host leaves with its last connection.
+    /// The house habit: a node starts with few hosts and adds one whenever those are all busy: those of its
+    /// zone at which it holds the group, or anything, what is new, and a few by a draw over node and host.
     fn in_set(&self, now: Nanos, host: &Host, ask: &Ask, view: &Survey) -> bool {
         let used = match ask.home {
             Some(home) => !self.charter.pass && host.groups.contains_key(&home),
@@ -1015,7 +1016,6 @@
 
     /// Whether a ready host may and can take the attachment.
     fn takes(&self, now: Nanos, host: &Host, ask: &Ask, view: &Survey, lapsed: bool) -> bool {
-        // A masked host, where the mask lapses, gets a trickle.
         let masked = now < host.masked_until;
         let trickle = host.pending == 0 && now >= host.sent + PULSE / 2;
         if masked && !(lapsed && trickle) {
--- a/src/records.rs
+++ b/src/records.rs
@@ -32,6 +32,7 @@
     Shift { slot: usize },
     Judged { vector: usize, spread: f64, longest: f64 },
     Lived { key: Option<u64>, length: Nanos },
+    Open(f64),
     Weighed { offering: usize, load: f64 },
     SetUp(HostId, Nanos),
     Fared { late: bool },
@@ -136,6 +137,9 @@
     pub lengths: HashMap<u64, (f64, Nanos)>,
     pub order: VecDeque<(u64, Nanos)>,
     pub mean: Option<f64>,
+    /// The time that connections have been open of late, and how many have ended.
+    pub lived: f64,
+    pub ended: f64,
     pub usual: Vec<Option<f64>>,
     pub unit: Option<f64>,
     /// Loads that were told, up to how many are blended.
