Take one connection that falls silent for no sign of its host

Compared with the lines on the sockets: one or two connections had fallen silent, while the same hosts answered all their other lines at once. At fault: hosts.rs look() and piled_up(), which took the oldest unanswered line for the host's, however many later ones were answered; ferry.rs look_after(), which ended such a connection as broken by its host, which masks it. Left: a lone set-up that times out still masks its host and has it cut.

--- a/node/src/ferry.rs
+++ b/node/src/ferry.rs
@@ -901,7 +901,9 @@
             if now >= then + SILENT_HOST && ferry.moving.is_none() {
                 warn!(deck.log, "silent"; "host" => &deck.hosts.berth(landing.host).name);
                 ferry.moving = Some(now + MOVE_WITHIN);
-                ferry.ending = Ending::Broken;
+                // Guards: a host that answers all others, masked and cut for one connection.
+                let alone = deck.hosts.answers_since(landing.host, then);
+                ferry.ending = if alone { Ending::CalledOff } else { Ending::Broken };
             }
         }
         if ferry.moving.is_some_and(|by| now >= by + LINGER) {
