End a connection whose host stopped within a line before its time is over

At fault: ferry.rs, SILENT_HOST of 6 s beside what a move waits for. Now 4.5 s, so that both end within 6.3 s.

--- a/node/src/ferry.rs
+++ b/node/src/ferry.rs
@@ -26,9 +26,10 @@
 const MOST_PINGS: u32 = 16;
 /// Waits over the longest expiry from which one is wild.
 const WILD: u64 = 10;
-/// How long a client's line may go unanswered before its host counts as silent; a second under what is
-/// allowed.
-const SILENT_HOST: Nanos = 6 * SECOND;
+/// How long a client's line may go unanswered before its host counts as silent. Under the seven seconds
+/// that are allowed with what a move waits for the end of a line. Guards: a client left at a host that
+/// stopped in the middle of one.
+const SILENT_HOST: Nanos = 4500 * MILLI;
 /// How long the other side of an ended connection is waited for, and one that still sends, since it came.
 const LINGER: Nanos = 900 * MILLI;
 const LONGEST_LINGER: Nanos = 5500 * MILLI;
