Look at each host by turns, tell all nodes what reports say, and score by that

Note::Step had every node probe every host each 3 s, so the price grew with nodes times hosts; nothing was gained by it, as a report was read as lateness (Note::Gauged called late with a backlog of 0 and took a load over 0.9 for a slowness).

Now: one node looks at a host each 2 s, by number; what changed by 0.12 is told to all in 5 bytes; x0 is read before util, the reported load stands in the score in place of own load, blurred by one.

--- a/adapter/src/frames.rs
+++ b/adapter/src/frames.rs
@@ -171,10 +171,7 @@
                 ending: self.ending(at, r[13])?,
                 gauges: gauges_at(r, 20),
             }),
-            8 => {
-                self.tail(at, r, 7, 1)?;
-                Told::Ignored
-            }
+            8 => Told::Event(Event::Heard { message: self.tail(at, r, 7, 1)?.to_vec() }),
             9 => Told::Stop,
             10 => Told::Event(Event::Standing(Self::arrival(r), host_at(r, 46))),
             11 => match r[16] {
@@ -263,6 +260,13 @@
                 open(4);
                 r.extend(&address(host)[2..]);
             }
+            Action::Tell { message } => {
+                open(9);
+                r.extend([0xff; 4]);
+                r.extend((self.tail.len() as u32).to_be_bytes());
+                r.extend((message.len() as u32).to_be_bytes());
+                self.tail.extend(message);
+            }
             Action::Log(text) => {
                 open(0);
                 r.extend((self.tail.len() as u32).to_be_bytes());
--- a/link/src/forwarder.rs
+++ b/link/src/forwarder.rs
@@ -480,8 +480,12 @@
                 (self.leaving, self.next_part) = (Some(by), from);
                 out.push(Deed::Log(format!("leaving held={}", self.duties.len())));
             }
-            // A forwarder follows no roll and sends no probes.
-            Event::Roll { .. } | Event::TakenUp(..) | Event::Timer { .. } | Event::Probed { .. } => {}
+            // A forwarder follows no roll, sends no probes and hears no nodes.
+            Event::Roll { .. }
+            | Event::TakenUp(..)
+            | Event::Timer { .. }
+            | Event::Probed { .. }
+            | Event::Heard { .. } => {}
         }
     }
 
--- a/link/src/planner.rs
+++ b/link/src/planner.rs
@@ -538,8 +538,9 @@
                             self.put(session, &note);
                         }
                     }
-                    // The forwarder does it when the client leaves, whoever it follows.
-                    Action::CallOff { .. } => {}
+                    // The forwarder does the one when the client leaves, whoever it follows; a planner
+                    // hears all that its forwarders know and has no peers to tell.
+                    Action::CallOff { .. } | Action::Tell { .. } => {}
                     Action::WakeAt { time, mark } => out.push(Order::Wake { time, zone: zone as u16, mark }),
                     Action::AskRoll => out.push(Order::AskRoll),
                     Action::FollowRoll => out.push(Order::FollowRoll),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,6 +10,7 @@
 
 use crate::records::*;
 use crate::types::*;
+use crate::word::{self, Word};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{HashMap, VecDeque};
@@ -58,6 +59,18 @@
 /// Most usual loads that what a node cannot see of a host is taken for.
 const UNSEEN: f64 = 50.0;
 
+/// How often some node looks at each host, how long a report counts, and after which time it is told again.
+const LOOK: Nanos = 2 * SECOND;
+const REPORT_AGE: Nanos = 15 * SECOND;
+const RETELL: Nanos = 6 * SECOND;
+/// By how much a load has changed that others are told of.
+const NEWS: f64 = 0.12;
+/// The reported load from which a host is crowded, and that at which it is full.
+const CROWDED: f64 = 0.7;
+const FULL: f64 = 0.9;
+/// What reported loads are blurred by, as a report is old and noisy.
+const BLUR: f64 = 1.0;
+
 /// One short line for a change of mode.
 macro_rules! log {
     ($out:expr, $($text:tt)*) => { $out.push(Action::Log(format!($($text)*))) };
@@ -90,6 +103,19 @@
         (self.ahead + self.shared) / self.listing.size
     }
 
+    /// Its load by the last report, which is old, and noisy, and of no use for ever.
+    fn reported(&self, now: Nanos) -> Option<f64> {
+        (self.reported > 0 && now < self.reported + REPORT_AGE).then_some(self.report)
+    }
+
+    /// Whether it is this node's turn to look at it: by number, in another order for each host.
+    fn due(&self, now: Nanos, charter: &Charter) -> bool {
+        let turn = now / LOOK;
+        let place = turn.wrapping_add((draw(self.id.0, 1) * 1e6) as u64);
+        let nodes = u64::from(charter.nodes.max(1));
+        self.ready() && turn != self.looked && place % nodes == u64::from(charter.node) % nodes
+    }
+
     /// Whether it is known to bear no more than it has, or is masked.
     fn pressed(&self, now: Nanos) -> bool {
         self.ceiling.is_some() || now < self.masked_until
@@ -236,6 +262,7 @@
                 if let Some(group) = conn.group {
                     *self.groups.entry(group).or_insert(0) += 1;
                 }
+                self.since += at.ledger.load(conn.offering, conn.load);
                 self.conns.push(conn);
                 self.count(self.conns.len() - 1, now, at.ledger);
             }
@@ -283,15 +310,21 @@
                 }
             }
             Note::Slow(time) => self.late(now, time, at.charter),
-            Note::Gauged { load, backlog } => {
-                self.late(now, (backlog.unwrap_or(0.0) * SECOND as f64) as Nanos, at.charter);
-                self.slowness = self.slowness.max(load.filter(|&l| l > 0.9).unwrap_or(0.0));
+            Note::Behind(seconds) => self.late(now, (seconds * SECOND as f64) as Nanos, at.charter),
+            Note::Reported { load, heard } => {
+                let load = load.unwrap_or(2.0);
+                (self.report, self.reported, self.since) = (load, now, self.since / 2.0);
+                let news = (load - self.told).abs() > NEWS || now > self.told_at + RETELL;
+                if heard || at.charter.peers && news {
+                    (self.told, self.told_at) = (load, now);
+                }
+                if !heard && self.told_at == now {
+                    let message = word::encode(&[Word { tag: word::tag(self.id), load: Some(load) }]);
+                    at.out.push(Action::Tell { message });
+                }
             }
             Note::Step { mean } => {
                 self.newcomer &= self.own() < mean;
-                if at.charter.probe_for_gauges && self.ready() {
-                    at.out.push(Action::Probe { host: self.id });
-                }
                 let spread = if mean > 0.0 { (self.own() / mean - 1.0).powi(2) } else { 0.0 };
                 let longest = self.longest.saturating_sub(now) as f64;
                 let late = self.slow(now) >= LATE;
@@ -304,6 +337,10 @@
                     }
                 }
             }
+            Note::Look => {
+                self.looked = now / LOOK;
+                at.out.push(Action::Probe { host: self.id });
+            }
             Note::Pulse { mean, refuge } => {
                 self.recount(now, at.ledger);
                 self.shift(now, mean, refuge, at);
@@ -316,7 +353,9 @@
     fn bears(&self, now: Nanos, load: f64, typical: f64) -> bool {
         // Guards: a host that bears its load well, kept from more by ceilings that the others earned.
         let ceiling = self.ceiling.unwrap_or((typical * self.listing.size).max(0.9 * self.good));
-        self.slow(now) < LATE && self.borne() + load <= ceiling
+        let fits = self.borne() + load <= ceiling;
+        let fits = self.reported(now).map_or(fits, |load| load < CROWDED || fits && load < FULL);
+        self.slow(now) < LATE && fits
     }
 
     /// Cuts the own load of a host whose messages come late, the least paid first, and lets the
@@ -416,6 +455,9 @@
     /// Own connections a size that a warm host bears: four times the mean, or nearer it the more have a
     /// ceiling. Guards: a fleet that grows and whose new hosts stay idle.
     count: f64,
+    /// Mean reported load, and a usual load.
+    loaded: f64,
+    unit: f64,
 }
 
 /// What an attachment asks of a host.
@@ -661,7 +703,14 @@
                 post(To::Host(host), Note::LoadNow { slot, load });
             }
             (Event::MessageTime { time, .. }, _, Some(host)) => post(To::Host(host), Note::Slow(time)),
-            (Event::Probed { gauges, .. }, _, Some(host)) => self.gauge(host, &gauges),
+            (Event::Probed { ending, gauges, .. }, _, Some(host)) => {
+                // Too many probes at once, or a shaken line, say nothing of its load.
+                if ending == Ending::TimedOut {
+                    self.post.push_back((To::Host(host), Note::Reported { load: None, heard: false }));
+                }
+                self.gauge(host, &gauges);
+            }
+            (Event::Heard { message }, ..) => self.hear(&message),
             _ => {}
         }
         self.run(now, out);
@@ -670,9 +719,20 @@
     fn gauge(&mut self, host: usize, values: &[f64]) {
         let find =
             |what| self.charter.gauges.iter().position(|&g| g == what).and_then(|n| values.get(n).copied());
-        let (load, backlog) = (find(Gauge::Load), find(Gauge::Backlog));
-        if load.is_some() || backlog.is_some() {
-            self.post.push_back((To::Host(host), Note::Gauged { load, backlog }));
+        if let Some(load) = find(Gauge::Load).or(find(Gauge::Busy)) {
+            self.post.push_back((To::Host(host), Note::Reported { load: Some(load), heard: false }));
+        }
+        self.post.extend(find(Gauge::Backlog).map(|behind| (To::Host(host), Note::Behind(behind))));
+    }
+
+    /// Takes in what another node tells, of hosts that the own roll names.
+    fn hear(&mut self, message: &[u8]) {
+        for Word { tag, load } in word::decode(message).unwrap_or_default() {
+            let mut named =
+                (0..self.hosts.len()).filter(|&n| self.hosts[n].listed && word::tag(self.hosts[n].id) == tag);
+            if let (Some(host), None) = (named.next(), named.next()) {
+                self.post.push_back((To::Host(host), Note::Reported { load, heard: true }));
+            }
         }
     }
 
@@ -718,7 +778,10 @@
         for (n, host) in self.hosts.iter().enumerate() {
             // Guards: hundreds of hosts that hold nothing of this node and cost it time all the same.
             let idle = host.conns.is_empty() && host.ceiling.is_none();
-            if self.pulses.is_multiple_of(STEP / PULSE) && (!idle || self.charter.probe_for_gauges) {
+            if self.charter.probe_for_gauges && host.due(now, &self.charter) {
+                self.post.push_back((To::Host(n), Note::Look));
+            }
+            if self.pulses.is_multiple_of(STEP / PULSE) && !idle {
                 self.post.push_back((To::Host(n), Note::Step { mean }));
             }
             if !idle {
@@ -732,6 +795,7 @@
         let (mut ready, mut well, mut capped, mut ceilings) = (0.0, 0.0, 0.0, 0.0);
         let (mut own, mut counted, mut near, mut pressed, mut heard) = (0.0, 0.0, 0.0, 0.0, 1.0);
         let (mut conns, mut size, mut warm, mut full) = (0.0, 0.0, 0.0, 0.0);
+        let (mut loaded, mut known) = (0.0, 0.0);
         for host in self.hosts.iter().filter(|h| h.ready()) {
             let (masks, caps) = (now < host.masked_until, host.ceiling.is_some());
             let one = |b: bool| f64::from(u8::from(b));
@@ -739,6 +803,9 @@
             if let Some(ceiling) = host.ceiling {
                 (capped, ceilings) = (capped + 1.0, ceilings + ceiling / host.listing.size);
             }
+            if let Some(load) = host.reported(now) {
+                (loaded, known) = (loaded + load, known + 1.0);
+            }
             if !masks && !host.newcomer {
                 (own, counted) = (own + host.own(), counted + 1.0);
             }
@@ -762,6 +829,8 @@
             near: f64::max(near, 1.0),
             typical: if 2.0 * capped > ready { ceilings / capped } else { f64::INFINITY },
             crossing: CROSSING * self.charter.cross_zone_charge * relief,
+            unit,
+            loaded: f64::max(loaded / f64::max(known, 1.0), 0.05),
             count: conns / f64::max(size, f64::MIN_POSITIVE) * (4.0 - 3.0 * full / f64::max(warm, 1.0)),
         }
     }
@@ -1019,7 +1088,8 @@
             _ => draw(u64::from(self.charter.node), host.id.0) < FEW / view.near,
         };
         let part = BUSY * (view.mean + view.unseen);
-        let busy = host.pressed(now) || host.slow(now) >= LATE || host.own() + view.unseen > part;
+        let busy = host.reported(now).map_or(host.own() + view.unseen > part, |load| load > CROWDED);
+        let busy = busy || host.pressed(now) || host.slow(now) >= LATE;
         used && !busy && host.listing.zone == self.charter.zone
     }
 
@@ -1068,6 +1138,12 @@
         // The less a node sees of the hosts, the less it goes by that.
         let seen = view.mean / (view.mean + view.unseen);
         let balance = balance + STEEP * seen * seen * (balance - BUSY).max(0.0);
+        // What a report tells of the host comes in place of what the node alone can see.
+        let balance = host.reported(now).map_or(balance, |load| {
+            let part = view.loaded / (view.mean * f64::from(self.charter.nodes)).max(4.0 * view.unit);
+            let load = load + (host.since + ask.ahead + self.opening(host, ask)) / host.listing.size * part;
+            (load + BLUR + STEEP * (load - CROWDED).max(0.0)) * (1.0 + host.slow(now)) / (view.loaded + BLUR)
+        });
         let apart = |l: f64| ((host.longest.saturating_sub(now) as f64 - l).abs() / HORIZON).min(1.0);
         let score = weights.balance * balance + weights.gap * ask.length.map_or(0.0, apart);
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod choice;
 mod records;
 pub mod types;
+pub mod word;
 
 pub use choice::Balancer;
 pub use types::*;
--- a/src/records.rs
+++ b/src/records.rs
@@ -29,13 +29,16 @@
     },
     Slow(Nanos),
     Blamed,
-    Gauged {
+    /// What a report, or another node's word of one, says of the host; none where it gave no answer.
+    Reported {
         load: Option<f64>,
-        backlog: Option<f64>,
+        heard: bool,
     },
+    Behind(f64),
     Step {
         mean: f64,
     },
+    Look,
     Pulse {
         mean: f64,
         refuge: f64,
@@ -124,6 +127,15 @@
     /// Message time over what is wanted, and when that was told.
     pub slowness: f64,
     pub slow_told: Nanos,
+    /// The load that it was last reported to have, when, and what this node has sent there since.
+    pub report: f64,
+    pub reported: Nanos,
+    pub since: f64,
+    /// What all nodes were last told of that, and when.
+    pub told: f64,
+    pub told_at: Nanos,
+    /// The turn in which this node last asked it for a report.
+    pub looked: u64,
     /// Open connections that it broke since the last look.
     pub broken: u32,
     /// Own load now, and how much of it the host has shown to bear from this node.
--- a/src/types.rs
+++ b/src/types.rs
@@ -60,6 +60,8 @@
 pub enum Gauge {
     /// Load asked for over what the host can do.
     Load,
+    /// How busy its cores are, which cannot tell full from overrun.
+    Busy,
     /// Seconds of work piled up.
     Backlog,
     /// Anything the module has no use for.
@@ -96,6 +98,8 @@
     pub gauges: Vec<Gauge>,
     /// Load reports come only by probes, and probes are allowed.
     pub probe_for_gauges: bool,
+    /// Nodes may tell each other things.
+    pub peers: bool,
 }
 
 impl Charter {
@@ -129,6 +133,7 @@
             move_charge: 0.0,
             gauges: Vec::new(),
             probe_for_gauges: false,
+            peers: false,
         }
     }
 }
@@ -267,6 +272,10 @@
         ending: Ending,
         gauges: Vec<f64>,
     },
+    /// Another node's message, as it came.
+    Heard {
+        message: Vec<u8>,
+    },
 }
 
 impl Event {
@@ -326,5 +335,9 @@
     Probe {
         host: HostId,
     },
+    /// To all other nodes; any of them may never hear it.
+    Tell {
+        message: Vec<u8>,
+    },
     Log(String),
 }
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -73,6 +73,8 @@
     max_retry_after: f64,
     #[serde(default)]
     may_probe: bool,
+    #[serde(default)]
+    peers: bool,
     most_hand_offs: u32,
     #[serde(default)]
     retry_after: bool,
@@ -170,7 +172,8 @@
         });
     }
     let field = |name: &String| match name.as_str() {
-        "x0" | "util" => Gauge::Load,
+        "x0" => Gauge::Load,
+        "util" => Gauge::Busy,
         "x1" => Gauge::Backlog,
         _ => Gauge::Other,
     };
@@ -196,6 +199,7 @@
         cross_zone_charge: terms.charges.cross_zone,
         move_charge: terms.charges.moves,
         probe_for_gauges: limits.may_probe && terms.reporting.via == "pull",
+        peers: limits.peers,
         gauges: terms.reporting.fields.iter().map(field).collect(),
     };
     let connect_within = match nanos(limits.connect_timeout) {
