Refuse mixed settings, carry messages to named peers, dismiss by payoff over load

The program: settings that contradict each other are refused in terms, naming the key; peers stand in the operator's file, one datagram a message.

--- a/node/src/alone.rs
+++ b/node/src/alone.rs
@@ -2,11 +2,12 @@
 //! hand it to the module in one go with one reading of the clock, carry out what came back. It must
 //! never decide anything that the module decides, nor wait for anything but the poller.
 
-use crate::articles::{Articles, Role};
+use crate::articles::{self, Articles, Role};
 use crate::deck::{self, mark, Deck};
 use crate::discovery::Discovery;
 use crate::ferry::Ferries;
 use crate::papers::Papers;
+use crate::peers::{Circle, Peers};
 use crate::probe::Probes;
 use crate::{AtStart, BEYOND_EXPIRY, SWEEP};
 use reedferry::{Action, Balancer, Event};
@@ -23,11 +24,15 @@
 }
 
 impl Told<'_> {
-    fn papers(&self) -> Result<Papers, String> {
+    fn papers(&self) -> Result<(Papers, Option<Circle>), String> {
         match self {
-            Told::Environment => Papers::read(),
+            Told::Environment => {
+                let papers = Papers::read()?;
+                let reach = articles::reach(&papers, None, &[]);
+                Ok((papers, reach.map_err(|(_, why)| why)?))
+            }
             Told::Operator(path) => match Articles::read(path)? {
-                Articles { papers, role: Role::Node, .. } => Ok(papers),
+                Articles { papers, role: Role::Node(circle), .. } => Ok((papers, circle)),
                 Articles { role, .. } => {
                     Err(format!("{} is for `reedferry {}`", path.display(), role.word()))
                 }
@@ -43,6 +48,8 @@
     ferries: Ferries,
     discovery: Discovery,
     probes: Probes,
+    peers: Option<Peers>,
+    circle: Option<Circle>,
     door: Socket,
     stop: Signal,
     reread: Signal,
@@ -51,12 +58,13 @@
 }
 
 pub fn run(told: Told, start: AtStart) -> Result<(), String> {
-    let papers = told.papers()?;
+    let (papers, circle) = told.papers()?;
     let clock = Clock::start();
     let (mut deck, backlog) = Deck::open(&papers, &clock, &start)?;
     let door = deck.listen(&papers.listen, deck::DOOR)?;
     let (now, log) = (deck.now, deck.log.clone());
     let mut actions = Vec::new();
+    let peers = circle.as_ref().map(|circle| Peers::open(&mut deck, circle)).transpose()?;
     let unasked = !papers.charter.roll_on_request;
     let module = Balancer::new(papers.charter.clone(), papers.seed, now, &mut actions);
     let revision = deck.known(&papers)?;
@@ -73,6 +81,8 @@
         ferries: Ferries::default(),
         discovery: Discovery::new(papers.discovery, revision, unasked),
         probes: Probes::default(),
+        peers,
+        circle,
         door,
         stop,
         reread,
@@ -107,6 +117,7 @@
                 deck::REREAD => self.read_again(),
                 deck::DISCOVERY => self.discovery.ready(deck, one),
                 deck::PROBE => self.probes.ready(deck, one),
+                deck::PEERS => self.peers.iter_mut().for_each(|peers| peers.ready(deck)),
                 _ => self.ferries.ready(deck, one),
             }
         }
@@ -138,6 +149,7 @@
                 Action::AskRoll => self.discovery.ask(deck),
                 Action::FollowRoll => self.discovery.follow(deck),
                 Action::Probe { host } => self.probes.send(deck, host),
+                Action::Tell { message } => self.peers.iter().for_each(|peers| peers.tell(&message)),
                 Action::Log(text) => info!(deck.log, "{}", text),
                 // The ferry has carried out the rest.
                 _ => {}
@@ -169,11 +181,12 @@
             return;
         }
         // Guards: a node ended or led astray by papers that are half written or wrong.
-        let fresh = match self.told.papers() {
+        let (fresh, circle) = match self.told.papers() {
             Ok(fresh) => fresh,
             Err(why) => return warn!(self.deck.log, "papers not taken up"; "why" => why),
         };
-        let kept = self.papers.kept_from(&fresh);
+        let mut kept = self.papers.kept_from(&fresh);
+        kept.extend((circle != self.circle).then_some("peers"));
         if !kept.is_empty() {
             warn!(self.deck.log, "kept until the next start"; "parts" => kept.join(" "));
         }
--- a/node/src/articles.rs
+++ b/node/src/articles.rs
@@ -4,6 +4,7 @@
 //! would be right.
 
 use crate::papers::Papers;
+use crate::peers::Circle;
 use reedferry::{Nanos, MILLI, SECOND};
 use reedferry_link::PlannerAt;
 use serde::Deserialize;
@@ -26,11 +27,21 @@
     plan: Option<Spanned<PlanSheet>>,
     #[serde(default)]
     planner: Vec<Spanned<PlannerSheet>>,
+    #[serde(default)]
+    peer: Vec<Spanned<PeerSheet>>,
 }
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct NodeSheet {}
+struct NodeSheet {
+    messages: Option<Spanned<String>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PeerSheet {
+    address: Spanned<String>,
+}
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -80,7 +91,7 @@
 
 #[derive(Debug, PartialEq)]
 pub enum Role {
-    Node,
+    Node(Option<Circle>),
     Forward(Forwards),
     Plan(Plans),
 }
@@ -89,7 +100,7 @@
     /// The command that starts it.
     pub fn word(&self) -> &'static str {
         match self {
-            Role::Node => "node",
+            Role::Node(_) => "node",
             Role::Forward(_) => "forward",
             Role::Plan(_) => "plan",
         }
@@ -163,6 +174,50 @@
     }
 }
 
+/// The peers that a node's messages go to, by its papers, where its own come and go, and their addresses.
+/// Neither without the other: leave to tell with nobody to reach, or peers without leave, is a mix of two
+/// shapes of deployment.
+///
+/// # Errors
+/// What is wrong, and at which of the peers where it is one of them.
+pub fn reach(
+    papers: &Papers,
+    at: Option<SocketAddr>,
+    peers: &[SocketAddr],
+) -> Result<Option<Circle>, (Option<usize>, String)> {
+    if !papers.charter.peers {
+        return match (at, peers) {
+            (None, []) => Ok(None),
+            _ => Err((None, "peers without leave: policy_limits.peers in the papers is false".into())),
+        };
+    }
+    let Some(at) = at else {
+        return Err((
+            None,
+            "policy_limits.peers: messages in [node] of an operator's file is missing".into(),
+        ));
+    };
+    if peers.is_empty() {
+        return Err((None, "policy_limits.peers: messages are allowed and there is no [[peer]]".into()));
+    }
+    for (n, peer) in peers.iter().enumerate() {
+        let wrong = |what: &str| Err((Some(n), format!("peer {peer} {what}")));
+        if peer.port() == 0 || peer.ip().is_unspecified() || peer.is_ipv4() != at.is_ipv4() {
+            return wrong("cannot be reached from messages");
+        }
+        if *peer == at {
+            return wrong("is this node itself");
+        }
+        if peers[..n].contains(peer) {
+            return wrong("stands here twice");
+        }
+        if n + 1 >= papers.charter.nodes as usize {
+            return wrong("is one too many: settings.balancers counts this node and all its peers");
+        }
+    }
+    Ok(Some(Circle { at, peers: peers.to_vec() }))
+}
+
 impl Articles {
     /// # Errors
     /// One line with the file, the line and what would be right there.
@@ -197,6 +252,22 @@
                 text.wrong(second.clone(), "a second role; one of [node], [forward] and [plan] is wanted")
             );
         }
+        let messages = sheet.node.as_ref().and_then(|part| part.get_ref().messages.as_ref());
+        let messages = messages.map(|m| text.address("messages", m)).transpose()?;
+        let peers: Vec<SocketAddr> = sheet
+            .peer
+            .iter()
+            .map(|p| text.address("address", &p.get_ref().address))
+            .collect::<Result<_, _>>()?;
+        let single = sheet.forward.is_none() && sheet.plan.is_none();
+        if let (false, Some(peer)) = (single, sheet.peer.first()) {
+            return Err(
+                text.wrong(peer.span(), "peer: only a node has peers; planners hear their forwarders")
+            );
+        }
+        if !single && papers.charter.peers {
+            return Err(text.wrong(at, "policy_limits.peers: forwarders and planners send no messages"));
+        }
         let role = match (sheet.forward, sheet.plan) {
             (Some(part), _) => {
                 let (span, part) = (part.span(), part.into_inner());
@@ -211,7 +282,12 @@
                     return Err(text
                         .wrong(planner.span(), "a node follows no planner; [forward] or [plan] is wanted"));
                 }
-                Role::Node
+                let place = |n: Option<usize>| {
+                    let named = n.or((!sheet.peer.is_empty()).then_some(0)).map(|n| sheet.peer[n].span());
+                    named.or(sheet.node.as_ref().map(Spanned::span)).unwrap_or(at.clone())
+                };
+                let circle = reach(&papers, messages, &peers);
+                Role::Node(circle.map_err(|(n, why)| text.wrong(place(n), why))?)
             }
         };
         Ok(Articles { papers, papers_at, role, planners })
@@ -322,6 +398,55 @@
         }
     }
 
+    /// A node's file, with papers of five nodes that give leave to send messages or not.
+    fn among(name: &str, leave: bool, text: &str) -> Result<Articles, String> {
+        let folder = std::env::temp_dir().join(format!("reedferry-articles-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/papers.example.json");
+        let mut papers: serde_json::Value = serde_json::from_slice(&std::fs::read(example).unwrap()).unwrap();
+        papers["settings"]["balancers"] = 4.into();
+        papers["settings"]["policy_limits"]["peers"] = leave.into();
+        std::fs::write(folder.join("papers.json"), papers.to_string()).unwrap();
+        let read = Articles::decode(&folder.join("x.toml"), &format!("papers = \"papers.json\"\n{text}"));
+        std::fs::remove_dir_all(&folder).unwrap();
+        read
+    }
+
+    /// Guards: a node that is allowed to tell and reaches nobody, or reaches whom it may not tell.
+    #[test]
+    fn messages_and_peers_come_together_or_not_at_all() {
+        let node = "[node]\nmessages = \"127.0.0.1:7100\"\n";
+        let peer = |at: &str| format!("[[peer]]\naddress = \"{at}\"\n");
+        let (one, two) = (peer("127.0.0.1:7101"), peer("127.0.0.1:7102"));
+        let good = among("good", true, &format!("{node}{one}{two}")).unwrap();
+        let Role::Node(Some(circle)) = good.role else { panic!("no circle") };
+        assert_eq!((circle.at.port(), circle.peers.len()), (7100, 2));
+        assert_eq!(among("none", false, "[node]\n").unwrap().role, Role::Node(None));
+        let forward = format!("[forward]\n{PLANNERS}");
+        for (leave, text, why) in [
+            (true, "[node]\n".into(), "policy_limits.peers: messages in [node]"),
+            (true, one.clone(), "policy_limits.peers: messages in [node]"),
+            (true, node.to_string(), "policy_limits.peers: messages are allowed and there is no [[peer]]"),
+            (false, format!("{node}{one}"), "policy_limits.peers in the papers is false"),
+            (false, node.to_string(), "policy_limits.peers in the papers is false"),
+            (false, one.clone(), "policy_limits.peers in the papers is false"),
+            (true, format!("{node}{}", peer("over there")), "address \"over there\" is no address"),
+            (true, format!("{node}{}", peer("127.0.0.1")), "is no address"),
+            (true, format!("{node}{}", peer("127.0.0.1:0")), "cannot be reached"),
+            (true, format!("{node}{}", peer("0.0.0.0:7101")), "cannot be reached"),
+            (true, format!("{node}{}", peer("[::1]:7101")), "cannot be reached"),
+            (true, format!("{node}{one}{one}"), "stands here twice"),
+            (true, format!("{node}{}", peer("127.0.0.1:7100")), "is this node itself"),
+            (true, format!("{node}{one}{two}{}{}", peer("127.0.0.1:1"), peer("127.0.0.1:2")), "one too many"),
+            (true, node.replace("7100", "x"), "messages \"127.0.0.1:x\" is no address"),
+            (true, forward.clone(), "policy_limits.peers: forwarders and planners"),
+            (false, format!("{forward}{one}"), "peer: only a node has peers"),
+        ] {
+            let got = among("bad", leave, &text).err().unwrap_or_else(|| panic!("taken: {text}"));
+            assert!(got.contains(why) && got.contains("x.toml:") && !got.contains('\n'), "{got}");
+        }
+    }
+
     #[test]
     fn contradictions_are_refused_at_their_line() {
         let head = "papers = \"papers.example.json\"\n";
--- a/node/src/deck.rs
+++ b/node/src/deck.rs
@@ -26,6 +26,8 @@
 pub const LINK: u8 = 9;
 pub const LINK_DOOR: u8 = 10;
 pub const TICK: u8 = 11;
+/// What other nodes tell.
+pub const PEERS: u8 = 12;
 
 /// After a call to stop, for how long the front still deals out connections to this program, and the
 /// longest that it is granted beyond what it needs.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,6 +14,7 @@
 mod lines;
 mod list;
 mod papers;
+mod peers;
 mod plan;
 mod probe;
 mod wire;
--- /dev/null
+++ b/node/src/peers.rs
@@ -0,0 +1,66 @@
+//! The way between nodes: one datagram a message, to the peers that the operator's file names and from them
+//! alone, known by their addresses. It owns that socket. It must never take in what a stranger sends or what
+//! is longer than a message, hold a turn up over a flood, nor care whether a message arrives.
+
+use crate::deck::{mark, Deck, PEERS};
+use reedferry::word::LONGEST;
+use reedferry::Event;
+use reedferry_quay::{Errno, Socket};
+use slog::{info, warn};
+use std::net::SocketAddr;
+
+/// Datagrams read in one turn.
+const A_TURN: usize = 256;
+
+/// Where a node's messages come and go, as the operator's file says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Circle {
+    pub at: SocketAddr,
+    pub peers: Vec<SocketAddr>,
+}
+
+pub struct Peers {
+    socket: Socket,
+    peers: Vec<SocketAddr>,
+    /// Something of a stranger's, or too long, was dropped and said so.
+    warned: bool,
+}
+
+impl Peers {
+    pub fn open(deck: &mut Deck, circle: &Circle) -> Result<Peers, String> {
+        let wrong = |e: Errno| format!("cannot take messages on {}: {e}", circle.at);
+        let socket = deck.budget.datagrams(&circle.at).map_err(wrong)?;
+        deck.poller.watch(&socket, mark(PEERS)).map_err(wrong)?;
+        let at = socket.address().unwrap_or(circle.at);
+        info!(deck.log, "messages"; "at" => %at, "peers" => circle.peers.len());
+        Ok(Peers { socket, peers: circle.peers.clone(), warned: false })
+    }
+
+    /// To all of them; whom it cannot reach does without.
+    pub fn tell(&self, message: &[u8]) {
+        for peer in self.peers.iter().filter(|_| message.len() <= LONGEST) {
+            _ = self.socket.send_to(message, peer);
+        }
+    }
+
+    pub fn ready(&mut self, deck: &mut Deck) {
+        let mut space = [0; LONGEST];
+        for _ in 0..A_TURN {
+            let (length, from) = match self.socket.receive_from(&mut space) {
+                Ok(datagram) => datagram,
+                Err(Errno::AGAIN) => return,
+                // What a peer that is away has the system say of an earlier message.
+                Err(_) => continue,
+            };
+            let known = from.is_some_and(|from| self.peers.contains(&from));
+            if known && length <= LONGEST {
+                deck.events.push(Event::Heard { message: space[..length].to_vec() });
+            } else if !std::mem::replace(&mut self.warned, true) {
+                let from = from.map_or("nobody".to_string(), |from| from.to_string());
+                warn!(deck.log, "message dropped"; "from" => from, "known" => known, "length" => length);
+            }
+        }
+        // Guards: the rest of a flood left lying, as the poller tells of each arrival once.
+        _ = deck.poller.rewatch(&self.socket, mark(PEERS));
+    }
+}
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -2,6 +2,7 @@
 
 use reedferry_rig::*;
 use serde_json::{json, Value};
+use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 
 fn start(hosts: &Hosts, adjust: impl FnOnce(&mut Value)) -> (Node, Discovery) {
@@ -440,11 +441,98 @@
     discovery.calls(2);
 }
 
+/// Settings of a deployment whose hosts tell of their load when they are asked.
+fn by_probe(papers: &mut Value, fields: &[&str]) {
+    papers["settings"]["reporting"] = json!({"fields": fields, "via": "pull"});
+}
+
+#[test]
+fn what_a_probe_reports_is_told_to_the_peers_and_what_they_tell_decides() {
+    let hosts = Hosts::start(2);
+    let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
+    peer.set_read_timeout(Some(PATIENCE)).unwrap();
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let mut papers = papers(&hosts, nowhere());
+    by_probe(&mut papers, &["util", "x0"]);
+    papers["settings"]["policy_limits"]["peers"] = json!(true);
+    papers["settings"]["balancers"] = json!(2);
+    let articles = format!(
+        "papers = \"PAPERS\"\n[node]\nmessages = \"127.0.0.1:0\"\n[[peer]]\naddress = \"{}\"\n",
+        peer.local_addr().unwrap()
+    );
+    let node = Node::start_as("node", &articles, &papers);
+    // Whichever of the two is looked at first is full, and the peer is told of it.
+    let (first, mut probe) = hosts.accept();
+    probe.hears("STATS");
+    probe.say("PONG util=1,x0=1.5");
+    let mut message = [0; 512];
+    let (length, at) = peer.recv_from(&mut message).unwrap();
+    assert_eq!((length, message[0], message[4]), (5, 1, 96));
+    // The peer's word on it counts; no bytes of nobody's do, and no stranger's.
+    stranger.send_to(&message[..5], at).unwrap();
+    node.logs("message dropped");
+    for poor in [&[][..], &[1], &[9; 300], &[2, 1, 2, 3, 4]] {
+        peer.send_to(poor, at).unwrap();
+    }
+    // Where the next client is served, and stays; further probes may come between.
+    let mut stay = Vec::new();
+    let mut serving = || {
+        let mut client = node.open(OPEN);
+        loop {
+            let (on, mut host) = hosts.accept();
+            if host.hear() != "STATS" {
+                host.say("UP 77aa");
+                client.hears("UP 77aa");
+                stay.push((client, host));
+                return on;
+            }
+            host.say(if on == first { "PONG util=1,x0=1.5" } else { "PONG util=0.2,x0=0.2" });
+        }
+    };
+    assert!((0..4).all(|_| serving() != first));
+    message[4] = 0;
+    let until = Instant::now() + PATIENCE;
+    loop {
+        peer.send_to(&message[..5], at).unwrap();
+        if serving() == first {
+            break;
+        }
+        assert!(Instant::now() < until, "the peer's word was not heard");
+    }
+}
+
+/// Guards: a node that starts with a mix of two shapes of deployment, or goes over to one.
+#[test]
+fn a_mix_of_two_shapes_is_refused_at_the_start_and_on_reading_again() {
+    let hosts = Hosts::start(1);
+    let good = papers(&hosts, nowhere());
+    let mixes: [(&str, fn(&mut Value)); 4] = [
+        ("reporting.via", |p| {
+            by_probe(p, &["x0"]);
+            p["settings"]["policy_limits"]["may_probe"] = json!(false);
+        }),
+        ("reporting.fields", |p| by_probe(p, &["qps"])),
+        ("policy_limits.peers", |p| p["settings"]["policy_limits"]["peers"] = json!(true)),
+        ("registry_mode", |p| p["settings"]["registry_mode"] = json!("now and then")),
+    ];
+    let node = Node::start(&good);
+    for (key, mix) in mixes {
+        let mut papers = good.clone();
+        mix(&mut papers);
+        let ended = program(&papers.to_string()).output().unwrap();
+        let said = String::from_utf8(ended.stderr).unwrap();
+        assert!(ended.status.code() == Some(1) && said.lines().count() == 1 && said.contains(key), "{said}");
+        node.reread(&papers.to_string());
+        assert!(node.logs("papers not taken up").contains(key));
+    }
+    node.served(&hosts);
+}
+
 #[test]
 fn hosts_whose_load_comes_by_probes_are_probed_and_left_when_crowded() {
     let hosts = Hosts::start(1);
     let (node, _) = start(&hosts, |p| {
-        p["settings"]["reporting"] = json!({"fields": ["x0", "x1"], "via": "pull"});
+        by_probe(p, &["x0", "x1"]);
     });
     let (mut client, _, mut serving) = node.served(&hosts);
     serving.say("LOAD 500000");
--- a/quay/src/sockets.rs
+++ b/quay/src/sockets.rs
@@ -63,17 +63,24 @@
         Socket { fd, taken: self.taken.clone() }
     }
 
-    fn stream(&self, address: &SocketAddr) -> Result<Socket, Errno> {
+    fn socket(&self, address: &SocketAddr, kind: SocketType) -> Result<Socket, Errno> {
         if self.taken.get() >= self.most {
             return Err(Errno::MFILE);
         }
         let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
         let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-        Ok(self.own(net::socket_with(family, SocketType::STREAM, flags, None)?))
+        Ok(self.own(net::socket_with(family, kind, flags, None)?))
+    }
+
+    /// A socket for datagrams that come to this address and leave from it.
+    pub fn datagrams(&self, address: &SocketAddr) -> Result<Socket, Errno> {
+        let socket = self.socket(address, SocketType::DGRAM)?;
+        net::bind(&socket, address)?;
+        Ok(socket)
     }
 
     pub fn listen(&self, address: &SocketAddr) -> Result<Socket, Errno> {
-        let socket = self.stream(address)?;
+        let socket = self.socket(address, SocketType::STREAM)?;
         sockopt::set_socket_reuseaddr(&socket, true)?;
         net::bind(&socket, address)?;
         net::listen(&socket, BACKLOG)?;
@@ -93,7 +100,7 @@
 
     /// A connection on its way up; `up` tells whether it stands already.
     pub fn connect(&self, address: &SocketAddr) -> Result<(Socket, bool), Errno> {
-        let socket = self.stream(address)?;
+        let socket = self.socket(address, SocketType::STREAM)?;
         socket.tune();
         match net::connect(&socket, address) {
             Ok(()) => Ok((socket, true)),
@@ -147,6 +154,23 @@
         }
     }
 
+    /// Sends one datagram, or not.
+    pub fn send_to(&self, bytes: &[u8], to: &SocketAddr) -> Result<usize, Errno> {
+        net::sendto(self, bytes, SendFlags::NOSIGNAL, to)
+    }
+
+    /// The next datagram: its whole length, of which no more than fits is put there, and its sender.
+    pub fn receive_from(&self, into: &mut [u8]) -> Result<(usize, Option<SocketAddr>), Errno> {
+        loop {
+            match net::recvfrom(self, &mut *into, RecvFlags::TRUNC) {
+                Err(Errno::INTR) => {}
+                other => {
+                    return other.map(|(_, length, from)| (length, from.and_then(|a| a.try_into().ok())))
+                }
+            }
+        }
+    }
+
     /// How the connect went.
     pub fn connected(&self) -> Result<(), Errno> {
         sockopt::socket_error(self)?
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,7 +10,7 @@
 
 use crate::records::*;
 use crate::types::*;
-use crate::word::{self, Word};
+use crate::word;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{HashMap, VecDeque};
@@ -61,15 +61,22 @@
 
 /// How often some node looks at each host, how long a report counts, and after which time it is told again.
 const LOOK: Nanos = 2 * SECOND;
-const REPORT_AGE: Nanos = 15 * SECOND;
-const RETELL: Nanos = 6 * SECOND;
-/// By how much a load has changed that others are told of.
-const NEWS: f64 = 0.12;
+const REPORT_AGE: Nanos = 40 * SECOND;
+const RETELL: Nanos = 15 * SECOND;
+/// By how much a load has changed that others are told of; half as much where it is crowded.
+const NEWS: f64 = 0.2;
+/// Bytes that a node may tell, over all who hear them, for each hand-off, and how many it may save up.
+const PURSE: f64 = 512.0;
+const FULL_PURSE: f64 = 16.0 * PURSE;
 /// The reported load from which a host is crowded, and that at which it is full.
 const CROWDED: f64 = 0.7;
 const FULL: f64 = 0.9;
+/// What a host that gives a probe no answer counts as.
+const SILENT: f64 = 2.0;
 /// What reported loads are blurred by, as a report is old and noisy.
 const BLUR: f64 = 1.0;
+/// What it costs to go one host further from a home, where loads are reported.
+const STEPWISE: f64 = 0.15;
 
 /// One short line for a change of mode.
 macro_rules! log {
@@ -116,11 +123,6 @@
         self.ready() && turn != self.looked && place % nodes == u64::from(charter.node) % nodes
     }
 
-    /// Whether it is known to bear no more than it has, or is masked.
-    fn pressed(&self, now: Nanos) -> bool {
-        self.ceiling.is_some() || now < self.masked_until
-    }
-
     /// How late its messages are, by what was last told; old word fades.
     fn slow(&self, now: Nanos) -> f64 {
         f64::from(u8::from(now < self.slow_told + 5 * PULSE)) * self.slowness
@@ -231,7 +233,7 @@
         let known = self.slow(now) * at.charter.shortest_message_time() as f64;
         // Guards: hosts taken for late one after the other while a store that all set-ups share is.
         let shared = at.desk.common() || at.ledger.long.is_some_and(|host| host != self.id);
-        if !shared && took as f64 > known.max(6.0 * at.ledger.set_up) {
+        if !shared && self.reported(now).is_none() && took as f64 > known.max(6.0 * at.ledger.set_up) {
             self.late(now, took, at.charter);
         }
         at.post.push_back((To::Ledger, Note::SetUp(self.id, took)));
@@ -292,9 +294,8 @@
                     return;
                 }
                 // Where most hand-offs fail, the cause is not the host's: a mask would leave the rest all.
-                if !at.desk.common()
-                    || matches!(ending, Ending::Refused | Ending::Unconnected | Ending::Broken)
-                {
+                let its_own = matches!(ending, Ending::Refused | Ending::Unconnected | Ending::Broken);
+                if its_own || !at.desk.common() {
                     self.mask(now, at.chance, ending.word(), at.out);
                 }
             }
@@ -312,15 +313,18 @@
             Note::Slow(time) => self.late(now, time, at.charter),
             Note::Behind(seconds) => self.late(now, (seconds * SECOND as f64) as Nanos, at.charter),
             Note::Reported { load, heard } => {
-                let load = load.unwrap_or(2.0);
                 (self.report, self.reported, self.since) = (load, now, self.since / 2.0);
-                let news = (load - self.told).abs() > NEWS || now > self.told_at + RETELL;
-                if heard || at.charter.peers && news {
-                    (self.told, self.told_at) = (load, now);
-                }
-                if !heard && self.told_at == now {
-                    let message = word::encode(&[Word { tag: word::tag(self.id), load: Some(load) }]);
+                let step = if load.max(self.told) > CROWDED { NEWS / 2.0 } else { NEWS };
+                let news = (load - self.told).abs() > step || now > self.told_at + RETELL;
+                let message = word::encode(self.id, load);
+                let price = message.len() as f64 * f64::from(at.charter.nodes.saturating_sub(1));
+                let tells = at.charter.peers && news && !heard && at.desk.purse >= price;
+                if tells {
                     at.out.push(Action::Tell { message });
+                    at.post.push_back((To::Desk, Note::Spent(price)));
+                }
+                if heard || tells {
+                    (self.told, self.told_at) = (load, now);
                 }
             }
             Note::Step { mean } => {
@@ -458,6 +462,7 @@
     /// Mean reported load, and a usual load.
     loaded: f64,
     unit: f64,
+    ready: f64,
 }
 
 /// What an attachment asks of a host.
@@ -656,7 +661,7 @@
             rng,
             hosts: Vec::new(),
             known: HashMap::new(),
-            desk: Desk::default(),
+            desk: Desk { purse: FULL_PURSE, ..Desk::default() },
             helm: Helm { vectors, ..Helm::default() },
             ledger: Ledger { usual, set_up, ..Ledger::default() },
             roll: Roll::default(),
@@ -693,7 +698,7 @@
                 post(To::Desk, Note::Begun { slot, took });
             }
             (Event::Ended { over, ending, gauges, .. }, slot, Some(host)) => {
-                self.gauge(host, &gauges);
+                self.gauge(host, &gauges, None);
                 if let Some(slot) = slot.filter(|_| at == Some(host)) {
                     self.post.push_back((To::Host(host), Note::Ended { slot, ending }));
                     self.post.push_back((To::Desk, Note::Returned { slot, over, ending }));
@@ -705,10 +710,8 @@
             (Event::MessageTime { time, .. }, _, Some(host)) => post(To::Host(host), Note::Slow(time)),
             (Event::Probed { ending, gauges, .. }, _, Some(host)) => {
                 // Too many probes at once, or a shaken line, say nothing of its load.
-                if ending == Ending::TimedOut {
-                    self.post.push_back((To::Host(host), Note::Reported { load: None, heard: false }));
-                }
-                self.gauge(host, &gauges);
+                let silent = (ending == Ending::TimedOut).then_some(SILENT);
+                self.gauge(host, &gauges, silent);
             }
             (Event::Heard { message }, ..) => self.hear(&message),
             _ => {}
@@ -716,23 +719,23 @@
         self.run(now, out);
     }
 
-    fn gauge(&mut self, host: usize, values: &[f64]) {
-        let find =
-            |what| self.charter.gauges.iter().position(|&g| g == what).and_then(|n| values.get(n).copied());
-        if let Some(load) = find(Gauge::Load).or(find(Gauge::Busy)) {
-            self.post.push_back((To::Host(host), Note::Reported { load: Some(load), heard: false }));
-        }
-        self.post.extend(find(Gauge::Backlog).map(|behind| (To::Host(host), Note::Behind(behind))));
+    fn gauge(&mut self, host: usize, values: &[f64], silent: Option<f64>) {
+        let place = |what| self.charter.gauges.iter().position(|&g| g == what);
+        let sane = |n: usize| values.get(n).copied().filter(|v| (0.0..1e3).contains(v));
+        let load = place(Gauge::Load).or(place(Gauge::Busy)).and_then(sane).or(silent);
+        let note = |note| (To::Host(host), note);
+        self.post.extend(load.map(|load| note(Note::Reported { load, heard: false })));
+        self.post.extend(place(Gauge::Backlog).and_then(sane).map(|behind| note(Note::Behind(behind))));
     }
 
     /// Takes in what another node tells, of hosts that the own roll names.
     fn hear(&mut self, message: &[u8]) {
-        for Word { tag, load } in word::decode(message).unwrap_or_default() {
-            let mut named =
-                (0..self.hosts.len()).filter(|&n| self.hosts[n].listed && word::tag(self.hosts[n].id) == tag);
-            if let (Some(host), None) = (named.next(), named.next()) {
-                self.post.push_back((To::Host(host), Note::Reported { load, heard: true }));
-            }
+        let Some((tag, load)) = word::decode(message) else { return };
+        let meant = |&n: &usize| self.hosts[n].listed && word::tag(self.hosts[n].id) == tag;
+        let mut named = (0..self.hosts.len()).filter(meant);
+        // Guards: a word on one host taken for another's where two tags are the same.
+        if let (Some(host), None) = (named.next(), named.next()) {
+            self.post.push_back((To::Host(host), Note::Reported { load, heard: true }));
         }
     }
 
@@ -794,8 +797,7 @@
     fn survey(&self, now: Nanos) -> Survey {
         let (mut ready, mut well, mut capped, mut ceilings) = (0.0, 0.0, 0.0, 0.0);
         let (mut own, mut counted, mut near, mut pressed, mut heard) = (0.0, 0.0, 0.0, 0.0, 1.0);
-        let (mut conns, mut size, mut warm, mut full) = (0.0, 0.0, 0.0, 0.0);
-        let (mut loaded, mut known) = (0.0, 0.0);
+        let (mut conns, mut size, mut warm, mut full, mut loaded, mut known) = (0.0, 0.0, 0.0, 0.0, 0.0, 0.0);
         for host in self.hosts.iter().filter(|h| h.ready()) {
             let (masks, caps) = (now < host.masked_until, host.ceiling.is_some());
             let one = |b: bool| f64::from(u8::from(b));
@@ -803,9 +805,8 @@
             if let Some(ceiling) = host.ceiling {
                 (capped, ceilings) = (capped + 1.0, ceilings + ceiling / host.listing.size);
             }
-            if let Some(load) = host.reported(now) {
-                (loaded, known) = (loaded + load, known + 1.0);
-            }
+            let report = host.reported(now);
+            (loaded, known) = (loaded + report.unwrap_or(0.0), known + one(report.is_some()));
             if !masks && !host.newcomer {
                 (own, counted) = (own + host.own(), counted + 1.0);
             }
@@ -830,6 +831,7 @@
             typical: if 2.0 * capped > ready { ceilings / capped } else { f64::INFINITY },
             crossing: CROSSING * self.charter.cross_zone_charge * relief,
             unit,
+            ready,
             loaded: f64::max(loaded / f64::max(known, 1.0), 0.05),
             count: conns / f64::max(size, f64::MIN_POSITIVE) * (4.0 - 3.0 * full / f64::max(warm, 1.0)),
         }
@@ -930,6 +932,7 @@
                     log!(out, "shed={} late={:.2} held={}", !before, self.desk.late, self.desk.names.len());
                 }
             }
+            Note::Spent(bytes) => self.desk.purse -= bytes,
             // Guards: a node that dismisses nearly all, hears of nothing and goes on for ever.
             Note::Pulse { .. } => self.desk.late *= FADE,
             Note::Leaving { from, by } => {
@@ -1024,12 +1027,17 @@
                 || self.desk.sheds() && {
                     let view = self.survey(now);
                     let blind = view.unseen / (view.mean + view.unseen);
+                    // The less it pays for its load, the sooner.
+                    let worth = |n: usize| self.charter.offerings[n].payoff / self.ledger.load(n, None);
+                    let pays = |n| worth(n).max(f64::MIN_POSITIVE);
+                    let least = (0..self.charter.offerings.len()).map(pays).fold(f64::INFINITY, f64::min);
+                    let blind = blind * (least / pays(attachment.arrival.offering)).sqrt();
                     draw(tie, 0) < SHED * blind * (self.desk.late - MANY) / (1.0 - MANY)
                 });
         let chosen = if late || !again || shed { None } else { self.choose(now, attachment, vector, tie) };
         let Some(host) = chosen else { return self.answer(slot, out) };
         // Guards: a store that all set-ups share, whose answers come when the node has asked anew already.
-        let patience = (offering.contract_time as f64 * 0.6).max(6.0 * self.ledger.set_up);
+        let patience = (offering.contract_time as f64).max(6.0 * self.ledger.set_up);
         let patience = (patience * (1.0 + PATIENCE * self.desk.trouble)) as Nanos;
         let only = attachment.hand_offs + 1 >= self.charter.most_hand_offs
             || offering.effect == Effect::Irreversible;
@@ -1042,6 +1050,7 @@
             (attachment.hand_offs, attachment.at, attachment.sent) =
                 (attachment.hand_offs + 1, Some(host), now);
         }
+        self.desk.purse = (self.desk.purse + PURSE).min(FULL_PURSE);
     }
 
     /// The host with the lowest score of those that may and can take the attachment; ties at random.
@@ -1059,11 +1068,9 @@
             let lapsed = again && self.hosts.iter().all(|h| !h.ready() || now < h.masked_until);
             let mut best: Option<(f64, f64, usize)> = None;
             for (n, host) in self.hosts.iter().enumerate() {
-                let passed = !again && attachment.tried.contains(&n) || !host.ready();
-                if passed
-                    || set && !self.in_set(now, host, &ask, &view)
-                    || !self.takes(now, host, &ask, &view, lapsed)
-                {
+                let open = host.ready() && (again || !attachment.tried.contains(&n));
+                let open = open && (!set || self.in_set(now, host, &ask, &view));
+                if !open || !self.takes(now, host, &ask, &view, lapsed) {
                     continue;
                 }
                 let luck = draw(tie, n as u64);
@@ -1089,7 +1096,7 @@
         };
         let part = BUSY * (view.mean + view.unseen);
         let busy = host.reported(now).map_or(host.own() + view.unseen > part, |load| load > CROWDED);
-        let busy = busy || host.pressed(now) || host.slow(now) >= LATE;
+        let busy = busy || host.ceiling.is_some() || now < host.masked_until || host.slow(now) >= LATE;
         used && !busy && host.listing.zone == self.charter.zone
     }
 
@@ -1150,7 +1157,8 @@
         let crossing = if host.listing.zone == self.charter.zone { 0.0 } else { view.crossing };
         let away = ask.home.filter(|g| self.charter.pass || !host.groups.contains_key(g));
         // Midway packets go where every node would look for them.
-        let pull = if ask.attachment.arrival.midway { 1e6 } else { HOME };
+        let pull = if host.reported(now).is_some() { STEPWISE * view.ready } else { HOME };
+        let pull = if ask.attachment.arrival.midway { 1e6 } else { pull };
         let homing = |g: u64| pull * (-draw(g, host.id.0).ln() / host.listing.size).min(1.0);
         score + crossing + away.map_or(0.0, homing)
     }
--- a/src/records.rs
+++ b/src/records.rs
@@ -29,9 +29,9 @@
     },
     Slow(Nanos),
     Blamed,
-    /// What a report, or another node's word of one, says of the host; none where it gave no answer.
+    /// What a report, or another node's word of one, says of the host.
     Reported {
-        load: Option<f64>,
+        load: f64,
         heard: bool,
     },
     Behind(f64),
@@ -78,6 +78,8 @@
         load: f64,
     },
     SetUp(HostId, Nanos),
+    /// That many bytes were told.
+    Spent(f64),
     Fared {
         late: bool,
     },
@@ -180,6 +182,8 @@
     pub trouble: f64,
     /// Share of the last connections that met late messages at their host.
     pub late: f64,
+    /// Bytes that may still be told, over all who hear them.
+    pub purse: f64,
     /// The node stops, and by when its clients are to be gone.
     pub leaving: Option<Nanos>,
 }
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -138,6 +138,48 @@
     decode(text).map(|(charter, _)| charter)
 }
 
+impl Text {
+    /// What the settings alone contradict each other in, or say in a word that nobody knows: a mix of two
+    /// shapes of deployment, which would start and then do something that neither of them means.
+    fn contradiction(&self) -> Option<String> {
+        let words = [
+            ("registry_mode", &self.registry_mode, &["", "pushed", "on_request"][..]),
+            ("reporting.via", &self.reporting.via, &["", "silent", "piggyback", "pull"]),
+            ("extra.mode", &self.extra.mode, &["", "proxy", "pass"]),
+        ];
+        let groups =
+            self.offerings.iter().map(|o| ("offerings.group", &o.group, &["", "all", "zone", "cell"][..]));
+        if let Some((key, word, _)) =
+            words.into_iter().chain(groups).find(|(_, w, all)| !all.contains(&w.as_str()))
+        {
+            return Some(format!("{key}: unknown word {word:?}"));
+        }
+        let reporting = &self.reporting;
+        let (pulled, silent) = (reporting.via == "pull", matches!(reporting.via.as_str(), "" | "silent"));
+        if pulled && !self.policy_limits.may_probe {
+            return Some("reporting.via: reports by probe, but policy_limits.may_probe is false".into());
+        }
+        if pulled && !reporting.fields.iter().any(|name| gauge(name) != Gauge::Other) {
+            return Some("reporting.fields: reports by probe with neither x0, util nor x1 among them".into());
+        }
+        if silent && !reporting.fields.is_empty() {
+            return Some(
+                "reporting.fields: report fields, but reporting.via names no way to get them".into(),
+            );
+        }
+        None
+    }
+}
+
+fn gauge(name: &str) -> Gauge {
+    match name {
+        "x0" => Gauge::Load,
+        "util" => Gauge::Busy,
+        "x1" => Gauge::Backlog,
+        _ => Gauge::Other,
+    }
+}
+
 pub fn decode(text: &[u8]) -> Result<(Charter, Terms), String> {
     let value = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
     from_value(value)
@@ -149,6 +191,9 @@
     if terms.offerings.is_empty() {
         return Err("settings: no offering is listed".into());
     }
+    if let Some(why) = terms.contradiction() {
+        return Err(format!("settings: {why}"));
+    }
     let mut offerings = Vec::new();
     for (n, kind) in terms.offerings.iter().enumerate() {
         offerings.push(Offering {
@@ -171,12 +216,6 @@
             ),
         });
     }
-    let field = |name: &String| match name.as_str() {
-        "x0" => Gauge::Load,
-        "util" => Gauge::Busy,
-        "x1" => Gauge::Backlog,
-        _ => Gauge::Other,
-    };
     let limits = &terms.policy_limits;
     let charter = Charter {
         node: terms.index,
@@ -200,7 +239,7 @@
         move_charge: terms.charges.moves,
         probe_for_gauges: limits.may_probe && terms.reporting.via == "pull",
         peers: limits.peers,
-        gauges: terms.reporting.fields.iter().map(field).collect(),
+        gauges: terms.reporting.fields.iter().map(|name| gauge(name)).collect(),
     };
     let connect_within = match nanos(limits.connect_timeout) {
         0 => SECOND / 4,
@@ -217,3 +256,54 @@
     };
     Ok((charter, terms))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    /// Settings of the kept shape, with these put over them.
+    fn told(over: &[(&str, serde_json::Value)]) -> Result<(Charter, Terms), String> {
+        let mut settings = json!({"balancers": 3, "index": 1, "registry_mode": "on_request",
+            "offerings": [{"contract_time": 500, "expiry": 2000, "effect": "free", "group": "all", "payoff": 1}],
+            "contract": {"cold": 10000, "cold_from": 0.2, "tip_after": 1000, "tip_multiple": 3},
+            "reporting": {"fields": [], "via": "silent"}, "extra": {"mode": "proxy"},
+            "policy_limits": {"may_probe": true, "most_hand_offs": 3, "peers": false}});
+        for (place, value) in over {
+            *settings.pointer_mut(place).expect(place) = value.clone();
+        }
+        from_value(settings)
+    }
+
+    #[test]
+    fn the_settings_alone_say_which_shape_is_in_force() {
+        let (old, _) = told(&[]).unwrap();
+        assert!(!old.peers && !old.probe_for_gauges && old.gauges.is_empty());
+        let reporting = json!({"fields": ["qps", "util", "x0"], "via": "pull"});
+        let (new, _) = told(&[("/reporting", reporting), ("/policy_limits/peers", json!(true))]).unwrap();
+        assert!(new.peers && new.probe_for_gauges);
+        assert_eq!(new.gauges, [Gauge::Other, Gauge::Busy, Gauge::Load]);
+    }
+
+    /// Guards: a node that starts with half of one shape and half of another, and serves badly in silence.
+    #[test]
+    fn a_mix_is_refused_and_the_key_named() {
+        let pull = |fields: serde_json::Value| json!({"fields": fields, "via": "pull"});
+        for (over, key) in [
+            (
+                vec![("/reporting", pull(json!(["x0"]))), ("/policy_limits/may_probe", json!(false))],
+                "reporting.via",
+            ),
+            (vec![("/reporting", pull(json!([])))], "reporting.fields"),
+            (vec![("/reporting", pull(json!(["qps", "eps"])))], "reporting.fields"),
+            (vec![("/reporting/fields", json!(["x0"]))], "reporting.fields"),
+            (vec![("/reporting/via", json!("by pigeon"))], "reporting.via"),
+            (vec![("/registry_mode", json!("sometimes"))], "registry_mode"),
+            (vec![("/extra/mode", json!("both"))], "extra.mode"),
+            (vec![("/offerings/0/group", json!("town"))], "offerings.group"),
+        ] {
+            let why = told(&over).err().unwrap_or_else(|| panic!("taken: {over:?}"));
+            assert!(why.starts_with(&format!("settings: {key}: ")) && !why.contains('\n'), "{why}");
+        }
+    }
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -8,6 +8,9 @@
 //!                                    the first that may have run and how long ago, and where it was
 //!     MS open ID HOST KEY=VALUE ...  a connection open before the start
 //!     MS begun ID [TOOK] | MS ended ID HOW | MS left ID | MS load ID CORES | MS slow HOST MS | MS wait
+//!     MS report HOST LOAD|silent     a probe of the host comes back with its load, or with no answer in time
+//!     MS heard HOST LOAD             another node tells of the host
+//!     MS heard-bytes HEX             another node sends anything else
 //!     MS leaving FROM BY             the node stops: both times counted from then
 //!     MS breaks HOST N               so many open connections break there, or all of them by a large N
 //!     auto HOST ... | shut HOST ...  set-ups there stand, or are refused, at once from now on
@@ -15,6 +18,7 @@
 //!     count HOST MIN MAX             hand-offs to the host since the last count of it
 //!     held HOST MIN MAX              connections that stand at the host, or anywhere by the name all
 //!     turned-away MIN MAX            attachments answered so far that no host took
+//!     looked MIN MAX | told MIN MAX  probes sent, and messages to other nodes, since the last such count
 //!     used MIN MAX                   hosts with hand-offs since the last such count
 //!
 //! Expectations speak of the actions since the last event. Throughout, the runner lets hand-offs
@@ -50,6 +54,8 @@
     shut: Vec<HostId>,
     counts: BTreeMap<u64, u32>,
     taken: BTreeMap<u64, Taken>,
+    looked: usize,
+    told: usize,
 }
 
 fn host(name: &str) -> HostId {
@@ -81,6 +87,8 @@
             shut: Vec::new(),
             counts: BTreeMap::new(),
             taken: BTreeMap::new(),
+            looked: 0,
+            told: 0,
         }
     }
 
@@ -127,6 +135,17 @@
                 taken.answered = true;
             }
             Action::WakeAt { time, mark } => self.wakes.push((*time, *mark)),
+            Action::Probe { .. } => {
+                assert!(self.charter.probe_for_gauges, "a probe without leave");
+                self.looked += 1;
+            }
+            Action::Tell { message } => {
+                assert!(
+                    self.charter.peers && message.len() <= word::LONGEST,
+                    "told without leave, or too long"
+                );
+                self.told += 1;
+            }
             _ => {}
         }
     }
@@ -259,6 +278,8 @@
                 "groups" => c.groups = true,
                 "pass" => c.pass = true,
                 "gathers" => c.gathers = true,
+                "probes" => (c.probe_for_gauges, c.gauges) = (true, vec![Gauge::Busy, Gauge::Load]),
+                "peers" => c.peers = true,
                 "cross-zone" => c.cross_zone_charge = num(value),
                 "moves" => c.move_charge = num(value),
                 _ => panic!("unknown word {key}"),
@@ -332,6 +353,12 @@
                 let (least, most) = (num(words[1]) as usize, num(words[2]) as usize);
                 assert!((least..=most).contains(&away), "{away} turned away");
             }
+            "looked" | "told" => {
+                let count =
+                    std::mem::take(if words[0] == "told" { &mut self.told } else { &mut self.looked });
+                let (least, most) = (num(words[1]) as usize, num(words[2]) as usize);
+                assert!((least..=most).contains(&count), "{} {count}", words[0]);
+            }
             "used" => {
                 let used = std::mem::take(&mut self.counts).len();
                 assert!(
@@ -381,6 +408,22 @@
                         let (from, by) = (self.now + ms(words[2]), self.now + ms(words[3]));
                         self.tell(Event::Leaving { from, by });
                     }
+                    "report" => {
+                        let silent = words[3] == "silent";
+                        let ending = if silent { Ending::TimedOut } else { Ending::Done };
+                        let load = |text: &str| if text == "nan" { f64::NAN } else { num(text) };
+                        let gauges = if silent { Vec::new() } else { vec![1.0, load(words[3])] };
+                        self.tell(Event::Probed { host: host(words[2]), ending, gauges });
+                    }
+                    "heard" => {
+                        self.tell(Event::Heard { message: word::encode(host(words[2]), num(words[3])) });
+                    }
+                    "heard-bytes" => {
+                        let byte = |n| u8::from_str_radix(&words[2][n..n + 2], 16).unwrap();
+                        self.tell(Event::Heard {
+                            message: (0..words[2].len()).step_by(2).map(byte).collect(),
+                        });
+                    }
                     "load" => self.tell(Event::LoadNow { id: id(2), load: num(words[3]) }),
                     "slow" => self.tell(Event::MessageTime { host: host(words[2]), time: ms(words[3]) }),
                     other => panic!("unknown step {other}"),
