--- a/src/choice.rs
+++ b/src/choice.rs
@@ -358,7 +358,8 @@
         // Guards: a host that bears its load well, kept from more by ceilings that the others earned.
         let ceiling = self.ceiling.unwrap_or((typical * self.listing.size).max(0.9 * self.good));
         let fits = self.borne() + load <= ceiling;
-        let fits = self.reported(now).map_or(fits, |load| load < CROWDED || fits && load < FULL);
+        let most = if self.ceiling.is_some() { CROWDED } else { FULL };
+        let fits = self.reported(now).map_or(fits, |load| load < most || self.ceiling.is_some() && fits);
         self.slow(now) < LATE && fits
     }
 
