--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -506,7 +506,8 @@
 fn a_mix_of_two_shapes_is_refused_at_the_start_and_on_reading_again() {
     let hosts = Hosts::start(1);
     let good = papers(&hosts, nowhere());
-    let mixes: [(&str, fn(&mut Value)); 4] = [
+    type Mix = (&'static str, fn(&mut Value));
+    let mixes: [Mix; 4] = [
         ("reporting.via", |p| {
             by_probe(p, &["x0"]);
             p["settings"]["policy_limits"]["may_probe"] = json!(false);
