--- a/adapter/src/frames.rs
+++ b/adapter/src/frames.rs
@@ -370,6 +370,21 @@
         assert_eq!(reply.finish(), wanted);
     }
 
+    #[test]
+    fn messages_between_nodes_come_and_go_as_worked() {
+        let mut body = padded("08 00000003 0002 00000000 00000004", RECORD);
+        body.extend(hex("68692037"));
+        let frame = Frame::new(1, 1, &body).unwrap();
+        let (3, Told::Event(Event::Heard { message })) = frame.event(0, 0).unwrap() else { panic!() };
+        assert_eq!(message, b"hi 7");
+        let mut reply = Reply::new(1);
+        reply.push(3, &Action::Tell { message });
+        let mut wanted = hex("00000001 00000001 0000001c");
+        wanted.extend(padded("09 00000003 ffffffff 00000000 00000004", 24));
+        wanted.extend(hex("68692037"));
+        assert_eq!(reply.finish(), wanted);
+    }
+
     #[test]
     fn encodes_the_other_worked_actions() {
         let (id, host) = (AttachmentId(0x0e6f2b19), HostId(0x0a90_11f2_1f6c));
