--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -219,6 +219,13 @@
             Ok(list) => list,
             Err(why) => return self.fail(deck, which, why),
         };
+        // Guards: changes from before what is known, by which a host that drains would count as ready again; a
+        // service that counts afresh gives its whole list next.
+        let backwards = self.revision.is_some_and(|known| list.revision < known);
+        if which == WATCH && backwards && !list.complete {
+            self.revision = None;
+            return self.fail(deck, which, "a revision that runs backwards");
+        }
         self.take(deck, which, list);
         if which == WATCH {
             if !self.following {
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -390,6 +390,43 @@
     });
 }
 
+/// Guards: a host that drains and gets new work again by changes from before what is known; a node ended, or
+/// left without a list, by one odd answer.
+#[test]
+fn odd_lists_fail_alone_and_no_drain_is_forgotten() {
+    let mut hosts = Hosts::start(1);
+    hosts.add();
+    let (mut node, discovery) = start(&hosts, |_| {});
+    let addresses = [hosts.addresses[0].to_string(), hosts.addresses[1].to_string()];
+    discovery.change(member(1, &addresses[1], "active"));
+    discovery.change(member(0, &addresses[0], "leaving"));
+    discovery.change(member(7, "127.0.0.1:9", "leaving"));
+    node.logs("name: s-7");
+    let list = |revision: u64, complete: bool, members: &str| {
+        let body = format!("{{\"revision\":{revision},\"complete\":{complete},\"members\":[{members}]}}");
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    };
+    let old = member(0, &addresses[0], "active").to_string();
+    discovery.answer_instead(&[&list(0, false, &old), &list(9, false, "{\"id\":7,\"phase\":[]}")]);
+    discovery.change(member(8, "127.0.0.1:9", "left"));
+    node.logs("a revision that runs backwards");
+    node.logs("discovery call failed");
+    node.logs("watch begun");
+    let served: Vec<_> = (0..6).map(|_| node.served(&hosts)).collect();
+    assert!(served.iter().all(|(_, at, _)| *at == 1), "new work for a host that drains");
+    // Nobody is listed: each client is told so at once, until somebody is.
+    discovery.answer_instead(&[&list(50, true, "")]);
+    discovery.change(member(8, "127.0.0.1:9", "left"));
+    eventually("an empty list is not taken up", || node.open(OPEN).hear().starts_with("BUSY"));
+    discovery.answer_instead(&[&list(51, false, &member(1, &addresses[1], "active").to_string())]);
+    discovery.change(member(8, "127.0.0.1:9", "left"));
+    eventually("the host is never used again", || {
+        let _client = node.open(OPEN);
+        hosts.accept_soon().is_some()
+    });
+    assert!(node.runs());
+}
+
 #[test]
 fn papers_read_again_lead_to_another_discovery_and_cut_nothing() {
     let mut hosts = Hosts::start(1);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -284,7 +284,9 @@
                     return;
                 }
                 // Where most hand-offs fail, the cause is not the host's: a mask would leave the rest all.
-                if ending == Ending::Unconnected {
+                // Only a fleet of many can push it over by trying again: guards the last host of a small one.
+                let many = u64::from(at.charter.nodes) * at.charter.tip_after > at.charter.cold;
+                if ending == Ending::Unconnected && many {
                     self.down = Some(now);
                 }
                 let its_own = matches!(ending, Ending::Refused | Ending::Unconnected | Ending::Broken);
