--- a/src/choice.rs
+++ b/src/choice.rs
@@ -559,7 +559,7 @@
 
 /// Whether cold hosts take by lot: a warm-up holds fewer turns than nodes, and no report tells who is new.
 fn by_lot(charter: &Charter) -> bool {
-    u64::from(charter.nodes) * charter.tip_after > charter.cold && !charter.probe_for_gauges
+    u64::from(charter.nodes).saturating_mul(charter.tip_after) > charter.cold && !charter.probe_for_gauges
 }
 
 /// Mixes two words; the same at every node, so that nodes agree without talking.
--- a/src/records.rs
+++ b/src/records.rs
@@ -1,4 +1,5 @@
-//! The records of a node's parts and the notes that they send each other. No decision is taken here.
+//! The records of a node's parts, what a host's says of itself, and the notes that the parts send each other.
+//! It must never decide anything.
 
 use crate::types::*;
 use std::collections::{HashMap, VecDeque};
