Take clients in at the listener that the platform holds, and no more once asked to stop

Design: `succession.rs` owns the door. The descriptor is borrowed, duplicated and asked whether it is a listener; it is never shut down, and taken out of the poller before it is closed, as epoll goes by the open file. A process that is asked to stop leaves a shared door at once. Way not taken: binding beside it with SO_REUSEPORT, which would lose what waits in the queue of the process that ends.

--- a/node/src/alone.rs
+++ b/node/src/alone.rs
@@ -10,6 +10,7 @@
 use crate::papers::Papers;
 use crate::peers::{Correspondence, Peers};
 use crate::probe::Probes;
+use crate::succession::Entrance;
 use crate::tally::Now;
 use crate::{AtStart, BEYOND_EXPIRY, SWEEP};
 use reedferry::{Action, Balancer, Event};
@@ -52,7 +53,7 @@
     probes: Probes,
     peers: Option<Peers>,
     correspondence: Option<Correspondence>,
-    door: Socket,
+    entrance: Entrance,
     ops: Option<Ops>,
     stop: Signal,
     reread: Signal,
@@ -66,7 +67,7 @@
     let (papers, correspondence) = told.papers()?;
     let clock = Clock::start();
     let (mut deck, backlog) = Deck::open(&papers, &clock, &start)?;
-    let door = deck.listen(&papers.listen, deck::DOOR)?;
+    let entrance = Entrance::open(&mut deck, &papers)?;
     let ops = papers.ops.map(|at| Ops::open(&mut deck, &at)).transpose()?;
     let (now, log) = (deck.now, deck.log.clone());
     let mut actions = Vec::new();
@@ -77,7 +78,7 @@
     let revision = deck.known(&papers)?;
     let hosts = deck.hosts.count();
     // The system deals out the port where none is named.
-    let listen = door.address().unwrap_or(papers.listen);
+    let listen = entrance.door().and_then(Socket::address).unwrap_or(papers.listen);
     info!(log, "started"; "listen" => %listen, "hosts" => hosts, "revision" => revision,
         "sockets" => papers.sockets, "memory_mb" => papers.memory >> 20);
     let AtStart { stop, reread } = start;
@@ -90,7 +91,7 @@
         probes: Probes::default(),
         peers,
         correspondence,
-        door,
+        entrance,
         ops,
         stop,
         reread,
@@ -123,7 +124,7 @@
         for one in ready {
             let deck = &mut self.deck;
             match one.mark.part {
-                deck::DOOR => self.ferries.accept(deck, &self.door),
+                deck::DOOR => self.ferries.accept(deck, self.entrance.door()),
                 deck::STOP => self.part(),
                 deck::REREAD => self.read_again(),
                 deck::DISCOVERY => self.discovery.ready(deck, one),
@@ -139,7 +140,7 @@
             self.ops.iter_mut().for_each(|ops| ops.reply(&mut self.deck, caller, &reply));
         }
         if self.ferries.busy() {
-            self.ferries.resume(&mut self.deck, &self.door);
+            self.ferries.resume(&mut self.deck, self.entrance.door());
         }
         while let Some((mark, word)) = self.deck.poller.due(self.deck.now) {
             let deck = &mut self.deck;
@@ -183,7 +184,7 @@
     fn sweep(&mut self) {
         let deck = &mut self.deck;
         self.ops.iter_mut().for_each(|ops| ops.sweep(deck));
-        self.ferries.accept(deck, &self.door);
+        self.ferries.accept(deck, self.entrance.door());
         self.ferries.sweep(deck);
         deck.spare();
         self.discovery.sweep(deck);
@@ -228,6 +229,7 @@
         if !self.stop.came() || self.deck.leaving.is_some() {
             return;
         }
+        self.entrance.part(&self.deck);
         let event = self.deck.leave(BEYOND_EXPIRY, self.ferries.count());
         self.deck.events.push(event);
     }
--- a/node/src/deck.rs
+++ b/node/src/deck.rs
@@ -105,6 +105,14 @@
         Ok(door)
     }
 
+    /// Takes in those who knock at a door that the platform holds open.
+    pub fn inherit(&mut self, number: i32) -> Result<Socket, String> {
+        let wrong = |e: Errno| format!("GW_ACCEPT_FD {number} is no listener: {e}");
+        let door = self.budget.inherit(number).map_err(wrong)?;
+        self.poller.watch(&door, mark(DOOR)).map_err(wrong)?;
+        Ok(door)
+    }
+
     /// Takes in the roll as last known, and gives its revision.
     pub fn known(&mut self, papers: &Papers) -> Result<Option<u64>, String> {
         if papers.known.is_empty() {
--- a/node/src/ferry/door.rs
+++ b/node/src/ferry/door.rs
@@ -42,8 +42,9 @@
 
 impl Ferries {
     /// Takes in the clients that wait at the door.
-    pub fn accept(&mut self, deck: &mut Deck, door: &Socket) {
+    pub fn accept(&mut self, deck: &mut Deck, door: Option<&Socket>) {
         self.door.open = false;
+        let Some(door) = door else { return };
         for _ in 0..ACCEPTS {
             // Guards: usual clients kept out by hundreds that connect and say nothing. Where all have just
             // come, those behind them wait at the door until the next sweep.
--- a/node/src/ferry/mod.rs
+++ b/node/src/ferry/mod.rs
@@ -155,7 +155,7 @@
     }
 
     /// Goes on with those that had more to do.
-    pub fn resume(&mut self, deck: &mut Deck, door: &Socket) {
+    pub fn resume(&mut self, deck: &mut Deck, door: Option<&Socket>) {
         if self.door.open {
             self.accept(deck, door);
         }
--- a/node/src/forward.rs
+++ b/node/src/forward.rs
@@ -97,7 +97,7 @@
         for one in ready {
             let deck = &mut self.deck;
             match one.mark.part {
-                deck::DOOR => self.ferries.accept(deck, &self.door),
+                deck::DOOR => self.ferries.accept(deck, Some(&self.door)),
                 STOP => self.part(),
                 deck::REREAD => self.read_again(),
                 LINK => self.ready(one),
@@ -105,7 +105,7 @@
             }
         }
         if self.ferries.busy() {
-            self.ferries.resume(&mut self.deck, &self.door);
+            self.ferries.resume(&mut self.deck, Some(&self.door));
         }
         while let Some((mark, word)) = self.deck.poller.due(self.deck.now) {
             match mark.part {
@@ -119,7 +119,7 @@
 
     fn sweep(&mut self) {
         let deck = &mut self.deck;
-        self.ferries.accept(deck, &self.door);
+        self.ferries.accept(deck, Some(&self.door));
         self.ferries.sweep(deck);
         deck.spare();
         deck.hosts.look(deck.now, &mut deck.events);
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod plan;
 mod probe;
+mod succession;
 mod tally;
 mod wire;
 
--- a/quay/src/poller.rs
+++ b/quay/src/poller.rs
@@ -68,6 +68,12 @@
         epoll::modify(&self.epoll, socket, EventData::new_u64(mark.packed()), EDGES)
     }
 
+    /// Watches it no longer. Guards: a listener that another process has open too, told of for ever after it
+    /// was closed here.
+    pub fn unwatch(&self, socket: &impl AsFd) -> Result<(), Errno> {
+        epoll::delete(&self.epoll, socket)
+    }
+
     /// Has `mark` come back with `word` at `time`. Timers that fall due together come back as set.
     pub fn remind(&mut self, time: Nanos, mark: Mark, word: u64) {
         self.set += 1;
--- a/quay/src/sockets.rs
+++ b/quay/src/sockets.rs
@@ -93,6 +93,24 @@
         Ok(socket)
     }
 
+    /// A listener that whoever started the program holds open, as this descriptor. It is never shut down
+    /// here: it is one open file for all processes that have it, its waiting connections theirs together.
+    pub fn inherit(&self, number: i32) -> Result<Socket, Errno> {
+        // No descriptor that the program has opened itself may be meant: a listener is none of those.
+        if self.taken.get() >= self.most || number < 0 {
+            return Err(Errno::BADF);
+        }
+        // SAFETY: the borrow ends in this function, in which nothing closes a descriptor; what is not open
+        // is an error of the first call.
+        let theirs = unsafe { BorrowedFd::borrow_raw(number) };
+        let fd = rustix::io::fcntl_dupfd_cloexec(theirs, 0)?;
+        if !sockopt::socket_acceptconn(&fd)? {
+            return Err(Errno::INVAL);
+        }
+        rustix::io::ioctl_fionbio(&fd, true)?;
+        Ok(self.own(fd))
+    }
+
     /// The next connection that waits to be taken.
     pub fn accept(&self, listener: &Socket) -> Result<Socket, Errno> {
         if self.taken.get() >= self.most {
