--- a/link/src/forwarder.rs
+++ b/link/src/forwarder.rs
@@ -486,7 +486,10 @@
             | Event::Timer { .. }
             | Event::Probed { .. }
             | Event::Heard { .. }
-            | Event::Staying => {}
+            | Event::Staying
+            | Event::PassedOn(..)
+            | Event::Heir(_)
+            | Event::Inherited(_) => {}
         }
     }
 
--- a/link/src/frames.rs
+++ b/link/src/frames.rs
@@ -121,6 +121,7 @@
     Broken,
     CalledOff,
     NeverSent,
+    PassedOn,
 }
 
 macro_rules! both_ways {
@@ -138,7 +139,7 @@
     };
 }
 
-both_ways!(Came <-> Ending: Done Error Refused TimedOut Unconnected Broken CalledOff NeverSent);
+both_ways!(Came <-> Ending: Done Error Refused TimedOut Unconnected Broken CalledOff NeverSent PassedOn);
 both_ways!(Stands <-> Standing: Ready Draining Gone);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/node/src/alone.rs
+++ b/node/src/alone.rs
@@ -6,11 +6,12 @@
 use crate::deck::{self, mark, Deck};
 use crate::discovery::Discovery;
 use crate::ferry::Ferries;
+use crate::list::List;
 use crate::ops::{Call, Ops, Reply};
 use crate::papers::Papers;
 use crate::peers::{Correspondence, Peers};
 use crate::probe::Probes;
-use crate::succession::Entrance;
+use crate::succession::{Estate, Succession};
 use crate::tally::Now;
 use crate::{AtStart, BEYOND_EXPIRY, SWEEP};
 use reedferry::{Action, Balancer, Event};
@@ -53,7 +54,9 @@
     probes: Probes,
     peers: Option<Peers>,
     correspondence: Option<Correspondence>,
-    entrance: Entrance,
+    succession: Succession,
+    /// What the module is told where nobody goes on with the clients of a node that stops.
+    parting: Option<Event>,
     ops: Option<Ops>,
     stop: Signal,
     reread: Signal,
@@ -67,7 +70,8 @@
     let (papers, correspondence) = told.papers()?;
     let clock = Clock::start();
     let (mut deck, backlog) = Deck::open(&papers, &clock, &start)?;
-    let entrance = Entrance::open(&mut deck, &papers)?;
+    let mut succession = Succession::open(&mut deck, &papers)?;
+    let estate = succession.begin(&mut deck, &clock).map(|e| e.in_terms_of(&papers.terms.offerings));
     let ops = papers.ops.map(|at| Ops::open(&mut deck, &at)).transpose()?;
     let (now, log) = (deck.now, deck.log.clone());
     let mut actions = Vec::new();
@@ -75,10 +79,17 @@
         correspondence.as_ref().map(|correspondence| Peers::open(&mut deck, correspondence)).transpose()?;
     let unasked = !papers.charter.roll_on_request;
     let module = Balancer::new(papers.charter.clone(), papers.seed, now, &mut actions);
-    let revision = deck.known(&papers)?;
+    let mut revision = deck.known(&papers)?;
+    if let Some(Estate { discovery, revision: reached, members, legacy, .. }) = estate {
+        // What another process was told last is newer than what this one was started with.
+        let roll = List { revision: reached.unwrap_or(0), complete: true, members };
+        let event = deck.hosts.told(deck.now, roll, true, &deck.log);
+        deck.events.extend([event, Event::Inherited(Box::new(legacy))]);
+        revision = reached.filter(|_| discovery == papers.discovery);
+    }
     let hosts = deck.hosts.count();
     // The system deals out the port where none is named.
-    let listen = entrance.door().and_then(Socket::address).unwrap_or(papers.listen);
+    let listen = succession.door().and_then(Socket::address).unwrap_or(papers.listen);
     info!(log, "started"; "listen" => %listen, "hosts" => hosts, "revision" => revision,
         "sockets" => papers.sockets, "memory_mb" => papers.memory >> 20);
     let AtStart { stop, reread } = start;
@@ -91,7 +102,8 @@
         probes: Probes::default(),
         peers,
         correspondence,
-        entrance,
+        succession,
+        parting: None,
         ops,
         stop,
         reread,
@@ -103,7 +115,8 @@
     loop {
         node.decide();
         backlog.drain();
-        if node.deck.leaving.is_some_and(|t| node.deck.now >= t) && node.ferries.count() == 0 {
+        let late = |t| node.deck.now >= t || node.succession.over();
+        if node.deck.leaving.is_some_and(late) && node.ferries.count() == 0 {
             info!(log, "stopped");
             backlog.drain();
             return Ok(());
@@ -124,13 +137,16 @@
         for one in ready {
             let deck = &mut self.deck;
             match one.mark.part {
-                deck::DOOR => self.ferries.accept(deck, self.entrance.door()),
+                deck::DOOR => self.ferries.accept(deck, self.succession.door()),
                 deck::STOP => self.part(),
                 deck::REREAD => self.read_again(),
                 deck::DISCOVERY => self.discovery.ready(deck, one),
                 deck::PROBE => self.probes.ready(deck, one),
                 deck::OPS_DOOR => self.ops.iter_mut().for_each(|ops| ops.accept(deck)),
                 deck::OPS => self.ops.iter_mut().for_each(|ops| ops.ready(deck, one)),
+                deck::HEIR_DOOR | deck::HEIR | deck::ELDER => {
+                    self.succession.ready(deck, &mut self.ferries, one);
+                }
                 deck::PEERS => self.peers.iter_mut().for_each(|peers| peers.ready(deck)),
                 _ => self.ferries.ready(deck, one),
             }
@@ -140,7 +156,7 @@
             self.ops.iter_mut().for_each(|ops| ops.reply(&mut self.deck, caller, &reply));
         }
         if self.ferries.busy() {
-            self.ferries.resume(&mut self.deck, self.entrance.door());
+            self.ferries.resume(&mut self.deck, self.succession.door());
         }
         while let Some((mark, word)) = self.deck.poller.due(self.deck.now) {
             let deck = &mut self.deck;
@@ -151,9 +167,32 @@
                 _ => self.sweep(),
             }
         }
+        self.pass_on();
         Ok(())
     }
 
+    /// Leaves another process what this one knows, and when it stops its connections; without one, the module
+    /// sends the clients away.
+    fn pass_on(&mut self) {
+        let deck = &mut self.deck;
+        if self.succession.wanted() {
+            let estate = Estate {
+                discovery: self.papers.discovery,
+                revision: self.discovery.revision(),
+                members: deck.hosts.members(),
+                offerings: deck.terms.offerings.clone(),
+                legacy: self.module.leave(),
+            };
+            self.succession.leave(deck, &mut self.ferries, &estate);
+        }
+        if deck.leaving.is_some() {
+            self.succession.pass_on(deck, &mut self.ferries);
+        }
+        if !self.succession.has_heir() {
+            deck.events.extend(self.parting.take());
+        }
+    }
+
     /// Hands what was gathered to the module and carries out what it orders.
     fn decide(&mut self) {
         for event in std::mem::take(&mut self.deck.events) {
@@ -184,7 +223,7 @@
     fn sweep(&mut self) {
         let deck = &mut self.deck;
         self.ops.iter_mut().for_each(|ops| ops.sweep(deck));
-        self.ferries.accept(deck, self.entrance.door());
+        self.ferries.accept(deck, self.succession.door());
         self.ferries.sweep(deck);
         deck.spare();
         self.discovery.sweep(deck);
@@ -229,9 +268,8 @@
         if !self.stop.came() || self.deck.leaving.is_some() {
             return;
         }
-        self.entrance.part(&self.deck);
-        let event = self.deck.leave(BEYOND_EXPIRY, self.ferries.count());
-        self.deck.events.push(event);
+        self.succession.part(&self.deck);
+        self.parting = Some(self.deck.leave(BEYOND_EXPIRY, self.ferries.count()));
     }
 
     /// Takes the papers up afresh: discovery alone may change in a node that runs.
--- a/node/src/deck.rs
+++ b/node/src/deck.rs
@@ -33,6 +33,10 @@
 /// The operators' door, and one of their calls.
 pub const OPS_DOOR: u8 = 13;
 pub const OPS: u8 = 14;
+/// Where the next process calls, its line, and that of the one before.
+pub const HEIR_DOOR: u8 = 15;
+pub const HEIR: u8 = 16;
+pub const ELDER: u8 = 17;
 
 /// After a call to stop, for how long the front still deals out connections to this program, and the
 /// longest that it is granted beyond what it needs.
--- a/node/src/ferry/door.rs
+++ b/node/src/ferry/door.rs
@@ -31,7 +31,7 @@
     /// Those that hold no attachment, by slot and stamp, in the order in which they came to that.
     pub idle: VecDeque<(usize, u32)>,
     /// The ids that are open, and those that hosts would not have, the oldest first.
-    names: HashSet<Rc<str>>,
+    pub names: HashSet<Rc<str>>,
     struck: VecDeque<Rc<str>>,
     /// How many were turned away for what since that was last logged.
     pub turned: BTreeMap<&'static str, u32>,
--- a/node/src/ferry/landing.rs
+++ b/node/src/ferry/landing.rs
@@ -42,6 +42,25 @@
 pub(super) struct Said {
     pub(super) bye: bool,
     pub(super) moved: bool,
+    /// The load that it told last.
+    pub(super) load: Option<f64>,
+}
+
+impl Landing {
+    /// One that stands and has its answer since then.
+    pub(super) fn stood(side: Side, host: usize, lease: Rc<()>, since: Nanos, said: Said) -> Self {
+        Landing {
+            side,
+            host,
+            _lease: lease,
+            number: 0,
+            since,
+            by: since,
+            connected: true,
+            written: true,
+            said,
+        }
+    }
 }
 
 impl Said {
@@ -55,7 +74,10 @@
         (events, hosts): (&mut Vec<Event>, &mut Hosts),
     ) {
         match word {
-            Word::Load(load) => events.push(Event::LoadNow { id, load }),
+            Word::Load(load) => {
+                self.load = Some(load);
+                events.push(Event::LoadNow { id, load });
+            }
             Word::Bye => self.bye = true,
             Word::Move => self.moved = true,
             _ => {
--- a/node/src/ferry/mod.rs
+++ b/node/src/ferry/mod.rs
@@ -9,6 +9,7 @@
 mod endings;
 mod landing;
 mod passage;
+mod passing;
 
 use crate::deck::{Deck, CLIENT};
 use crate::lane::{Lane, Side};
@@ -16,6 +17,7 @@
 use endings::MOST_WASTE;
 use landing::Landing;
 pub use passage::LONGEST_MOVE;
+pub use passing::Passenger;
 use reedferry::{Action, Arrival, AttachmentId, Ending, HostId, Nanos, SECOND};
 use reedferry_quay::{Buffer, Readiness, Socket};
 use slab::Slab;
@@ -33,6 +35,8 @@
     Returning(Nanos),
     /// Lines pass both ways.
     Open,
+    /// Another process is to go on with it, which was open or had not asked yet.
+    Passing(bool),
     /// The answer is given or its host is gone: the client's end is waited for.
     Closing(Nanos),
 }
@@ -128,7 +132,10 @@
 
     /// The clients whose attachment is held or open.
     pub fn in_flight(&self) -> usize {
-        self.slab.iter().filter(|(_, ferry)| !ferry.idles() && ferry.client.is_some()).count()
+        self.slab
+            .iter()
+            .filter(|(_, ferry)| (ferry.owed() || ferry.stage == Stage::Open) && ferry.client.is_some())
+            .count()
     }
 
     /// Whether something is left to do without waiting.
@@ -173,6 +180,7 @@
                 self.land_on(deck, slot);
             }
             Stage::Open => self.pass(deck, slot),
+            Stage::Passing(_) => {}
             Stage::Closing(_) => self.see_off(deck, slot),
         }
     }
--- a/node/src/hosts.rs
+++ b/node/src/hosts.rs
@@ -16,6 +16,8 @@
     pub id: HostId,
     pub address: Option<SocketAddr>,
     pub left_since: Option<Nanos>,
+    /// What the list said of it last.
+    said: Option<Member>,
     /// Held by every connection that knows this record by its index.
     pub lease: Rc<()>,
     /// Message times since the last second's look, and the shortest ever: the way there and back.
@@ -40,6 +42,7 @@
             id,
             address: None,
             left_since: None,
+            said: None,
             lease: Rc::new(()),
             times: Vec::new(),
             shortest: Nanos::MAX,
@@ -162,6 +165,7 @@
             let named: HashSet<HostId> = list.members.iter().map(|m| HostId(lines::hash(&m.name))).collect();
             for berth in self.all.iter_mut().filter(|b| !named.contains(&b.id)) {
                 berth.left_since.get_or_insert(now);
+                berth.said = None;
             }
         }
         let hosts = list.members.into_iter().map(|m| self.listed(now, m, log)).collect();
@@ -180,6 +184,29 @@
         }
     }
 
+    fn put(&mut self, place: usize, fresh: Berth) {
+        self.by_id.insert(fresh.id, place);
+        match self.all.get_mut(place) {
+            Some(old) => _ = self.by_id.remove(&std::mem::replace(old, fresh).id),
+            None => self.all.push(fresh),
+        }
+    }
+
+    /// The host of this name, listed or not, for a connection that stands there.
+    pub fn adopt(&mut self, now: Nanos, name: &str) -> usize {
+        let id = HostId(lines::hash(name));
+        self.index(id).unwrap_or_else(|| {
+            let berth = Berth { left_since: Some(now), ..Berth::new(name.to_string(), id, now) };
+            self.put(self.all.len(), berth);
+            self.all.len() - 1
+        })
+    }
+
+    /// What the list says of the hosts that it names.
+    pub fn members(&self) -> Vec<Member> {
+        self.all.iter().filter_map(|berth| berth.said.clone()).collect()
+    }
+
     fn listed(&mut self, now: Nanos, member: Member, log: &Logger) -> Listing {
         let id = HostId(lines::hash(&member.name));
         let host = self.index(id).unwrap_or_else(|| {
@@ -188,15 +215,11 @@
                 |b: &Berth| b.left_since.is_some_and(|t| now > t + KEPT) && Rc::strong_count(&b.lease) == 1;
             let spare = self.all.iter().position(old).unwrap_or(self.all.len());
             info!(log, "host listed"; "name" => &member.name, "hash" => format!("{:x}", id.0));
-            let fresh = Berth::new(member.name, id, now);
-            match self.all.get_mut(spare) {
-                Some(old) => _ = self.by_id.remove(&std::mem::replace(old, fresh).id),
-                None => self.all.push(fresh),
-            }
-            self.by_id.insert(id, spare);
+            self.put(spare, Berth::new(member.name.clone(), id, now));
             spare
         });
         let berth = &mut self.all[host];
+        berth.said = Some(member.clone()).filter(|m| m.standing != Standing::Gone);
         berth.address = member.address.or(berth.address);
         match member.standing {
             Standing::Ready => berth.left_since = None,
--- a/node/src/lines.rs
+++ b/node/src/lines.rs
@@ -3,6 +3,7 @@
 //! whatever is split, bounded or malformed is said so, and nothing here panics.
 
 use reedferry::{Nanos, MILLI};
+use serde::{Deserialize, Serialize};
 
 /// The longest line, its end included.
 pub const LONGEST: usize = 4096;
@@ -183,7 +184,7 @@
 const HEAD: usize = 32;
 
 /// Finds the ends of lines in what passes, however it is split, and keeps no more than a line's head.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct Scanner {
     head: [u8; HEAD],
     length: u16,
--- a/node/src/list.rs
+++ b/node/src/list.rs
@@ -2,6 +2,7 @@
 //! one list. It must never take more than it has bounds for, nor believe a list before its last byte.
 
 use reedferry::{Nanos, Standing, MILLI};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 const LONGEST_TOKEN: usize = 256;
@@ -9,7 +10,7 @@
 const MOST_MEMBERS: usize = 65_536;
 
 /// One line of the roll, by the names on the wire.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Member {
     pub name: String,
     pub address: Option<SocketAddr>,
--- /dev/null
+++ b/node/tests/succession.rs
@@ -0,0 +1,279 @@
+//! One process in place of another: both started and spoken to over sockets, at a listener that the test holds.
+
+use reedferry_quay::Budget;
+use reedferry_rig::acting::{self, Clients, Referee, Way};
+use reedferry_rig::*;
+use serde_json::{json, Value};
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+struct Site {
+    hosts: Hosts,
+    _discovery: Discovery,
+    papers: Value,
+    door: TcpListener,
+    folder: PathBuf,
+}
+
+impl Site {
+    fn new(hosts: usize) -> Self {
+        let (hosts, discovery) = (Hosts::start(hosts), Discovery::start());
+        let mut papers = papers(&hosts, discovery.address);
+        papers["ops"] = json!("127.0.0.1:0");
+        Site { hosts, _discovery: discovery, papers, door: door(), folder: folder() }
+    }
+
+    fn start(&self) -> Node {
+        let mut node = Node::start_at(&self.papers, &self.door, &self.folder);
+        node.address = self.door.local_addr().unwrap();
+        eventually("ready", || node.call("GET /status").0 == 200);
+        node
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Lines pass both ways.
+fn speaks(client: &mut Peer, host: &mut Peer) {
+    client.say("up 1");
+    host.hears("up 1");
+    host.say("down 1");
+    client.hears("down 1");
+}
+
+fn ended(node: &mut Node) {
+    assert!(node.wait().success());
+}
+
+/// Guards: clients moved, or their lines lost or doubled, where one process takes the place of another.
+#[test]
+fn open_connections_go_on_in_the_next_process_with_what_was_on_its_way() {
+    let site = Site::new(3);
+    let mut elder = site.start();
+    let mut open: Vec<_> = (0..40).map(|_| elder.served(&site.hosts)).collect();
+    for (client, _, host) in &mut open {
+        client.write("ha");
+        host.write("do");
+    }
+    eventually("half a line has come", || {
+        open.iter_mut().all(|(client, ..)| client.stream.peek(&mut [0; 2]).is_ok())
+    });
+    let mut twice = Vec::new();
+    for _ in 0..2 {
+        let heir = site.start();
+        elder.stop();
+        let asked = Instant::now();
+        ended(&mut elder);
+        assert!(asked.elapsed() < Duration::from_secs(2), "it leaves early: {:?}", asked.elapsed());
+        twice.push(std::mem::replace(&mut elder, heir));
+    }
+    for (client, _, host) in &mut open {
+        client.write("lf\r\n");
+        host.write("wn\r\n");
+        host.hears("half");
+        client.hears("down");
+        speaks(client, host);
+    }
+    let _one = elder.served(&site.hosts);
+    assert_eq!(elder.figure("in_flight"), 41);
+    assert_eq!(elder.figure("requests.chat.served"), 1);
+    // What one side ends, the other is told of, as ever.
+    let (mut client, _, host) = open.pop().unwrap();
+    host.end_sending();
+    client.hears("end");
+    // And the rest is moved when nobody follows.
+    elder.stop();
+    open.iter_mut().for_each(|(client, ..)| client.hears("MOVE"));
+    ended(&mut elder);
+}
+
+#[test]
+fn what_waits_for_its_answer_or_has_not_asked_is_served() {
+    let site = Site::new(1);
+    let mut elder = site.start();
+    let mut waits = elder.open(OPEN);
+    let (_, mut host) = site.hosts.accept();
+    host.hear();
+    let mut asks = Peer::connect(elder.address);
+    asks.write("PING\r\n");
+    asks.hears("PONG");
+    asks.write("OPEN 77 7f3a c=ch");
+    eventually("read", || elder.figure("in_flight") == 1);
+    let heir = site.start();
+    elder.stop();
+    elder.logs("asked to stop");
+    asks.write("at,t=acme,d=2000\r\n");
+    let (_, mut other) = site.hosts.accept();
+    assert!(other.hear().starts_with("OPEN 77 7f3a c=chat"));
+    other.say("UP 2");
+    asks.hears("UP 2");
+    host.say("UP 1");
+    waits.hears("UP 1");
+    ended(&mut elder);
+    speaks(&mut waits, &mut host);
+    speaks(&mut asks, &mut other);
+    assert_eq!(heir.figure("in_flight"), 2);
+}
+
+/// Guards: clients given to a process that is gone; a node that stops serving since one was to follow it.
+#[test]
+fn a_next_process_that_dies_leaves_the_one_before_as_it_was() {
+    let site = Site::new(2);
+    let mut elder = site.start();
+    let mut open = elder.served(&site.hosts);
+    for _ in 0..2 {
+        let mut heir = site.start();
+        heir.kill();
+        elder.logs("the process that came is gone");
+        speaks(&mut open.0, &mut open.2);
+        assert_eq!(elder.call("GET /status").0, 200);
+        elder.served(&site.hosts);
+    }
+    elder.stop();
+    open.0.hears("MOVE");
+    ended(&mut elder);
+}
+
+#[test]
+fn a_next_process_that_stands_still_has_the_one_before_move_its_clients_in_time() {
+    let site = Site::new(2);
+    let mut elder = site.start();
+    let mut open: Vec<_> = (0..40).map(|_| elder.served(&site.hosts)).collect();
+    let mut heir = site.start();
+    heir.stand_still();
+    elder.stop();
+    let asked = Instant::now();
+    open.iter_mut().for_each(|(client, ..)| client.hears("MOVE"));
+    // The longest expiry, and what is granted beyond it.
+    assert!(asked.elapsed() < Duration::from_millis(2700), "{:?}", asked.elapsed());
+    ended(&mut elder);
+    heir.go_on();
+    heir.served(&site.hosts);
+    eventually("none of the others", || heir.figure("in_flight") == 1);
+    heir.stop();
+    assert!(heir.wait().success());
+}
+
+#[test]
+fn whatever_lies_in_the_folder_a_node_starts_and_is_followed() {
+    let garbled = |at: &Path| std::fs::write(at.join("reedferry.next"), "garbled").unwrap();
+    let stale = |at: &Path| drop(Budget::new(64).listen_at(&at.join("reedferry.next")).unwrap());
+    let prepared: [&dyn Fn(&Path); 2] = [&garbled, &stale];
+    for prepare in prepared {
+        let site = Site::new(1);
+        prepare(&site.folder);
+        let mut elder = site.start();
+        let mut open = elder.served(&site.hosts);
+        let _heir = site.start();
+        elder.stop();
+        ended(&mut elder);
+        speaks(&mut open.0, &mut open.2);
+    }
+    // A folder that is none, or whose path is too long for a socket's: it serves, and nobody can follow.
+    for folder in ["/dev/null", &format!("/tmp/{}", "long".repeat(40))] {
+        let site = Site::new(1);
+        let node = Node::start_at(&site.papers, &site.door, Path::new(folder));
+        assert_eq!(node.call("GET /status").0, 200);
+    }
+}
+
+/// Guards: a node led astray by whoever else calls where the next process would.
+#[test]
+fn a_stranger_on_the_channel_is_dropped_and_nothing_is_given_away() {
+    let site = Site::new(1);
+    let elder = site.start();
+    let mut open = elder.served(&site.hosts);
+    let path = site.folder.join("reedferry.next");
+    let budget = Budget::new(64);
+    for said in [&b"what"[..], &[0, 99], &[0, 1], &[7; 40_000]] {
+        let line = budget.call_at(&path).unwrap();
+        _ = line.send_with(said, &[]);
+        speaks(&mut open.0, &mut open.2);
+    }
+    let _silent = budget.call_at(&path).unwrap();
+    let mut elder = elder;
+    let _heir = site.start();
+    elder.stop();
+    ended(&mut elder);
+    speaks(&mut open.0, &mut open.2);
+}
+
+/// Guards: a node that starts beside the one that holds its listener, or without any.
+#[test]
+fn a_descriptor_that_is_no_listener_is_one_plain_line_and_no_start() {
+    let site = Site::new(1);
+    for named in ["three", "", "-1", "999", "0", "99999999999999999999"] {
+        let output = program_at(&site.papers.to_string(), named, &site.folder).output().unwrap();
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert_eq!((output.status.code(), said.lines().count()), (Some(1), 1), "{named}: {said}");
+        assert!(said.contains("GW_ACCEPT_FD"), "{said}");
+    }
+}
+
+#[test]
+fn masks_and_drains_that_one_process_knows_hold_in_the_next() {
+    let mut site = Site::new(2);
+    site.papers["settings"]["policy_limits"]["most_hand_offs"] = json!(2);
+    let mut elder = site.start();
+    // One host breaks off what it is asked: it is left alone, also by the next process.
+    let mut client = elder.open(OPEN);
+    let (bad, host) = site.hosts.accept();
+    host.reset();
+    let masked = Instant::now();
+    let (good, mut host) = site.hosts.accept();
+    assert_ne!(bad, good);
+    host.hear();
+    host.say("UP 1");
+    client.hears("UP 1");
+    assert_eq!(elder.figure("hosts_excluded"), 1);
+    let heir = site.start();
+    elder.stop();
+    ended(&mut elder);
+    assert_eq!(heir.figure("hosts_excluded"), 1);
+    let (_, number, _) = heir.served(&site.hosts);
+    // A mask is over after 2.25 s at the soonest.
+    assert!(number == good || masked.elapsed() > Duration::from_secs(2));
+}
+
+/// The rules over both processes, by what hosts and clients saw, among hosts in trouble.
+#[test]
+fn under_load_every_client_has_one_answer_and_none_is_lost_at_the_door() {
+    let referee = Referee::default();
+    let hosts = acting::Hosts::start(5, &referee);
+    hosts.go(3, Way::Fails);
+    hosts.go(4, Way::Silent);
+    let discovery = Discovery::start();
+    let offering = |name: &str, effect: &str, group: &str| {
+        json!({"name": name, "contract_time": 200.0, "expiry": 2000.0, "effect": effect, "group": group,
+            "payoff": 1.0, "repeat_window": 1000.0})
+    };
+    let mut site = Site::new(0);
+    site.papers["discovery"] = json!(discovery.address.to_string());
+    site.papers["known"]["members"] = hosts.members();
+    site.papers["settings"]["offerings"] = json!([
+        offering("free", "free", "all"),
+        offering("mark", "guarded", "cell"),
+        offering("once", "single_shot", "all")
+    ]);
+    let mut elder = site.start();
+    let mut clients = Clients::new(vec![elder.address], &referee, 7);
+    let ms = Duration::from_millis;
+    let mut before = Vec::new();
+    for _ in 0..3 {
+        clients.load(150.0, ms(400), &[0, 1, 2], ms(1500));
+        let heir = site.start();
+        clients.load(150.0, ms(100), &[0, 1, 2], ms(1500));
+        elder.stop();
+        clients.load(150.0, ms(600), &[0, 1, 2], ms(1500));
+        before.push(std::mem::replace(&mut elder, heir));
+    }
+    clients.end();
+    let broken = referee.broken(ms(150));
+    assert!(broken.is_empty(), "{broken:#?}");
+    assert_eq!(referee.lived().len(), clients.started(), "some were lost at the door");
+}
--- /dev/null
+++ b/quay/src/channel.rs
@@ -0,0 +1,125 @@
+//! A channel between two processes of this machine: whole messages, and descriptors with them. It owns how
+//! both are sent and received. It must never take in what another user's process sends, nor leave a
+//! descriptor that came uncounted.
+
+use crate::sockets::{Budget, Socket};
+use rustix::io::Errno;
+use rustix::net::{
+    self, sockopt, AddressFamily, RecvFlags, SendFlags, SocketAddrUnix, SocketFlags, SocketType,
+};
+use rustix::net::{RecvAncillaryBuffer, RecvAncillaryMessage, SendAncillaryBuffer, SendAncillaryMessage};
+use std::io::{IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::os::fd::{AsFd, BorrowedFd};
+use std::path::Path;
+
+/// The longest message.
+pub const LONGEST: usize = 48 << 10;
+/// Descriptors with one message.
+const MOST: usize = 4;
+const WAITING: i32 = 4;
+
+impl Budget {
+    fn local(&self) -> Result<Socket, Errno> {
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        Ok(self.own(net::socket_with(AddressFamily::UNIX, SocketType::SEQPACKET, flags, None)?))
+    }
+
+    /// Listens at this path, in place of whoever did.
+    pub fn listen_at(&self, path: &Path) -> Result<Socket, Errno> {
+        let socket = self.local()?;
+        let beside = path.with_extension(std::process::id().to_string());
+        // One that a process of the same number has left.
+        _ = std::fs::remove_file(&beside);
+        net::bind(&socket, &SocketAddrUnix::new(&beside)?)?;
+        net::listen(&socket, WAITING)?;
+        std::fs::rename(&beside, path).map_err(|e| Errno::from_io_error(&e).unwrap_or(Errno::IO))?;
+        Ok(socket)
+    }
+
+    /// A channel to whoever listens at this path.
+    pub fn call_at(&self, path: &Path) -> Result<Socket, Errno> {
+        let socket = self.local()?;
+        net::connect(&socket, &SocketAddrUnix::new(path)?)?;
+        Ok(socket)
+    }
+
+    /// The next who has called, if it is a process of the same user.
+    pub fn called(&self, listener: &Socket) -> Result<Socket, Errno> {
+        let fd = net::accept_with(listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC)?;
+        let socket = self.own(fd);
+        match sockopt::socket_peercred(&socket)?.uid == rustix::process::geteuid() {
+            true => Ok(socket),
+            false => Err(Errno::PERM),
+        }
+    }
+
+    /// The next message, put where there is room for the longest: its length, and what descriptors came
+    /// with it. A length of 0 is the end.
+    pub fn receive_with(&self, from: &Socket, into: &mut [u8]) -> Result<(usize, Vec<Socket>), Errno> {
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST))];
+        let mut beside = RecvAncillaryBuffer::new(&mut space);
+        let message = loop {
+            let mut pieces = [IoSliceMut::new(&mut *into)];
+            match net::recvmsg(from, &mut pieces, &mut beside, RecvFlags::CMSG_CLOEXEC) {
+                Err(Errno::INTR) => {}
+                other => break other?,
+            }
+        };
+        let mut came = Vec::new();
+        for one in beside.drain() {
+            if let RecvAncillaryMessage::ScmRights(descriptors) = one {
+                came.extend(descriptors.map(|fd| self.own(fd)));
+            }
+        }
+        Ok((message.bytes, came))
+    }
+}
+
+impl Socket {
+    /// Sends a whole message, and these descriptors with it, or nothing.
+    pub fn send_with(&self, message: &[u8], descriptors: &[BorrowedFd<'_>]) -> Result<(), Errno> {
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST))];
+        let mut beside = SendAncillaryBuffer::new(&mut space);
+        if !descriptors.is_empty() && !beside.push(SendAncillaryMessage::ScmRights(descriptors)) {
+            return Err(Errno::INVAL);
+        }
+        loop {
+            let pieces = [IoSlice::new(message)];
+            match net::sendmsg(self.as_fd(), &pieces, &mut beside, SendFlags::NOSIGNAL) {
+                Err(Errno::INTR) => {}
+                other => return other.map(|_| ()),
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn messages_and_descriptors_come_through_whole_and_a_left_path_is_taken_over() {
+        let path = std::env::temp_dir().join(format!("reedferry-channel-{}", std::process::id()));
+        std::fs::write(&path, "something else").unwrap();
+        let budget = Budget::new(64);
+        let before = budget.taken();
+        assert!(budget.call_at(&path).is_err());
+        let listener = budget.listen_at(&path).unwrap();
+        let heir = budget.call_at(&path).unwrap();
+        let elder = budget.called(&listener).unwrap();
+        let door = budget.listen(&"127.0.0.1:0".parse().unwrap()).unwrap();
+        elder.send_with(b"one", &[]).unwrap();
+        elder.send_with(b"two", &[door.as_fd()]).unwrap();
+        let mut space = [0; 16];
+        assert!(matches!(budget.receive_with(&heir, &mut space), Ok((3, none)) if none.is_empty()));
+        let (length, came) = budget.receive_with(&heir, &mut space).unwrap();
+        assert_eq!((&space[..length], came[0].address()), (&b"two"[..], door.address()));
+        assert_eq!(budget.receive_with(&heir, &mut space).err(), Some(Errno::AGAIN));
+        drop((elder, came));
+        assert!(matches!(budget.receive_with(&heir, &mut space), Ok((0, _))));
+        drop((listener, heir, door));
+        assert_eq!(budget.taken(), before);
+        std::fs::remove_file(&path).unwrap();
+    }
+}
--- a/quay/src/lib.rs
+++ b/quay/src/lib.rs
@@ -2,6 +2,7 @@
 //! pool, the clock, signals and the log. It owns descriptors, buffers and what is still to be logged. It
 //! must never know what flows through a socket, nor take any decision.
 
+pub mod channel;
 pub mod clock;
 pub mod log;
 pub mod poller;
--- a/quay/src/sockets.rs
+++ b/quay/src/sockets.rs
@@ -3,6 +3,7 @@
 //! limit, nor let new work use up the reserve: a client that the machine has accepted already still gets
 //! its answer from it.
 
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::io::Errno;
 use rustix::net::{self, sockopt, AddressFamily, RecvFlags, SendFlags, Shutdown, SocketFlags, SocketType};
 use rustix::process::{getrlimit, setrlimit, Resource};
@@ -64,7 +65,7 @@
         self.taken.get()
     }
 
-    fn own(&self, fd: OwnedFd) -> Socket {
+    pub(crate) fn own(&self, fd: OwnedFd) -> Socket {
         self.taken.set(self.taken.get() + 1);
         Socket { fd, taken: self.taken.clone() }
     }
@@ -195,6 +196,13 @@
         }
     }
 
+    /// Waits until something can be read from it, for a process that has nothing else to do yet.
+    pub fn readable_within(&self, span: crate::Nanos) -> bool {
+        let span = Timespec { tv_sec: (span / 1_000_000_000) as i64, tv_nsec: (span % 1_000_000_000) as _ };
+        let mut polled = [PollFd::new(self, PollFlags::IN)];
+        matches!(poll(&mut polled, Some(&span)), Ok(1..) | Err(Errno::INTR))
+    }
+
     /// How the connect went.
     pub fn connected(&self) -> Result<(), Errno> {
         sockopt::socket_error(self)?
--- a/rig/src/acting.rs
+++ b/rig/src/acting.rs
@@ -282,6 +282,11 @@
         Clients { addresses, referee: referee.clone(), rng, running, round, started: 0, seed }
     }
 
+    /// How many have come.
+    pub fn started(&self) -> usize {
+        self.started
+    }
+
     /// One more client, of an offering by its number, that holds its connection for so long, or until `end`.
     pub fn come(&mut self, offering: usize, holds: Duration) {
         let address = self.addresses[self.started % self.addresses.len()];
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use discovery::Discovery;
 pub use peers::*;
-pub use program::{answered, ask, papers, program, Node};
+pub use program::{answered, ask, door, folder, papers, program, program_at, Node};
--- a/rig/src/program.rs
+++ b/rig/src/program.rs
@@ -5,8 +5,9 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::AsRawFd;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver};
@@ -76,11 +77,38 @@
     piped(command)
 }
 
+/// The same, with clients taken in at the descriptor that is named so.
+pub fn program_at(papers: &str, door: &str, folder: &Path) -> Command {
+    let mut command = program(papers);
+    command.env("GW_ACCEPT_FD", door).env("TMPDIR", folder);
+    command
+}
+
+/// A listener that programs started from here on inherit.
+pub fn door() -> TcpListener {
+    let door = TcpListener::bind("127.0.0.1:0").unwrap();
+    rustix::io::fcntl_setfd(&door, rustix::io::FdFlags::empty()).unwrap();
+    door
+}
+
+/// An empty folder of its own.
+pub fn folder() -> PathBuf {
+    let number = STARTED.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("reedferry-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
+
 impl Node {
     pub fn start(papers: &Value) -> Self {
         Node::launch(program(&papers.to_string()))
     }
 
+    /// One that takes clients in at a listener which the test holds, with this folder for what it leaves.
+    pub fn start_at(papers: &Value, door: &TcpListener, folder: &Path) -> Self {
+        Node::launch(program_at(&papers.to_string(), &door.as_raw_fd().to_string(), folder))
+    }
+
     /// One that the system allows no more than so many descriptors.
     pub fn start_within(papers: &Value, descriptors: usize) -> Self {
         let plain = program(&papers.to_string());
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,7 +16,7 @@
 use std::collections::{HashMap, VecDeque};
 
 /// Look-ahead steps, the paper's setting, and their length.
-const STEPS: u64 = 10;
+pub(crate) const STEPS: u64 = 10;
 pub(crate) const STEP: Nanos = 3 * SECOND;
 pub(crate) const HORIZON: f64 = (STEPS * STEP) as f64;
 /// How often the node looks around by itself.
@@ -175,30 +175,6 @@
         ((self.credit.min(1.0) + part * missed as f64).min(part.max(1.0)), turn)
     }
 
-    fn count(&mut self, at: usize, now: Nanos, ledger: &Ledger) {
-        let conn = &mut self.conns[at];
-        if conn.end <= now {
-            // It outlived its prediction: what lasts tends to last, so the mean again.
-            conn.end = now + ledger.mean_length();
-        }
-        let steps = ((conn.end - now).div_ceil(STEP)).min(STEPS);
-        let load = ledger.load(conn.offering, conn.load);
-        let ahead = load * steps as f64 / STEPS as f64;
-        (self.ahead, self.load) = (self.ahead + ahead - conn.ahead, self.load + load - conn.counted);
-        (conn.ahead, conn.counted) = (ahead, load);
-        self.longest = self.longest.max(conn.end);
-        self.shared = ledger.group_price() * self.groups.len() as f64;
-    }
-
-    /// Guards: what was placed before any load was known, counted at that guess for steps to come.
-    fn recount(&mut self, now: Nanos, ledger: &Ledger) {
-        (self.ahead, self.load, self.longest) = (0.0, 0.0, 0);
-        for n in 0..self.conns.len() {
-            (self.conns[n].ahead, self.conns[n].counted) = (0.0, 0.0);
-            self.count(n, now, ledger);
-        }
-    }
-
     fn mask(&mut self, now: Nanos, chance: f64, why: &str, out: &mut Vec<Action>) {
         let length = MASK << self.strikes.min(1);
         if now >= self.masked_until {
@@ -275,7 +251,9 @@
                 let broke = u32::from(conn.begun && ending == Ending::Broken);
                 self.broken = if self.conns.is_empty() { 0 } else { self.broken + broke };
                 // An error is the host's only once another host has taken the same: see `Blamed`.
-                if matches!(ending, Ending::Done | Ending::CalledOff | Ending::NeverSent | Ending::Error) {
+                if matches!(ending, Ending::Done | Ending::CalledOff | Ending::NeverSent | Ending::Error)
+                    || ending == Ending::PassedOn
+                {
                     return;
                 }
                 // Where most hand-offs fail, the cause is not the host's: a mask would leave the rest all.
@@ -300,6 +278,11 @@
                 }
             }
             Note::Slow(time) => self.late(now, time, at.charter),
+            Note::Regarded(by) => {
+                self.regarded(*by);
+                // Guards: a cold host pushed over by two processes that each think the turn is theirs.
+                (self.credit, self.turn) = (0.0, now / at.charter.tip_after.max(MILLI));
+            }
             Note::Behind(seconds) => self.late(now, (seconds * SECOND as f64) as Nanos, at.charter),
             Note::Reported { load, heard } => {
                 (self.report, self.reported, self.since) = (load, now, self.since / 2.0);
@@ -445,14 +428,6 @@
     home: Option<u64>,
 }
 
-impl Vector {
-    fn dominates(&self, other: &Vector) -> bool {
-        let spread = (self.spread / self.judged as f64, other.spread / other.judged as f64);
-        let longest = (self.longest / self.judged as f64, other.longest / other.judged as f64);
-        spread.0 <= spread.1 && longest.0 <= longest.1 && (spread.0 < spread.1 || longest.0 < longest.1)
-    }
-}
-
 impl Helm {
     fn read(&mut self, note: Note, rng: &mut ChaCha8Rng, out: &mut Vec<Action>) {
         let Note::Judged { vector, spread, longest } = note else { return };
@@ -606,7 +581,19 @@
                 let tried = past.tried.iter().filter_map(known).collect();
                 post(To::Desk, Note::TakenUp(arrival, past.hand_offs, ran, tried));
             }
-            (Event::Standing(arrival, _), _, Some(host)) => post(To::Desk, Note::Standing(arrival, host)),
+            (Event::Standing(arrival, _), _, Some(host)) => {
+                post(To::Desk, Note::Standing(arrival, host, now))
+            }
+            (Event::PassedOn(arrival, _, since), _, Some(host)) => {
+                post(To::Desk, Note::Standing(arrival, host, since));
+            }
+            (Event::Heir(comes), ..) => post(To::Desk, Note::Heir(comes)),
+            (Event::Inherited(mut legacy), ..) => {
+                let known = |one: Regard| Some((*self.known.get(&one.id)?, Note::Regarded(Box::new(one))));
+                let hosts = std::mem::take(&mut legacy.hosts).into_iter().filter_map(known);
+                self.post.extend(hosts.map(|(host, note)| (To::Host(host), note)));
+                self.post.push_back((To::Desk, Note::Inherited(legacy)));
+            }
             (Event::Left { .. }, Some(slot), _) => post(To::Desk, Note::Left { slot }),
             (Event::Begun { took, .. }, Some(slot), Some(host)) if !begun => {
                 post(To::Host(host), Note::Begun { slot, took });
@@ -634,6 +621,13 @@
         self.run(now, out);
     }
 
+    /// What the process that takes this one's place is to know.
+    pub fn leave(&self) -> Legacy {
+        let hosts = self.hosts.iter().filter(|h| h.listed).map(Host::regard).collect();
+        let (trouble, late) = (self.desk.trouble, self.desk.late);
+        Legacy { hosts, trouble, late, ..self.ledger.leave() }
+    }
+
     /// How many hosts the roll lists, and how many of those this node avoids now.
     pub fn regard(&self, now: Nanos) -> (usize, usize) {
         let listed = self.hosts.iter().filter(|h| h.listed);
@@ -825,11 +819,11 @@
                 }
                 self.place(now, slot, out);
             }
-            Note::Standing(arrival, host) => {
+            Note::Standing(arrival, host, since) => {
                 let slot = self.admit(now, arrival);
                 let Some(attachment) = self.desk.slots[slot].as_mut() else { return };
                 (attachment.begun, attachment.answered, attachment.at) = (true, true, Some(host));
-                let conn = self.conn(now, slot, &arrival, true, None);
+                let conn = self.conn(since, slot, &arrival, true, None);
                 self.post.push_back((To::Host(host), Note::Sent(conn)));
             }
             Note::Begun { slot, .. } => {
@@ -889,11 +883,16 @@
                 log!(out, "leaving held={}", self.desk.names.len());
                 out.push(Action::WakeAt { time: from, mark: PART });
             }
+            Note::Heir(comes) => self.desk.heir = comes,
+            Note::Inherited(legacy) => {
+                (self.desk.trouble, self.desk.late) = (legacy.trouble, legacy.late);
+                self.post.push_back((To::Ledger, Note::Inherited(legacy)));
+            }
             Note::Staying => {
                 self.desk.leaving = None;
                 log!(out, "staying held={}", self.desk.names.len());
             }
-            // Guards: clients of a node that was called back, sent away by a timer set before; two paces at once.
+            // Guards: clients of a node that was called back, sent away by an old timer; two paces at once.
             Note::Part if self.desk.leaving.is_some() && now >= self.desk.parts => self.part(now, out),
             Note::Shift { slot } => {
                 if let Some(attachment) = self.desk.slots[slot].as_mut().filter(|a| a.begun && !a.moved) {
@@ -1079,7 +1078,9 @@
         if masked && !(lapsed && trickle) {
             return false;
         }
-        host.bears(now, ask.load + self.opening(host, ask), view.typical)
+        let theirs = self.desk.heir && host.cold(now, &self.charter);
+        !theirs
+            && host.bears(now, ask.load + self.opening(host, ask), view.typical)
             && (host.cold_room(now, ask.attachment.arrival.key, view, &self.charter)
                 || again && trickle && old)
             && self.in_circle(&host.listing, ask.attachment)
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -29,6 +29,33 @@
         known.or(self.usual[offering]).or(self.unit).unwrap_or(1.0)
     }
 
+    /// What it has learned, for the process that takes this one's place: of the clients seen last.
+    pub(crate) fn leave(&self) -> Legacy {
+        let seen = |&(key, seen): &(u64, Nanos)| {
+            let (length, at) = self.lengths.get(&key)?;
+            (*at == seen).then_some((key, *length, seen))
+        };
+        Legacy {
+            lengths: self.order.iter().filter_map(seen).collect(),
+            mean: self.mean,
+            lived: self.lived,
+            ended: self.ended,
+            usual: self.usual.clone(),
+            unit: self.unit,
+            weighed: self.weighed,
+            set_up: self.set_up,
+            ..Legacy::default()
+        }
+    }
+
+    fn inherit(&mut self, of: Legacy) {
+        self.order = of.lengths.iter().take(TABLE_SIZE).map(|&(key, _, seen)| (key, seen)).collect();
+        self.lengths = of.lengths.into_iter().map(|(key, length, seen)| (key, (length, seen))).collect();
+        (self.mean, self.lived, self.ended) = (of.mean, of.lived, of.ended);
+        (self.unit, self.weighed, self.set_up) = (of.unit, of.weighed, of.set_up);
+        self.usual.iter_mut().zip(of.usual).for_each(|(mine, theirs)| *mine = theirs);
+    }
+
     pub(crate) fn read(&mut self, note: Note, now: Nanos) {
         match note {
             Note::Lived { key, length } => {
@@ -65,6 +92,7 @@
                 self.long = self.long.or(Some(host)).filter(|_| long);
                 self.set_up += (took as f64 - self.set_up) / 16.0;
             }
+            Note::Inherited(legacy) => self.inherit(*legacy),
             _ => {}
         }
     }
--- a/src/records.rs
+++ b/src/records.rs
@@ -1,6 +1,7 @@
 //! The records of a node's parts, what a host's says of itself, and the notes that the parts send each other.
 //! It must never decide anything.
 
+use crate::choice::{STEP, STEPS};
 use crate::types::*;
 use std::collections::{HashMap, VecDeque};
 
@@ -47,7 +48,8 @@
     Arrived(Arrival),
     /// With its hand-offs, the first that may have run, and the hosts tried.
     TakenUp(Arrival, u32, Option<(usize, Nanos)>, Vec<usize>),
-    Standing(Arrival, usize),
+    /// At which host, and since when.
+    Standing(Arrival, usize, Nanos),
     Returned {
         slot: usize,
         over: bool,
@@ -61,6 +63,9 @@
         by: Nanos,
     },
     Staying,
+    Heir(bool),
+    Inherited(Box<Legacy>),
+    Regarded(Box<Regard>),
     Part,
     Shift {
         slot: usize,
@@ -200,6 +205,60 @@
         self.load + self.shared
     }
 
+    /// Counts a connection's load, and its part in the look-ahead steps, in its host's sums.
+    pub fn count(&mut self, at: usize, now: Nanos, ledger: &Ledger) {
+        let conn = &mut self.conns[at];
+        if conn.end <= now {
+            // It outlived its prediction: what lasts tends to last, so the mean again.
+            conn.end = now + ledger.mean_length();
+        }
+        let steps = ((conn.end - now).div_ceil(STEP)).min(STEPS);
+        let load = ledger.load(conn.offering, conn.load);
+        let ahead = load * steps as f64 / STEPS as f64;
+        (self.ahead, self.load) = (self.ahead + ahead - conn.ahead, self.load + load - conn.counted);
+        (conn.ahead, conn.counted) = (ahead, load);
+        self.longest = self.longest.max(conn.end);
+        self.shared = ledger.group_price() * self.groups.len() as f64;
+    }
+
+    /// Guards: what was placed before any load was known, counted at that guess for steps to come.
+    pub fn recount(&mut self, now: Nanos, ledger: &Ledger) {
+        (self.ahead, self.load, self.longest) = (0.0, 0.0, 0);
+        for n in 0..self.conns.len() {
+            (self.conns[n].ahead, self.conns[n].counted) = (0.0, 0.0);
+            self.count(n, now, ledger);
+        }
+    }
+
+    /// What the process that takes this one's place is to know of it.
+    pub fn regard(&self) -> Regard {
+        Regard {
+            id: self.id,
+            newcomer: self.newcomer,
+            draining: self.draining,
+            down: self.down,
+            masked_until: self.masked_until,
+            strikes: self.strikes,
+            slowness: self.slowness,
+            slow_told: self.slow_told,
+            ceiling: self.ceiling,
+            good: self.good,
+            cut: self.cut,
+            slowness_at_cut: self.slowness_at_cut,
+            report: self.report,
+            reported: self.reported,
+        }
+    }
+
+    pub fn regarded(&mut self, by: Regard) {
+        (self.newcomer, self.down, self.report, self.reported) =
+            (by.newcomer, by.down, by.report, by.reported);
+        (self.draining, self.masked_until, self.strikes) = (by.draining, by.masked_until, by.strikes);
+        (self.slowness, self.slow_told, self.slowness_at_cut) =
+            (by.slowness, by.slow_told, by.slowness_at_cut);
+        (self.ceiling, self.good, self.cut) = (by.ceiling, by.good, by.cut);
+    }
+
     pub fn drop_conn(&mut self, at: usize) -> Conn {
         let conn = self.conns.swap_remove(at);
         (self.ahead, self.load) = (self.ahead - conn.ahead, self.load - conn.counted);
@@ -258,6 +317,8 @@
     pub leaving: Option<Nanos>,
     /// When clients are next sent away.
     pub parts: Nanos,
+    /// Another process has its legacy.
+    pub heir: bool,
 }
 
 /// Past lengths by client key, usual loads by offering, and how long set-ups take.
@@ -288,6 +349,14 @@
     pub judged: u32,
 }
 
+impl Vector {
+    pub fn dominates(&self, other: &Vector) -> bool {
+        let spread = (self.spread / self.judged as f64, other.spread / other.judged as f64);
+        let longest = (self.longest / self.judged as f64, other.longest / other.judged as f64);
+        spread.0 <= spread.1 && longest.0 <= longest.1 && (spread.0 < spread.1 || longest.0 < longest.1)
+    }
+}
+
 /// The weight vectors, used in turns.
 #[derive(Default)]
 pub(crate) struct Helm {
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,12 +1,14 @@
 //! The interface of the decision module: what it is told and what it orders.
 
+use serde::{Deserialize, Serialize};
+
 /// Whole nanoseconds, on the caller's clock.
 pub type Nanos = u64;
 pub const MILLI: Nanos = 1_000_000;
 pub const SECOND: Nanos = 1_000_000_000;
 
 /// A host's name; the module only compares and hashes it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize, Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct HostId(pub u64);
 
 /// An attachment's name, returned untouched.
@@ -141,7 +143,7 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
     Ready,
     Draining,
@@ -193,6 +195,44 @@
     pub tried: Vec<HostId>,
 }
 
+/// What a process that another replaces has learned, and what that one is to hold to.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Legacy {
+    /// How long the connections of a client last, and when that was seen.
+    pub lengths: Vec<(u64, f64, Nanos)>,
+    pub mean: Option<f64>,
+    pub lived: f64,
+    pub ended: f64,
+    /// The usual load of each offering, in the order of the one who leaves it, and of all.
+    pub usual: Vec<Option<f64>>,
+    pub unit: Option<f64>,
+    pub weighed: u32,
+    pub set_up: f64,
+    pub hosts: Vec<Regard>,
+    pub trouble: f64,
+    pub late: f64,
+}
+
+/// How a node regards one host.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Regard {
+    pub id: HostId,
+    pub newcomer: bool,
+    /// Since when it is told to be draining, where it is.
+    pub draining: Nanos,
+    pub down: Option<Nanos>,
+    pub masked_until: Nanos,
+    pub strikes: u32,
+    pub slowness: f64,
+    pub slow_told: Nanos,
+    pub ceiling: Option<f64>,
+    pub good: f64,
+    pub cut: Nanos,
+    pub slowness_at_cut: f64,
+    pub report: f64,
+    pub reported: Nanos,
+}
+
 /// How a hand-off ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -204,6 +244,8 @@
     Broken,
     CalledOff,
     NeverSent,
+    /// It goes on in another process.
+    PassedOn,
 }
 
 impl Ending {
@@ -218,6 +260,7 @@
             Ending::Broken => "broken",
             Ending::CalledOff => "called-off",
             Ending::NeverSent => "never-sent",
+            Ending::PassedOn => "passed-on",
         }
     }
 
@@ -238,6 +281,8 @@
     TakenUp(Arrival, Past),
     /// A connection that was open before this node started.
     Standing(Arrival, HostId),
+    /// One that the process before this one has passed on, and since when it is open.
+    PassedOn(Arrival, HostId, Nanos),
     Begun {
         id: AttachmentId,
         took: Nanos,
@@ -272,6 +317,10 @@
     },
     /// It is to stay after all, and to work as before.
     Staying,
+    /// Another process takes this one's place: it has its legacy, and takes in the clients; or has gone again.
+    Heir(bool),
+    /// What the process before this one has learned.
+    Inherited(Box<Legacy>),
     Probed {
         host: HostId,
         ending: Ending,
@@ -298,7 +347,7 @@
     /// The host that the event names.
     pub fn host(&self) -> Option<HostId> {
         match self {
-            Event::Standing(_, host) => Some(*host),
+            Event::Standing(_, host) | Event::PassedOn(_, host, _) => Some(*host),
             Event::Ended { host, .. } | Event::MessageTime { host, .. } | Event::Probed { host, .. } => {
                 Some(*host)
             }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -232,6 +232,49 @@
     }
 }
 
+/// Rule 4 over a node that is replaced while it runs. Guards: a cold host pushed over by the two processes that
+/// are one node, as the next one thinks that nothing of the turn is spent, and the one before goes on.
+#[test]
+fn a_cold_host_is_not_pushed_over_by_a_process_and_the_next() {
+    let hosts = [host(1), host(2), host(3), host(4)];
+    let mut fleet = Fleet::new(2, |node| charter(node, 2));
+    fleet.list(RollKind::Cached, &hosts);
+    (0..200).for_each(|n| _ = fleet.client(n % 2));
+    fleet.pass(20 * SECOND);
+    let back = Listing { started: Some(fleet.now - SECOND), ..host(9) };
+    fleet.list(RollKind::Changes, &[back]);
+    for step in 0..100 {
+        // A new process for node 0 in the middle of each second, which both then take clients for.
+        if step % 20 == 10 {
+            let elder = fleet.nodes.len() - 1 - usize::from(fleet.nodes.len() == 2);
+            let legacy = Box::new(fleet.nodes[elder].leave());
+            fleet.tell(elder, Event::Heir(true));
+            let mut out = Vec::new();
+            fleet.nodes.push(Balancer::new(charter(0, 2), step, fleet.now, &mut out));
+            let heir = fleet.nodes.len() - 1;
+            fleet.note(heir, out);
+            let mut all = hosts.to_vec();
+            all.push(back);
+            fleet.tell(heir, Event::Roll { kind: RollKind::Cached, hosts: all });
+            fleet.tell(heir, Event::Inherited(legacy));
+            for n in 0..100 {
+                let arrival = Arrival { id: AttachmentId(1 << 40 | step << 20 | n), ..Arrival::default() };
+                fleet.tell(heir, Event::PassedOn(arrival, HostId(n % 4 + 1), START));
+            }
+        }
+        for node in 0..fleet.nodes.len() {
+            (0..5).for_each(|_| _ = fleet.client(node));
+        }
+        fleet.pass(50 * MILLI);
+    }
+    let all = fleet.most(60 * SECOND, to(9));
+    let most = fleet.most(SECOND, to(9));
+    // By the clients that stood at the start alone.
+    let held = 200.0;
+    let budget = 3.0 * (0.1 + 0.9 * 6.0 / 20.0) * (4.0 * held / 8.0) * 2.0 / 20.0;
+    assert!(all > 0 && most as f64 <= budget, "{most} of {all} within a second, {budget:.0} at most");
+}
+
 /// Guards: a zone that came back, idle beside hosts overrun, as clients stay where they are: each is sent on
 /// once, when its turn at the new host comes, and whichever node it comes to next hands it there.
 #[test]
