Take new settings up at SIGHUP, whole or not at all, and keep what is under way as it was

Cause: SIGHUP took up `discovery` alone. Design: a file is checked in full before anything of it holds: numbers over 0, no class twice, and every key that the papers in force have (`terms/src/renewal.rs`, `sound`). The table of offerings keeps an index's meaning while anything goes by it, so ledger and attachments need no mapping: a class whose terms change gets another index, and one that is held by nobody is used again. An attachment has its own count of attempts. Way not taken: a list of needed keys of our own, which would go stale; and mapping indices in every record at each file.

--- a/link/src/forwarder.rs
+++ b/link/src/forwarder.rs
@@ -488,6 +488,7 @@
             | Event::Heard { .. }
             | Event::Staying
             | Event::PassedOn(..)
+            | Event::Renewed(..)
             | Event::Heir(_)
             | Event::Inherited(_) => {}
         }
--- a/node/src/alone.rs
+++ b/node/src/alone.rs
@@ -16,6 +16,7 @@
 use crate::{AtStart, BEYOND_EXPIRY, SWEEP};
 use reedferry::{Action, Balancer, Event};
 use reedferry_quay::{Clock, Errno, Signal, Socket};
+use reedferry_terms::renewal;
 use slog::{info, warn};
 use std::path::Path;
 
@@ -272,29 +273,55 @@
         self.parting = Some(self.deck.leave(BEYOND_EXPIRY, self.ferries.count()));
     }
 
-    /// Takes the papers up afresh: discovery alone may change in a node that runs.
+    /// Takes the papers up afresh: discovery and settings may change in a node that runs.
     fn read_again(&mut self) {
         if !self.reread.came() {
             return;
         }
+        let fresh = self.told.papers();
         // Guards: a node ended or led astray by papers that are half written or wrong.
-        let (fresh, correspondence) = match self.told.papers() {
+        let checked = fresh.and_then(|fresh| self.papers.whole_in(&fresh.0).map(|()| fresh));
+        self.deck.tally.reread(checked.is_ok());
+        let (mut fresh, correspondence) = match checked {
             Ok(fresh) => fresh,
-            Err(why) => {
-                self.deck.tally.reread(false);
-                return warn!(self.deck.log, "papers not taken up"; "why" => why);
-            }
+            Err(why) => return warn!(self.deck.log, "papers not taken up"; "why" => why),
         };
-        self.deck.tally.reread(true);
         let mut kept = self.papers.kept_from(&fresh);
-        kept.extend((correspondence != self.correspondence).then_some("peers"));
+        if correspondence != self.correspondence {
+            kept.push("peers");
+            fresh.charter.peers = self.papers.charter.peers;
+        }
         if !kept.is_empty() {
             warn!(self.deck.log, "kept until the next start"; "parts" => kept.join(" "));
         }
         info!(self.deck.log, "papers read again"; "discovery" => %fresh.discovery);
-        if fresh.discovery != self.papers.discovery {
-            self.papers.discovery = fresh.discovery;
-            self.discovery.go_over(&mut self.deck, fresh.discovery);
+        self.retune(&mut fresh);
+        let moved = fresh.discovery != self.papers.discovery;
+        self.papers = fresh;
+        if moved {
+            self.discovery.go_over(&mut self.deck, self.papers.discovery);
+        }
+    }
+
+    /// Goes by other settings from here on. What is under way keeps its offering.
+    fn retune(&mut self, fresh: &mut Papers) {
+        let Papers { charter, terms, .. } = &mut self.papers;
+        let told = (fresh.charter.clone(), fresh.terms.clone());
+        let zones = terms.zones != told.1.zones;
+        let others = renewal::renew((charter, terms), told, |n| self.ferries.holds(n));
+        (fresh.charter, fresh.terms) = (charter.clone(), terms.clone());
+        let deck = &mut self.deck;
+        deck.terms = terms.clone();
+        deck.tally.offers(&terms.offerings);
+        deck.hosts.renew(terms.zones.clone(), charter.shortest_message_time());
+        self.discovery.unasked(!charter.roll_on_request);
+        deck.events.push(Event::Renewed(Box::new(charter.clone()), others));
+        if zones {
+            // Hosts are known by the places of their zones.
+            let members = deck.hosts.members();
+            let roll = List { revision: self.discovery.revision().unwrap_or(0), complete: true, members };
+            let event = deck.hosts.told(deck.now, roll, true, &deck.log);
+            deck.events.push(event);
         }
     }
 }
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Changes are to come unasked, or no more.
+    pub fn unasked(&mut self, unasked: bool) {
+        self.unasked = unasked;
+    }
+
     /// The version reached.
     pub fn revision(&self) -> Option<u64> {
         self.revision
--- a/node/src/ferry/door.rs
+++ b/node/src/ferry/door.rs
@@ -171,8 +171,7 @@
     /// What the module is told of a request, or why it is none that this node serves.
     fn arrival(deck: &Deck, id: AttachmentId, request: &Request) -> Result<Arrival, &'static str> {
         let terms = &deck.terms;
-        let offering = terms.offerings.iter().position(|o| o == request.offering);
-        let offering = offering.ok_or("an unknown offering")?;
+        let offering = terms.offering(request.offering).ok_or("an unknown offering")?;
         if !terms.tenants.is_empty() && !terms.tenants.iter().any(|t| t == request.tenant) {
             return Err("an unknown tenant");
         }
--- a/node/src/ferry/mod.rs
+++ b/node/src/ferry/mod.rs
@@ -130,6 +130,11 @@
         self.slab.len()
     }
 
+    /// Whether any attachment goes by this place of an offering.
+    pub fn holds(&self, offering: usize) -> bool {
+        self.slab.iter().any(|(_, ferry)| !ferry.idles() && ferry.arrival.offering == offering)
+    }
+
     /// The clients whose attachment is held or open.
     pub fn in_flight(&self) -> usize {
         self.slab
--- a/node/src/ferry/passing.rs
+++ b/node/src/ferry/passing.rs
@@ -199,9 +199,8 @@
                     (open.asked.into(), open.moving, open.client_ended);
                 ferry.ending = if open.broken { Ending::Broken } else { Ending::CalledOff };
                 ferry.stage = Stage::Open;
-                let offerings = &deck.terms.offerings;
-                ferry.arrival.offering =
-                    offerings.iter().position(|o| *o == passenger.offering).unwrap_or_default();
+                // One that is offered no more goes by the first: it has its answer, and only what it pays tells.
+                ferry.arrival.offering = deck.terms.offering(&passenger.offering).unwrap_or_default();
                 (ferry.arrival.key, ferry.arrival.group) = (passenger.key, passenger.group);
                 ferry.arrival.usual_load = passenger.usual_load;
                 if let Some(name) = passenger.name {
--- a/node/src/hosts.rs
+++ b/node/src/hosts.rs
@@ -142,6 +142,11 @@
         Hosts { zones, long: shortest_message_time / 3, ..Hosts::default() }
     }
 
+    /// Goes by other names of zones, and another time from which the module is told.
+    pub fn renew(&mut self, zones: Vec<String>, shortest_message_time: Nanos) {
+        (self.zones, self.long) = (zones, shortest_message_time / 3);
+    }
+
     pub fn count(&self) -> usize {
         self.all.len()
     }
--- a/node/src/papers.rs
+++ b/node/src/papers.rs
@@ -56,8 +56,8 @@
     pub known: Vec<u8>,
     pub charter: Charter,
     pub terms: Terms,
-    /// What holds until the node is started again, each part by its name as it was written.
-    fixed: [(&'static str, serde_json::Value); 5],
+    /// All of it as it was written, but for the roll.
+    whole: serde_json::Value,
 }
 
 impl Papers {
@@ -83,10 +83,10 @@
     }
 
     pub fn decode(text: &[u8]) -> Result<Papers, String> {
-        let whole: serde_json::Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-        let part = |name| (name, whole.get(name).cloned().unwrap_or_default());
-        let fixed = ["name", "listen", "ops", "limits", "settings"].map(part);
-        let sheet = Sheet::deserialize(whole).map_err(|e| e.to_string())?;
+        let mut whole: serde_json::Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+        let sheet = Sheet::deserialize(&whole).map_err(|e| e.to_string())?;
+        reedferry_terms::sound(&whole["settings"])?;
+        whole.as_object_mut().and_then(|all| all.insert("known".into(), serde_json::Value::Null));
         let address = |what: &str, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| format!("{what} {text:?} is no address with a port"))
         };
@@ -111,13 +111,25 @@
             },
             charter,
             terms,
-            fixed,
+            whole,
         })
     }
 
-    /// The parts that these papers change and that a node which runs does not take up.
+    /// The parts that those papers change and that a node which runs does not take up.
     pub fn kept_from(&self, other: &Papers) -> Vec<&'static str> {
-        let pairs = self.fixed.iter().zip(&other.fixed);
-        pairs.filter(|(mine, theirs)| mine != theirs).map(|(mine, _)| mine.0).collect()
+        let differ = |name: &&str| self.whole[*name] != other.whole[*name];
+        ["name", "listen", "ops", "limits"].into_iter().filter(differ).collect()
+    }
+
+    /// Whether those papers have every key that these have. Guards: half a file taken up where what is missing
+    /// would do without.
+    ///
+    /// # Errors
+    /// One line that names the key.
+    pub fn whole_in(&self, other: &Papers) -> Result<(), String> {
+        match reedferry_terms::renewal::missing(&self.whole, &other.whole) {
+            Some(key) => Err(format!("{key} is missing, which the papers in force have")),
+            None => Ok(()),
+        }
     }
 }
--- /dev/null
+++ b/node/tests/retune.rs
@@ -0,0 +1,162 @@
+//! New settings at a node that runs: whole or not at all, and what is under way keeps what it came by.
+
+use reedferry_rig::*;
+use serde_json::{json, Value};
+
+fn start(hosts: &Hosts) -> (Node, Value, Discovery) {
+    let discovery = Discovery::start();
+    let mut papers = papers(hosts, discovery.address);
+    papers["ops"] = json!("127.0.0.1:0");
+    (Node::start(&papers), papers, discovery)
+}
+
+fn offering(name: &str, effect: &str) -> Value {
+    json!({"name": name, "contract_time": 500.0, "expiry": 2000.0, "effect": effect, "group": "all", "payoff": 1.0})
+}
+
+/// Has it read this, and waits until that is counted.
+fn reread(node: &Node, text: &str, taken: bool) {
+    let name = if taken { "reloads_ok" } else { "reloads_failed" };
+    let before = node.figure(name);
+    node.reread(text);
+    eventually(&format!("{name} after {text:.60}"), || node.figure(name) == before + 1);
+}
+
+fn asks(name: &str) -> String {
+    OPEN.replace("chat", name)
+}
+
+/// What is asked for is served at the first host that is asked.
+fn serves(node: &Node, hosts: &Hosts, name: &str) {
+    let mut client = node.open(&asks(name));
+    let (_, mut host) = hosts.accept();
+    assert!(host.hear().contains(&format!("c={name},")));
+    host.say("UP 1");
+    client.hears("UP 1");
+}
+
+/// Guards: half of a file in force, or a node that goes on without what the file no longer says.
+#[test]
+fn a_broken_file_changes_nothing() {
+    let hosts = Hosts::start(2);
+    let (node, papers, _discovery) = start(&hosts);
+    // Each would show by another discovery and another offering, were any of it taken up.
+    let mut other = papers.clone();
+    other["discovery"] = json!(nowhere().to_string());
+    other["settings"]["offerings"] = json!([offering("talk", "free")]);
+    let whole = other.to_string();
+    let mut broken: Vec<String> = (0..whole.len()).step_by(67).map(|cut| whole[..cut].to_string()).collect();
+    for key in papers.as_object().unwrap().keys().filter(|key| *key != "known") {
+        let mut short = other.clone();
+        short.as_object_mut().unwrap().remove(key);
+        broken.push(short.to_string());
+    }
+    for part in ["", "/contract", "/policy_limits", "/offerings/0"] {
+        let place = format!("/settings{part}");
+        for key in papers.pointer(&place).unwrap().as_object().unwrap().keys() {
+            let mut short = other.clone();
+            short.pointer_mut(&place).unwrap().as_object_mut().unwrap().remove(key);
+            broken.push(short.to_string());
+        }
+    }
+    for place in ["offerings/0/expiry", "offerings/0/contract_time", "policy_limits/most_hand_offs"] {
+        for wild in [json!(0), json!(-5), json!("soon"), json!(null), json!([]), json!(true)] {
+            let mut wrong = other.clone();
+            *wrong.pointer_mut(&format!("/settings/{place}")).unwrap() = wild;
+            broken.push(wrong.to_string());
+        }
+    }
+    for offerings in [json!([]), json!([offering("talk", "free"), offering("talk", "free")]), json!(7)] {
+        let mut wrong = other.clone();
+        wrong["settings"]["offerings"] = offerings;
+        broken.push(wrong.to_string());
+    }
+    for text in &broken {
+        reread(&node, text, false);
+    }
+    assert_eq!(node.figure("reloads_ok"), 0);
+    serves(&node, &hosts, "chat");
+    node.open(&asks("talk")).hears("ERR");
+    assert!(node.logged().iter().all(|line| !line.contains("discovery call failed")));
+    // Good and bad ones in quick alternation.
+    for n in 0..20 {
+        reread(&node, &broken[n * broken.len() / 20], false);
+        reread(&node, &papers.to_string(), true);
+    }
+    serves(&node, &hosts, "chat");
+}
+
+#[test]
+fn offerings_appear_and_vanish_and_what_is_under_way_keeps_its_own() {
+    // Enough that some are left where others broke off what they were asked.
+    let hosts = Hosts::start(8);
+    let (node, mut papers, _discovery) = start(&hosts);
+    let (mut open, _, mut standing) = node.served(&hosts);
+    let mut waits = node.open(&asks("chat"));
+    let (_, mut host) = hosts.accept();
+    host.hear();
+    papers["settings"]["offerings"] = json!([offering("talk", "single_shot")]);
+    reread(&node, &papers.to_string(), true);
+    serves(&node, &hosts, "talk");
+    node.open(&asks("chat")).hears("ERR");
+    // The one that waited was redoable, and still is: what may have run at one host goes to another.
+    drop(host);
+    let (_, mut host) = hosts.accept();
+    assert!(host.hear().contains("c=chat,"));
+    host.say("UP 2");
+    waits.hears("UP 2");
+    open.say("up 1");
+    standing.hears("up 1");
+    assert_eq!(node.figure("requests.chat.served"), 2);
+    // The same name comes again under stricter terms: not for what came before.
+    let mut waits = node.open(&asks("talk"));
+    let (_, mut host) = hosts.accept();
+    host.hear();
+    papers["settings"]["offerings"] = json!([offering("chat", "single_shot"), offering("talk", "free")]);
+    reread(&node, &papers.to_string(), true);
+    drop(host);
+    waits.hears("ERR");
+    let mut strict = node.open(&asks("chat"));
+    let (_, mut host) = hosts.accept();
+    host.hear();
+    drop(host);
+    strict.hears("ERR");
+    assert_eq!((node.figure("requests.chat.failed"), node.figure("requests.talk.failed")), (1, 1));
+    assert_eq!(node.figure("requests.chat.served"), 2);
+}
+
+#[test]
+fn fewer_attempts_hold_for_what_comes_from_then_on() {
+    let hosts = Hosts::start(3);
+    let (node, mut papers, _discovery) = start(&hosts);
+    let mut before = node.open(OPEN);
+    for left in [2, 1, 0] {
+        let (_, mut host) = hosts.accept();
+        host.hear();
+        if left == 1 {
+            papers["settings"]["policy_limits"]["most_hand_offs"] = json!(1);
+            reread(&node, &papers.to_string(), true);
+        }
+        host.say("BUSY");
+    }
+    assert!(before.hear().starts_with("BUSY"));
+    eventually("hosts are taken again", || node.figure("hosts_excluded") == 0);
+    let mut after = node.open(OPEN);
+    let (_, mut host) = hosts.accept();
+    host.hear();
+    host.say("BUSY");
+    assert!(after.hear().starts_with("BUSY"));
+    assert!(hosts.accept_soon().is_none());
+}
+
+/// Guards: hosts taken for those of another zone where the names of zones change their places.
+#[test]
+fn zones_may_change_their_places() {
+    let hosts = Hosts::start(2);
+    let (node, mut papers, _discovery) = start(&hosts);
+    papers["settings"]["zones"] = json!(["b", "a"]);
+    papers["settings"]["zone"] = json!(1);
+    reread(&node, &papers.to_string(), true);
+    assert_eq!(node.figure("hosts_known"), 2);
+    serves(&node, &hosts, "chat");
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -587,6 +587,11 @@
             (Event::PassedOn(arrival, _, since), _, Some(host)) => {
                 post(To::Desk, Note::Standing(arrival, host, since));
             }
+            (Event::Renewed(charter, others), ..) => {
+                post(To::Ledger, Note::Offers(charter.offerings.len(), others));
+                log!(out, "terms renewed offered={}", charter.offered().count());
+                self.charter = *charter;
+            }
             (Event::Heir(comes), ..) => post(To::Desk, Note::Heir(comes)),
             (Event::Inherited(mut legacy), ..) => {
                 let known = |one: Regard| Some((*self.known.get(&one.id)?, Note::Regarded(Box::new(one))));
@@ -918,7 +923,8 @@
     fn admit(&mut self, now: Nanos, mut arrival: Arrival) -> usize {
         arrival.offering = arrival.offering.min(self.charter.offerings.len().saturating_sub(1));
         let expiry = now.saturating_add(arrival.time_left);
-        let attachment = Attachment { id: arrival.id, arrival, expiry, sent: now, ..Attachment::default() };
+        let (id, most) = (arrival.id, self.charter.most_hand_offs);
+        let attachment = Attachment { id, arrival, expiry, sent: now, most, ..Attachment::default() };
         let slot = self.desk.free.pop().unwrap_or_else(|| {
             self.desk.slots.push(None);
             self.desk.slots.len() - 1
@@ -965,7 +971,7 @@
         let ran = attachment.may_have_run;
         let last = attachment.expiry.saturating_sub(2 * self.charter.round);
         // Guards: a store that fails at once, asked five times over for each attachment.
-        let most = if self.desk.common() { 1 } else { self.charter.most_hand_offs };
+        let most = if self.desk.common() { 1 } else { attachment.most };
         // Guards: what no host will have, as bad clients send it, offered to host after host.
         let late = now >= last || attachment.hand_offs >= most || attachment.errors >= UNWANTED;
         let again = match (offering.effect, ran) {
@@ -984,7 +990,9 @@
                     // The less it pays for its load, the sooner.
                     let worth = |n: usize| self.charter.offerings[n].payoff / self.ledger.load(n, None);
                     let pays = |n| worth(n).max(f64::MIN_POSITIVE);
-                    let least = (0..self.charter.offerings.len()).map(pays).fold(f64::INFINITY, f64::min);
+                    let offered = |n: &usize| self.charter.offerings[*n].offered;
+                    let all = (0..self.charter.offerings.len()).filter(offered);
+                    let least = all.map(pays).fold(f64::INFINITY, f64::min);
                     let blind = blind * (least / pays(attachment.arrival.offering)).sqrt();
                     draw(tie, 0) < SHED * blind * (self.desk.late - MANY) / (1.0 - MANY)
                 });
@@ -993,8 +1001,7 @@
         // Guards: a store that all set-ups share, whose answers come when the node has asked anew already.
         let patience = (offering.contract_time as f64).max(6.0 * self.ledger.set_up);
         let patience = (patience * (1.0 + PATIENCE * self.desk.trouble)) as Nanos;
-        let only = attachment.hand_offs + 1 >= self.charter.most_hand_offs
-            || offering.effect == Effect::Irreversible;
+        let only = attachment.hand_offs + 1 >= attachment.most || offering.effect == Effect::Irreversible;
         let until = if only { last } else { last.min(now + patience) };
         self.helm.next = (vector + 1) % self.helm.vectors.len();
         out.push(Action::HandOff { id: attachment.id, host: self.hosts[host].id, until });
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -92,6 +92,10 @@
                 self.long = self.long.or(Some(host)).filter(|_| long);
                 self.set_up += (took as f64 - self.set_up) / 16.0;
             }
+            Note::Offers(count, others) => {
+                self.usual.resize(count, None);
+                others.into_iter().for_each(|n| self.usual[n] = None);
+            }
             Note::Inherited(legacy) => self.inherit(*legacy),
             _ => {}
         }
--- a/src/records.rs
+++ b/src/records.rs
@@ -63,6 +63,8 @@
         by: Nanos,
     },
     Staying,
+    /// So many offerings there are, and these stand where another stood.
+    Offers(usize, Vec<usize>),
     Heir(bool),
     Inherited(Box<Legacy>),
     Regarded(Box<Regard>),
@@ -287,6 +289,8 @@
     pub arrival: Arrival,
     pub expiry: Nanos,
     pub hand_offs: u32,
+    /// How many it may have, by the terms under which it came.
+    pub most: u32,
     /// The host a hand-off is out to, or the connection stands on.
     pub at: Option<usize>,
     pub begun: bool,
--- a/src/types.rs
+++ b/src/types.rs
@@ -32,7 +32,7 @@
     Cell,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Offering {
     pub effect: Effect,
     pub circle: Circle,
@@ -42,6 +42,15 @@
     pub contract_time: Nanos,
     /// Within what time a message on the open connection is wanted.
     pub message_time: Nanos,
+    /// Whether more of it may come; if not, some may be under way.
+    pub offered: bool,
+}
+
+impl Offering {
+    /// Whether it means the same, offered or not.
+    pub fn same_terms(&self, other: &Offering) -> bool {
+        *self == Offering { offered: self.offered, ..other.clone() }
+    }
 }
 
 impl Default for Offering {
@@ -53,6 +62,7 @@
             payoff: 1.0,
             contract_time: SECOND / 2,
             message_time: SECOND / 4,
+            offered: true,
         }
     }
 }
@@ -107,9 +117,14 @@
 }
 
 impl Charter {
+    /// What may still come.
+    pub fn offered(&self) -> impl Iterator<Item = &Offering> {
+        self.offerings.iter().filter(|o| o.offered)
+    }
+
     /// The shortest time within which any offering wants a message.
     pub fn shortest_message_time(&self) -> Nanos {
-        self.offerings.iter().map(|o| o.message_time).min().unwrap_or(SECOND)
+        self.offered().map(|o| o.message_time).min().unwrap_or(SECOND)
     }
 }
 
@@ -317,6 +332,9 @@
     },
     /// It is to stay after all, and to work as before.
     Staying,
+    /// New terms in place of the old, and which offerings of them stand where another stood. What is under
+    /// way goes by its own offering, which is still there, and keeps its count of hand-offs.
+    Renewed(Box<Charter>, Vec<usize>),
     /// Another process takes this one's place: it has its legacy, and takes in the clients; or has gone again.
     Heir(bool),
     /// What the process before this one has learned.
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -1,6 +1,8 @@
 //! Decodes the settings that a node is given at its start: into the module's [`Charter`], and into the
 //! few [`Terms`] that the program round the module needs beside it. The adapter and the node share it.
 
+pub mod renewal;
+
 use reedferry::{Charter, Circle, Effect, Gauge, Nanos, Offering, SECOND};
 use serde::Deserialize;
 
@@ -115,6 +117,8 @@
 pub struct Terms {
     /// The names on the wire, in the order of the indices that stand for them.
     pub offerings: Vec<String>,
+    /// Whether more may come of each.
+    pub offered: Vec<bool>,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
     /// The values of a load report, in order.
@@ -126,6 +130,11 @@
 }
 
 impl Terms {
+    /// The place of an offering that may still come.
+    pub fn offering(&self, name: &str) -> Option<usize> {
+        (0..self.offerings.len()).find(|&n| self.offerings[n] == name && self.offered[n])
+    }
+
     /// All names whose places in their lists stand for them, each list behind its own name.
     pub fn names(&self) -> impl Iterator<Item = &str> {
         let lists = [("offerings", &self.offerings), ("tenants", &self.tenants), ("zones", &self.zones)];
@@ -180,6 +189,31 @@
     }
 }
 
+/// What a node that is to serve by the settings can't work with, though they can be read: whoever would have
+/// nothing, or nothing in time, and what can't be told apart.
+///
+/// # Errors
+/// One line that names the key.
+pub fn sound(settings: &serde_json::Value) -> Result<(), String> {
+    let over =
+        |value: &serde_json::Value, key: &str, place: &str| match value.get(key).and_then(|v| v.as_f64()) {
+            Some(figure) if figure <= 0.0 => Err(format!("settings: {place}{key}: {figure} is not over 0")),
+            _ => Ok(()),
+        };
+    let empty = Vec::new();
+    let offerings = settings["offerings"].as_array().unwrap_or(&empty);
+    for (n, offering) in offerings.iter().enumerate() {
+        for key in ["contract_time", "expiry"] {
+            over(offering, key, &format!("offerings.{n}."))?;
+        }
+        let same = |other: &serde_json::Value| !other["name"].is_null() && other["name"] == offering["name"];
+        if offerings[..n].iter().any(same) {
+            return Err(format!("settings: offerings.{n}.name: {} stands there twice", offering["name"]));
+        }
+    }
+    over(&settings["policy_limits"], "most_hand_offs", "policy_limits.")
+}
+
 pub fn decode(text: &[u8]) -> Result<(Charter, Terms), String> {
     let value = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
     from_value(value)
@@ -214,6 +248,7 @@
             message_time: nanos(
                 terms.extra.message_aim.get(n).copied().flatten().unwrap_or(kind.contract_time),
             ),
+            offered: true,
         });
     }
     let limits = &terms.policy_limits;
@@ -249,6 +284,7 @@
     };
     let terms = Terms {
         longest_expiry,
+        offered: vec![true; terms.offerings.len()],
         offerings: terms.offerings.into_iter().map(|o| o.name).collect(),
         tenants: terms.tenants.into_iter().map(|t| t.name).collect(),
         zones: terms.zones,
