Count newcomers as they are, in the mean too, as far as a node sees what hosts hold

A newcomer counted at the others' mean until its own load reached that (`score`, `stays`), and was left out of the mean (`survey`), so that the old ones' 1.2 times the mean was never busy. With two nodes each sees half of all, so the design's reason, that nobody knows what others place there, holds for little. Change: it counts at the mean by the part that the node can't see, else as it is, and so in the mean. Seen nothing: the design's rule. Ruled out: masks and cuts (none in the log then), the drains (mended before; no resets), the passing on of connections itself.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -740,6 +740,7 @@
         let (mut ready, mut well, mut capped, mut ceilings) = (0.0, 0.0, 0.0, 0.0);
         let (mut all, mut zone) = (0.0, 0.0);
         let (mut own, mut counted, mut near, mut pressed, mut heard) = (0.0, 0.0, 0.0, 0.0, 1.0);
+        let (mut new, mut newcomers) = (0.0, 0.0);
         let (mut conns, mut size, mut warm, mut full, mut loaded, mut known) = (0.0, 0.0, 0.0, 0.0, 0.0, 0.0);
         for host in self.hosts.iter().filter(|h| h.ready()) {
             let (masks, caps) = (now < host.masked_until, host.ceiling.is_some());
@@ -753,6 +754,8 @@
             (loaded, known) = (loaded + report.unwrap_or(0.0), known + one(report.is_some()));
             if !masks && !host.newcomer {
                 (own, counted) = (own + host.own(), counted + 1.0);
+            } else if !masks {
+                (new, newcomers) = (new + host.own(), newcomers + 1.0);
             }
             if host.listing.zone == self.charter.zone {
                 (near, pressed) = (near + 1.0, pressed + one(masks || caps));
@@ -764,13 +767,20 @@
                 (warm, full) = (warm + 1.0, full + one(caps));
             }
         }
-        let (mean, unit) = (own / f64::max(counted, 1.0), self.ledger.unit.unwrap_or(1.0));
-        let unseen = (unit * unit / mean.max(f64::MIN_POSITIVE)).min(UNSEEN * unit);
+        let (others, unit) = (own / f64::max(counted, 1.0), self.ledger.unit.unwrap_or(1.0));
+        let unseen = |mean: f64| (unit * unit / mean.max(f64::MIN_POSITIVE)).min(UNSEEN * unit);
+        // Newcomers count at the others' mean, and that stays as it is; the more a node sees, the more they
+        // count as they are. Guards: hosts filled and filled beside new ones, where two nodes see all there is.
+        let blind = if self.charter.gathers { 1.0 } else { unseen(others) / (others + unseen(others)) };
+        let new = blind * others * newcomers + (1.0 - blind) * new;
+        let mean = (own + new) / f64::max(counted + newcomers, 1.0);
+        let unseen = unseen(mean);
         // The less a node sees, the more a word of its own zone weighs.
         let relief = (1.0 - (1.0 + unseen / (mean + unseen)) * pressed / heard).max(0.0);
         Survey {
             mean,
             unseen,
+            blind,
             refuge: well / f64::max(ready, 1.0),
             near: f64::max(near, 1.0),
             typical: if 2.0 * capped > ready { ceilings / capped } else { f64::INFINITY },
@@ -1117,7 +1127,7 @@
         let fresh = by_lot(&self.charter) && host.cold(now, &self.charter);
         let filled = if fresh { host.filled(now, &self.charter) } else { 1.0 };
         let stays = host.newcomer && luck >= share && !fresh;
-        let own = if stays { host.own().max(view.mean) } else { host.own() };
+        let own = host.own() + if stays { view.blind * (view.mean - host.own()).max(0.0) } else { 0.0 };
         let with = own + (ask.ahead + self.opening(host, ask)) / host.listing.size;
         // Guards: new hosts taken for as full as the rest, where each node sees next to nothing of any.
         let unseen = view.unseen * filled;
--- a/src/records.rs
+++ b/src/records.rs
@@ -381,8 +381,10 @@
 
 /// What one look over the ready hosts shows.
 pub(crate) struct Survey {
-    /// Mean own load of the hosts that are neither newcomers nor masked.
+    /// Mean own load of the hosts that are not masked, newcomers as they count.
     pub mean: f64,
+    /// How much of the others' mean a newcomer counts at, in place of its own load.
+    pub blind: f64,
     /// What own loads are blurred by, as what a node of many holds is but a sample. Guards: hosts judged by
     /// a connection or two.
     pub unseen: f64,
