--- a/src/choice.rs
+++ b/src/choice.rs
@@ -770,7 +770,7 @@
         let (others, unit) = (own / f64::max(counted, 1.0), self.ledger.unit.unwrap_or(1.0));
         let unseen = |mean: f64| (unit * unit / mean.max(f64::MIN_POSITIVE)).min(UNSEEN * unit);
         // Newcomers count at the others' mean, and that stays as it is; the more a node sees, the more they
-        // count as they are. Guards: hosts filled and filled beside new ones, where two nodes see all there is.
+        // count as they are. Guards: hosts filled and filled beside new ones where two nodes see it all.
         let blind = if self.charter.gathers { 1.0 } else { unseen(others) / (others + unseen(others)) };
         let new = blind * others * newcomers + (1.0 - blind) * new;
         let mean = (own + new) / f64::max(counted + newcomers, 1.0);
