Remember what a client's last connection weighed, and place it by that when it comes again

Change: the ledger's table of clients keeps the last told load beside the mean length; a connection is counted by it until a load is told.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -239,6 +239,8 @@
                 let Some(found) = self.conns.iter().position(|c| c.slot == slot) else { return };
                 let conn = self.drop_conn(found);
                 let length = now - conn.since;
+                let bore = conn.load.filter(|_| conn.begun).map(|load| Note::Bore { key: conn.key, load });
+                at.post.extend(bore.map(|note| (To::Ledger, note)));
                 // Guards: clients that this node moved, taken for ones that never stay.
                 let moved = at.desk.slots[slot].as_ref().is_some_and(|a| a.moved);
                 if conn.begun && !moved && matches!(ending, Ending::Done | Ending::CalledOff) {
@@ -511,15 +513,6 @@
     u64::from(charter.nodes).saturating_mul(charter.tip_after) > charter.cold && !charter.probe_for_gauges
 }
 
-/// Mixes two words; the same at every node, so that nodes agree without talking.
-fn draw(a: u64, b: u64) -> f64 {
-    let mut x = a.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ b.wrapping_add(0xD1B5_4A32_D192_ED03);
-    x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-    x ^= x >> 31;
-    ((x >> 11) as f64 + 0.5) / (1u64 << 53) as f64
-}
-
 /// One node's decisions.
 pub struct Balancer {
     charter: Charter,
@@ -954,7 +947,8 @@
     fn conn(&self, now: Nanos, slot: usize, arrival: &Arrival, begun: bool, vector: Option<usize>) -> Conn {
         let length = self.ledger.length(arrival.key, now).unwrap_or(HORIZON);
         let group = arrival.group.filter(|_| self.charter.groups && !self.charter.pass);
-        let (offering, key, load) = (arrival.offering, arrival.key, arrival.usual_load);
+        let load = arrival.usual_load.or(self.ledger.last_load(arrival.key, now));
+        let (offering, key) = (arrival.offering, arrival.key);
         let (since, end) = (now, now + length as Nanos);
         Conn { slot, offering, key, group, load, since, begun, end, vector, ..Conn::default() }
     }
@@ -1028,7 +1022,8 @@
     fn choose(&self, now: Nanos, attachment: &Attachment, vector: usize, tie: u64) -> Option<usize> {
         let arrival = &attachment.arrival;
         let length = self.ledger.length(arrival.key, now);
-        let load = self.ledger.load(arrival.offering, arrival.usual_load);
+        let known = arrival.usual_load.or(self.ledger.last_load(arrival.key, now));
+        let load = self.ledger.load(arrival.offering, known);
         let steps = length.map_or(1.0, |l| (l / STEP as f64).ceil().clamp(1.0, STEPS as f64) / STEPS as f64);
         let groups = self.charter.groups && !self.charter.pass;
         let home = if self.charter.pass { arrival.key } else { arrival.group.filter(|_| groups) };
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -12,8 +12,31 @@
 
 impl Ledger {
     pub(crate) fn length(&self, key: Option<u64>, now: Nanos) -> Option<f64> {
-        let known = key.and_then(|k| self.lengths.get(&k)).filter(|(_, t)| now < t + TABLE_AGE);
-        known.map(|&(length, _)| length).or(self.mean)
+        self.client(key, now).and_then(|client| client.length).or(self.mean)
+    }
+
+    fn client(&self, key: Option<u64>, now: Nanos) -> Option<&Client> {
+        key.and_then(|k| self.clients.get(&k)).filter(|client| now < client.seen + TABLE_AGE)
+    }
+
+    /// What the client's last connection weighed. Guards: heavy clients that a host sends away, all placed at the
+    /// next one as if they were like the rest.
+    pub(crate) fn last_load(&self, key: Option<u64>, now: Nanos) -> Option<f64> {
+        self.client(key, now).and_then(|client| client.load)
+    }
+
+    /// The entry of a client that has just been seen, the oldest one's place where all are taken.
+    fn seen(&mut self, key: u64, now: Nanos) -> &mut Client {
+        self.order.push_back((key, now));
+        while self.order.len() > TABLE_SIZE {
+            let Some((old, seen)) = self.order.pop_front() else { break };
+            if self.clients.get(&old).is_some_and(|client| client.seen == seen) {
+                self.clients.remove(&old);
+            }
+        }
+        let client = self.clients.entry(key).or_default();
+        client.seen = now;
+        client
     }
 
     pub(crate) fn mean_length(&self) -> Nanos {
@@ -32,11 +55,11 @@
     /// What it has learned, for the process that takes this one's place: of the clients seen last.
     pub(crate) fn leave(&self) -> Legacy {
         let seen = |&(key, seen): &(u64, Nanos)| {
-            let (length, at) = self.lengths.get(&key)?;
-            (*at == seen).then_some((key, *length, seen))
+            let client = self.clients.get(&key).filter(|client| client.seen == seen)?;
+            Some((key, *client))
         };
         Legacy {
-            lengths: self.order.iter().filter_map(seen).collect(),
+            clients: self.order.iter().filter_map(seen).collect(),
             mean: self.mean,
             lived: self.lived,
             ended: self.ended,
@@ -49,8 +72,8 @@
     }
 
     fn inherit(&mut self, of: Legacy) {
-        self.order = of.lengths.iter().take(TABLE_SIZE).map(|&(key, _, seen)| (key, seen)).collect();
-        self.lengths = of.lengths.into_iter().map(|(key, length, seen)| (key, (length, seen))).collect();
+        self.order = of.clients.iter().take(TABLE_SIZE).map(|(key, client)| (*key, client.seen)).collect();
+        self.clients = of.clients.into_iter().take(TABLE_SIZE).collect();
         (self.mean, self.lived, self.ended) = (of.mean, of.lived, of.ended);
         (self.unit, self.weighed, self.set_up) = (of.unit, of.weighed, of.set_up);
         self.usual.iter_mut().zip(of.usual).for_each(|(mine, theirs)| *mine = theirs);
@@ -63,16 +86,10 @@
                 self.ended += 1.0;
                 self.mean = Some(self.lived.max(length) / self.ended);
                 let Some(key) = key else { return };
-                let entry = self.lengths.entry(key).or_insert((length, now));
-                *entry = (entry.0 + (length - entry.0) / 2.0, now);
-                self.order.push_back((key, now));
-                while self.order.len() > TABLE_SIZE {
-                    let Some((old, seen)) = self.order.pop_front() else { break };
-                    if self.lengths.get(&old).is_some_and(|&(_, t)| t == seen) {
-                        self.lengths.remove(&old);
-                    }
-                }
+                let client = self.seen(key, now);
+                client.length = Some(client.length.map_or(length, |old| old + (length - old) / 2.0));
             }
+            Note::Bore { key: Some(key), load } => self.seen(key, now).load = Some(load),
             Note::Weighed { offering, load } => {
                 // Guards: a first load far from the usual, and every guess by it for dozens to come.
                 self.weighed = (self.weighed + 1).min(32);
--- a/src/records.rs
+++ b/src/records.rs
@@ -81,6 +81,11 @@
         key: Option<u64>,
         length: Nanos,
     },
+    /// What a connection weighed that is over here.
+    Bore {
+        key: Option<u64>,
+        load: f64,
+    },
     Open(f64),
     Weighed {
         offering: usize,
@@ -325,11 +330,11 @@
     pub heir: bool,
 }
 
-/// Past lengths by client key, usual loads by offering, and how long set-ups take.
+/// What is known of clients by their keys, usual loads by offering, and how long set-ups take.
 #[derive(Default)]
 pub(crate) struct Ledger {
     pub inbox: VecDeque<Note>,
-    pub lengths: HashMap<u64, (f64, Nanos)>,
+    pub clients: HashMap<u64, Client>,
     pub order: VecDeque<(u64, Nanos)>,
     pub mean: Option<f64>,
     /// The time that connections have been open of late, and how many have ended.
@@ -406,3 +411,12 @@
     pub size: f64,
     pub near_size: f64,
 }
+
+/// Mixes two words; the same at every node, so that nodes agree without talking.
+pub(crate) fn draw(a: u64, b: u64) -> f64 {
+    let mut x = a.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ b.wrapping_add(0xD1B5_4A32_D192_ED03);
+    x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    x ^= x >> 31;
+    ((x >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -210,11 +210,20 @@
     pub tried: Vec<HostId>,
 }
 
+/// What is remembered of a client: how long its connections last, what the last one weighed, and when that
+/// was seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Client {
+    pub length: Option<f64>,
+    pub load: Option<f64>,
+    pub seen: Nanos,
+}
+
 /// What a process that another replaces has learned, and what that one is to hold to.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Legacy {
-    /// How long the connections of a client last, and when that was seen.
-    pub lengths: Vec<(u64, f64, Nanos)>,
+    /// By their keys.
+    pub clients: Vec<(u64, Client)>,
     pub mean: Option<f64>,
     pub lived: f64,
     pub ended: f64,
