Spread an emptied node's moves evenly over nearly all of the four seconds

Change: the time runs to 4 s less 0.3 s and what a line's end is waited for; the pause between two moves follows what is left; a connection whose host stands within a line is ended when the node has to be empty. Way not taken: dismissing what a node cannot bear at once; those clients are nobody's then.

--- a/node/src/alone.rs
+++ b/node/src/alone.rs
@@ -234,7 +234,7 @@
 
     /// Does what operators ask for, and says how it stands.
     fn called(&mut self, call: Call) -> Reply {
-        let (stops, stands_by) = (self.deck.leaving.is_some(), self.deck.standby);
+        let (stops, stands_by) = (self.deck.leaving.is_some(), self.deck.standby.is_some());
         let held = self.ferries.count();
         match call {
             Call::Figures => {
--- a/node/src/deck.rs
+++ b/node/src/deck.rs
@@ -65,8 +65,8 @@
     pub stamps: u32,
     /// From when the program may end, once it has been asked to stop.
     pub leaving: Option<Nanos>,
-    /// Whether operators have asked for an empty node.
-    pub standby: bool,
+    /// Operators have asked for an empty node: by when it holds nobody any more.
+    pub standby: Option<Nanos>,
     pub tally: Tally,
     /// Whether new work was last held off for want of descriptors or buffers.
     pub scarce: bool,
@@ -95,7 +95,7 @@
             log,
             stamps: 0,
             leaving: None,
-            standby: false,
+            standby: None,
             tally,
             scarce: false,
         };
@@ -154,15 +154,15 @@
     /// Operators want the node empty: what the module is told. The front looks every moment whether the node
     /// takes clients, and what it has sent meanwhile still comes.
     pub fn stand_by(&mut self, connections: usize) -> Event {
-        self.standby = true;
+        let by = self.now + EMPTY_WITHIN - LAST_MOVES;
+        self.standby = Some(by);
         warn!(self.log, "standing by"; "connections" => connections);
-        let by = self.now + EMPTY_WITHIN - LONGEST_MOVE - LAST_MOVES;
-        Event::Leaving { from: self.now + STILL_COME, by }
+        Event::Leaving { from: self.now + STILL_COME, by: by - LONGEST_MOVE }
     }
 
     /// Operators want it back at work.
     pub fn back_to_work(&mut self) -> Event {
-        self.standby = false;
+        self.standby = None;
         info!(self.log, "back to work");
         Event::Staying
     }
--- a/node/src/ferry/door.rs
+++ b/node/src/ferry/door.rs
@@ -116,7 +116,7 @@
             while letter.waiting().starts_with(b"PING\r\n") && ferry.pings < MOST_PINGS {
                 letter.sent(6);
                 ferry.pings += 1;
-                let pong = if deck.standby { b"BUSY\r\n" } else { b"PONG\r\n" };
+                let pong = if deck.standby.is_some() { b"BUSY\r\n" } else { b"PONG\r\n" };
                 if client.socket.send(pong) != Ok(6) {
                     return self.remove(slot, true);
                 }
--- a/node/src/ferry/passage.rs
+++ b/node/src/ferry/passage.rs
@@ -20,8 +20,8 @@
 /// How long the end of a line is waited for before a move.
 const MOVE_WITHIN: Nanos = 800 * MILLI;
 
-/// How long a client that is to be moved may be held beyond that.
-pub const LONGEST_MOVE: Nanos = MOVE_WITHIN + LINGER;
+/// How long a client that is to be moved may be held where its host stands between two lines.
+pub const LONGEST_MOVE: Nanos = MOVE_WITHIN;
 
 impl Ferries {
     /// Passes lines both ways, and ends the one side as the other ended.
@@ -147,7 +147,8 @@
                 ferry.ending = if alone { Ending::CalledOff } else { Ending::Broken };
             }
         }
-        if ferry.moving.is_some_and(|by| now >= by + LINGER) {
+        let empty = deck.standby.unwrap_or(Nanos::MAX);
+        if ferry.moving.is_some_and(|by| now >= (by + LINGER).min(empty)) {
             // The host has stopped in the middle of a line, and the client takes no other there.
             self.over(deck, slot, Ending::Broken);
             return self.remove(slot, true);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -917,9 +917,10 @@
         let left = self.desk.leaving.map_or(0, |by| by.saturating_sub(now));
         let open = |slot: &usize| self.desk.slots[*slot].as_ref().is_some_and(|a| a.begun && !a.moved);
         let slots: Vec<usize> = (0..self.desk.slots.len()).filter(open).collect();
-        let share = slots.len().div_ceil((left / PARTING + 1) as usize);
+        let (count, share) = (slots.len(), slots.len().div_ceil((left / PARTING + 1) as usize));
         self.post.extend(slots.into_iter().take(share).map(|slot| (To::Desk, Note::Shift { slot })));
-        self.desk.parts = now + PARTING;
+        // Guards: a few that are all sent away in the first part of the time.
+        self.desk.parts = now + (left / (count as u64 + 1)).clamp(PARTING, 4 * PARTING);
         out.push(Action::WakeAt { time: self.desk.parts, mark: PART });
     }
 
