Take what one host alone fails for its own, not for a trouble that all share

Change: a failure at the same host as the last one does not count towards a common trouble (`Desk::failing`).

--- a/src/records.rs
+++ b/src/records.rs
@@ -316,8 +316,9 @@
     pub slots: Vec<Option<Attachment>>,
     pub free: Vec<usize>,
     pub names: HashMap<AttachmentId, usize>,
-    /// Share of late hand-offs that failed, whatever the host.
+    /// Share of late hand-offs that failed, whatever the host, and the host of the last that did.
     pub trouble: f64,
+    pub failing: Option<usize>,
     /// Share of the last connections that met late messages at their host.
     pub late: f64,
     /// Bytes that may still be told, over all who hear them.
