--- a/src/choice.rs
+++ b/src/choice.rs
@@ -849,7 +849,7 @@
                 // What is refused or not connected is the host's doing, no store's; what one attachment meets
                 // at host after host counts once. Guards: bad clients taken for a store that fails.
                 let fails = matches!(ending, Ending::Error | Ending::TimedOut) && attachment.tried.is_empty();
-                // What one host alone fails is its own. Guards: a host that fails fast, and so draws clients, taken
+                // What one host alone fails is its own. Guards: one that fails fast, and so draws clients, taken
                 // for a store that fails, and left in use.
                 if !begun && fails && std::mem::replace(&mut self.desk.failing, host) != host {
                     self.desk.set_up(true, out);
