--- a/src/choice.rs
+++ b/src/choice.rs
@@ -660,18 +660,7 @@
         }
         let mut named = vec![false; self.hosts.len()];
         for listing in listings {
-            let host = self.known.get(&listing.id).copied().unwrap_or_else(|| {
-                // The record of a host long gone serves again: a node runs for months.
-                let spare = self.hosts.iter().position(|h| h.forgotten(now)).unwrap_or(self.hosts.len());
-                let fresh = Host { id: listing.id, gone_since: now, ..Host::default() };
-                if let Some(old) = self.hosts.get_mut(spare) {
-                    self.known.remove(&std::mem::replace(old, fresh).id);
-                } else {
-                    self.hosts.push(fresh);
-                }
-                self.known.insert(listing.id, spare);
-                spare
-            });
+            let host = record(&mut self.hosts, &mut self.known, listing.id, now);
             named.get_mut(host).into_iter().for_each(|n| *n = true);
             self.post.push_back((To::Host(host), Note::Listed(listing, !self.listed_once)));
         }
@@ -816,11 +805,11 @@
     fn attend(&mut self, now: Nanos, note: Note, out: &mut Vec<Action>) {
         match note {
             Note::Arrived(arrival) => {
-                let slot = self.admit(now, arrival);
+                let slot = self.desk.admit(now, arrival, &self.charter);
                 self.place(now, slot, out);
             }
             Note::TakenUp(arrival, hand_offs, ran, tried) => {
-                let slot = self.admit(now, arrival);
+                let slot = self.desk.admit(now, arrival, &self.charter);
                 if let Some(attachment) = self.desk.slots[slot].as_mut() {
                     (attachment.hand_offs, attachment.may_have_run, attachment.tried) =
                         (hand_offs, ran, tried);
@@ -828,10 +817,11 @@
                 self.place(now, slot, out);
             }
             Note::Standing(arrival, host, since) => {
-                let slot = self.admit(now, arrival);
+                let slot = self.desk.admit(now, arrival, &self.charter);
                 let Some(attachment) = self.desk.slots[slot].as_mut() else { return };
                 (attachment.begun, attachment.answered, attachment.at) = (true, true, Some(host));
-                let conn = self.conn(since, slot, &arrival, true, None);
+                let conn = Conn::new(since, slot, &arrival, &self.ledger, &self.charter);
+                let conn = Conn { begun: true, ..conn };
                 self.post.push_back((To::Host(host), Note::Sent(conn)));
             }
             Note::Begun { slot, .. } => {
@@ -855,7 +845,7 @@
                     self.desk.set_up(true, out);
                 }
                 if answered {
-                    return self.forget(slot);
+                    return self.desk.forget(slot);
                 }
                 let Some(attachment) = self.desk.slots[slot].as_mut() else { return };
                 if let Some(host) = host {
@@ -873,7 +863,7 @@
                 let Some(attachment) = self.desk.slots[slot].as_mut() else { return };
                 attachment.answered = true;
                 if attachment.at.is_none() {
-                    self.forget(slot);
+                    self.desk.forget(slot);
                 } else if self.charter.may_call_off && !attachment.begun {
                     out.push(Action::CallOff { id: attachment.id, hand_off: attachment.hand_offs - 1 });
                 }
@@ -926,36 +916,6 @@
         out.push(Action::WakeAt { time: self.desk.parts, mark: PART });
     }
 
-    fn admit(&mut self, now: Nanos, mut arrival: Arrival) -> usize {
-        arrival.offering = arrival.offering.min(self.charter.offerings.len().saturating_sub(1));
-        let expiry = now.saturating_add(arrival.time_left);
-        let (id, most) = (arrival.id, self.charter.most_hand_offs);
-        let attachment = Attachment { id, arrival, expiry, sent: now, most, ..Attachment::default() };
-        let slot = self.desk.free.pop().unwrap_or_else(|| {
-            self.desk.slots.push(None);
-            self.desk.slots.len() - 1
-        });
-        self.desk.slots[slot] = Some(attachment);
-        self.desk.names.insert(arrival.id, slot);
-        slot
-    }
-
-    fn forget(&mut self, slot: usize) {
-        if let Some(attachment) = self.desk.slots[slot].take() {
-            self.desk.names.remove(&attachment.id);
-            self.desk.free.push(slot);
-        }
-    }
-
-    fn conn(&self, now: Nanos, slot: usize, arrival: &Arrival, begun: bool, vector: Option<usize>) -> Conn {
-        let length = self.ledger.length(arrival.key, now).unwrap_or(HORIZON);
-        let group = arrival.group.filter(|_| self.charter.groups && !self.charter.pass);
-        let load = arrival.usual_load.or(self.ledger.last_load(arrival.key, now));
-        let (offering, key) = (arrival.offering, arrival.key);
-        let (since, end) = (now, now + length as Nanos);
-        Conn { slot, offering, key, group, load, since, begun, end, vector, ..Conn::default() }
-    }
-
     /// The final answer to what can be handed off no more: a dismissal where a retry is harmless.
     fn answer(&mut self, slot: usize, out: &mut Vec<Action>) {
         let Some(attachment) = self.desk.slots[slot].as_ref() else { return };
@@ -967,7 +927,7 @@
         let wait = self.charter.longest_advice as f64 * self.rng.random_range(0.25..1.0);
         let dismissal = Action::Dismiss { id, wait: wait as Nanos };
         out.push(if harmless { dismissal } else { Action::GiveUp { id } });
-        self.forget(slot);
+        self.desk.forget(slot);
     }
 
     /// Hands the attachment to the best host, or gives its final answer at once.
@@ -1012,7 +972,8 @@
         let until = if only { last } else { last.min(now + patience) };
         self.helm.next = (vector + 1) % self.helm.vectors.len();
         out.push(Action::HandOff { id: attachment.id, host: self.hosts[host].id, until });
-        let conn = self.conn(now, slot, &attachment.arrival, false, Some(vector));
+        let conn = Conn::new(now, slot, &attachment.arrival, &self.ledger, &self.charter);
+        let conn = Conn { vector: Some(vector), ..conn };
         self.post.push_back((To::Host(host), Note::Sent(conn)));
         if let Some(attachment) = self.desk.slots[slot].as_mut() {
             (attachment.hand_offs, attachment.at, attachment.sent) =
--- a/src/records.rs
+++ b/src/records.rs
@@ -1,7 +1,7 @@
 //! The records of a node's parts, what a host's says of itself, and the notes that the parts send each other.
 //! It must never decide anything.
 
-use crate::choice::{STEP, STEPS};
+use crate::choice::{HORIZON, STEP, STEPS};
 use crate::types::*;
 use std::collections::{HashMap, VecDeque};
 
@@ -120,6 +120,16 @@
     pub vector: Option<usize>,
 }
 
+impl Conn {
+    pub fn new(now: Nanos, slot: usize, arrival: &Arrival, ledger: &Ledger, charter: &Charter) -> Self {
+        let end = now + ledger.length(arrival.key, now).unwrap_or(HORIZON) as Nanos;
+        let group = arrival.group.filter(|_| charter.groups && !charter.pass);
+        let load = arrival.usual_load.or(ledger.last_load(arrival.key, now));
+        let (offering, key) = (arrival.offering, arrival.key);
+        Conn { slot, offering, key, group, load, since: now, end, ..Conn::default() }
+    }
+}
+
 #[derive(Default)]
 pub(crate) struct Host {
     pub id: HostId,
@@ -331,6 +341,51 @@
     pub heir: bool,
 }
 
+impl Desk {
+    /// A record for an attachment that has come, under these terms.
+    pub fn admit(&mut self, now: Nanos, mut arrival: Arrival, charter: &Charter) -> usize {
+        arrival.offering = arrival.offering.min(charter.offerings.len().saturating_sub(1));
+        let expiry = now.saturating_add(arrival.time_left);
+        let (id, most) = (arrival.id, charter.most_hand_offs);
+        let attachment = Attachment { id, arrival, expiry, sent: now, most, ..Attachment::default() };
+        let slot = self.free.pop().unwrap_or_else(|| {
+            self.slots.push(None);
+            self.slots.len() - 1
+        });
+        self.slots[slot] = Some(attachment);
+        self.names.insert(id, slot);
+        slot
+    }
+
+    pub fn forget(&mut self, slot: usize) {
+        if let Some(attachment) = self.slots[slot].take() {
+            self.names.remove(&attachment.id);
+            self.free.push(slot);
+        }
+    }
+}
+
+/// The place of a host's record. That of a host long gone serves again: a node runs for months.
+pub(crate) fn record(
+    hosts: &mut Vec<Host>,
+    known: &mut HashMap<HostId, usize>,
+    id: HostId,
+    now: Nanos,
+) -> usize {
+    if let Some(host) = known.get(&id) {
+        return *host;
+    }
+    let spare = hosts.iter().position(|h| h.forgotten(now)).unwrap_or(hosts.len());
+    let fresh = Host { id, gone_since: now, ..Host::default() };
+    if let Some(old) = hosts.get_mut(spare) {
+        known.remove(&std::mem::replace(old, fresh).id);
+    } else {
+        hosts.push(fresh);
+    }
+    known.insert(id, spare);
+    spare
+}
+
 /// What is known of clients by their keys, usual loads by offering, and how long set-ups take.
 #[derive(Default)]
 pub(crate) struct Ledger {
