Count a host that has just started among those a node uses, whenever it learned of it

At fault: `in_set`. A host counts as new only to a node that saw it appear; a node that starts after it, as all do in a rolling restart, finds it on its first list and uses 3 by a draw of those of its zone.

Excluded: the list service (80 calls fail in the first second, 20 after that); budget of cold hosts (no rule near broken).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1019,7 +1019,11 @@
     /// The house habit: a node starts with few hosts and adds one whenever those are all busy: those of its
     /// zone at which it holds the group, or anything, what is new, and a few by a draw over node and host.
     fn in_set(&self, now: Nanos, host: &Host, ask: &Ask, view: &Survey) -> bool {
+        // Guards: a zone with most of the clients overrun beside another whose hosts all are new and empty.
+        let young = host.cold(now, &self.charter) && by_lot(&self.charter);
         let used = match ask.home {
+            // Guards: clients led to a new host by nodes that have just started themselves, which look elsewhere.
+            _ if young => true,
             Some(home) => !self.charter.pass && host.groups.contains_key(&home),
             _ if !host.conns.is_empty() || host.newcomer || self.charter.gathers => true,
             _ => draw(u64::from(self.charter.node), host.id.0) < FEW / view.near,
@@ -1027,8 +1031,6 @@
         let part = BUSY * (view.mean + view.unseen);
         let busy = host.reported(now).map_or(host.own() + view.unseen > part, |load| load > CROWDED);
         let busy = busy || host.ceiling.is_some() || now < host.masked_until || host.slow(now) >= LATE;
-        // Guards: a zone with most of the clients overrun beside another whose hosts all are new and empty.
-        let young = host.cold(now, &self.charter) && by_lot(&self.charter);
         used && !busy && (young || host.listing.zone == self.charter.zone)
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -295,6 +295,41 @@
     assert!(10 * there >= 9 * moved, "{there} of {moved} handed there");
 }
 
+/// Guards: clients led to new hosts by one node and taken elsewhere by the next, which has started after those
+/// hosts, finds them on its first list and so takes them for hosts like the rest, of which it uses few.
+#[test]
+fn clients_are_led_to_new_hosts_by_nodes_that_started_after_these() {
+    let mut fleet = Fleet::new(100, |node| charter(node, 100));
+    let mut hosts: Vec<Listing> = (1..=20).map(host).collect();
+    fleet.list(RollKind::Cached, &hosts);
+    (0..1000).for_each(|n| _ = fleet.client(n % 100));
+    fleet.pass(10 * SECOND);
+    hosts.extend((21..=40).map(|id| Listing { started: Some(fleet.now), ..host(id) }));
+    // A new process at each node, with the connections of the one before.
+    fleet.wakes.clear();
+    for node in 0..100 {
+        let open = fleet.asked.iter().filter(|a| a.node == node).filter_map(|a| match a.action {
+            Action::HandOff { id, host, .. } => Some((id, host)),
+            _ => None,
+        });
+        let open: Vec<(AttachmentId, HostId)> = open.collect();
+        let mut out = Vec::new();
+        fleet.nodes[node] = Balancer::new(charter(node as u32, 100), node as u64, fleet.now, &mut out);
+        fleet.note(node, out);
+        fleet.tell(node, Event::Roll { kind: RollKind::Cached, hosts: hosts.clone() });
+        for (id, host) in open {
+            let arrival = Arrival { id, key: Some(fleet.keys[&id]), ..Arrival::default() };
+            fleet.tell(node, Event::PassedOn(arrival, host, START));
+        }
+    }
+    let before = fleet.asked.len();
+    fleet.pass(12 * SECOND);
+    let moved = fleet.asked[before..].iter().filter(|a| matches!(a.action, Action::Move { .. })).count();
+    let new = |a: &&Asked| matches!(a.action, Action::HandOff { host, .. } if host.0 > 20);
+    let there = fleet.asked[before..].iter().filter(new).count();
+    assert!(moved >= 200 && 10 * there >= 9 * moved, "{there} of {moved} handed there");
+}
+
 /// Guards: hosts that died and came back cold before the list told of it, and were pushed over by a hundred
 /// nodes that each tried them again.
 #[test]
