Lead clients to the new hosts of all zones, each zone's at one pace

A zone holds a sixth of all clients, while a host's turns are dealt out over all, so by its tenth second a new host holds 6 to 8 connections where the mean is 23. `drawn` counted a client of the host's own zone twice at most, for which the sum over all zones was twice the budget where one zone has all clients (a known hazard).

Now a zone that has new hosts itself also sends clients on to those elsewhere, each host's fair share of all, and a turn comes at one pace for all, so the worst case at one host is half of what it was.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -138,10 +138,8 @@
     fn drawn(&self, now: Nanos, key: Option<u64>, span: Nanos, view: &Survey, charter: &Charter) -> bool {
         let nodes = f64::from(charter.nodes.max(1));
         let place = key.map_or((f64::from(charter.node) + 0.5) / nodes, |key| draw(key, self.id.0));
-        // Mostly the clients of its zone come, of which there are fewer.
-        let near =
-            if self.listing.zone == charter.zone { (view.size / view.near_size).min(2.0) } else { 1.0 };
-        let share = near * BEARS * self.listing.size / view.size.max(self.listing.size);
+        // Alike for clients of all zones. Guards: a host pushed over where one zone has most of the clients.
+        let share = BEARS * self.listing.size / view.size.max(self.listing.size);
         let come = |age: Nanos| {
             let age = age as f64 / charter.cold.max(1) as f64;
             let warmed = charter.cold_from * age + (1.0 - charter.cold_from) * age * age / 2.0;
@@ -698,17 +696,19 @@
         }
     }
 
-    /// Sends on the clients whose turn at a cold host of the zone has just come: any node they then come to
-    /// hands them there, until it has its share. Guards: a zone that came back, or hosts that took the
-    /// place of most, idle for minutes beside hosts overrun, as clients stay where they are.
+    /// Sends on the clients whose turn at a cold host has just come: any node they then come to hands them
+    /// there, until it has its share. Guards: a zone that came back, or hosts that took the place of most, idle
+    /// for minutes beside hosts overrun, as clients stay where they are.
     fn lead_home(&mut self, now: Nanos, view: &Survey) {
         let charter = &self.charter;
-        let young = |h: &&Host| {
-            let fit = h.ready() && h.listing.zone == charter.zone && now >= h.masked_until;
-            fit && h.cold(now, charter) && by_lot(charter)
-        };
-        let young: Vec<&Host> = self.hosts.iter().filter(young).collect();
-        let fair = |h: &Host, key| draw(key, h.id.0) < h.listing.size / view.near_size;
+        let near = |h: &Host| h.listing.zone == charter.zone;
+        let young = |h: &&Host| h.ready() && now >= h.masked_until && h.cold(now, charter) && by_lot(charter);
+        let mut young: Vec<&Host> = self.hosts.iter().filter(young).collect();
+        // To those elsewhere only from a zone that is short of warm hosts itself.
+        let short = young.iter().any(|h| near(h));
+        young.retain(|_| short);
+        let share = |h: &Host| h.listing.size / if near(h) { view.near_size } else { view.size };
+        let fair = |h: &Host, key| draw(key, h.id.0) < share(h);
         let turn = |h: &Host, key| fair(h, key) && h.drawn(now, Some(key), PULSE, view, charter);
         for host in self.hosts.iter().filter(|h| !young.is_empty() && !h.cold(now, charter)) {
             let turn = |c: &&Conn| c.begun && c.key.is_some_and(|key| young.iter().any(|h| turn(h, key)));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -77,8 +77,8 @@
             for action in self.tell(node, Event::Timer { mark }) {
                 if let Action::Move { id } = action {
                     self.ended(node, id, Ending::CalledOff);
-                    // It comes again soon, to another node.
-                    let other = (node + 37) % self.nodes.len();
+                    // It comes again soon, to another node of its zone, where nodes take zones in turn.
+                    let other = (node + 36) % self.nodes.len();
                     self.away.push_back((self.now + 100 * MILLI, other, self.keys[&id]));
                 }
             }
@@ -434,6 +434,45 @@
     assert!(there >= 10, "{there} of 200 clients in ten seconds");
 }
 
+/// Guards: a release in all zones, whose new hosts stay nearly empty beside overrun ones, as each is led clients
+/// of its own zone alone, which holds a few of all. And rule 4 with it, a third of all clients coming again at
+/// once; also where one of six zones has all clients.
+#[test]
+fn new_hosts_of_a_release_are_led_clients_of_all_zones() {
+    let zone = |n: u64| (n % 6) as u16;
+    for zones in [6, 1] {
+        let term = |node| {
+            let zone = zone(u64::from(node) % zones);
+            Charter { zone, cross_zone_charge: 0.1, ..charter(node, 300) }
+        };
+        let mut fleet = Fleet::new(300, term);
+        let mut hosts: Vec<Listing> = (1..=60).map(|n| Listing { zone: zone(n), ..host(n) }).collect();
+        fleet.list(RollKind::Cached, &hosts);
+        (0..1800).for_each(|n| _ = fleet.client(n % 300));
+        fleet.pass(10 * SECOND);
+        for old in &mut hosts[30..] {
+            old.standing = Standing::Gone;
+        }
+        let started = Some(fleet.now);
+        hosts.extend((61..=90).map(|n| Listing { zone: zone(n), started, ..host(n) }));
+        fleet.list(RollKind::Changes, &hosts);
+        let before = fleet.asked.len();
+        fleet.pass(9 * SECOND);
+        let new = |a: &&Asked| matches!(a.action, Action::HandOff { host, .. } if host.0 > 60);
+        let there = fleet.asked[before..].iter().filter(new).count();
+        assert!(there >= 350, "{there} of 1800 clients at half of the hosts after nine seconds");
+        for n in 0..600 {
+            fleet.comes(n % 300, (n as u64 + 1) * 0x9E37_79B9);
+        }
+        let budget = 3.0 * (0.1 + 0.9 * 9.0 / 20.0) * (4.0 * 1800.0 / 60.0) / 20.0;
+        let most = (61..=90).map(|id| fleet.most(SECOND, to(id))).max().unwrap_or(0);
+        assert!(
+            most as f64 <= budget,
+            "{zones} zones: {most} at a host within a second, {budget:.1} at most"
+        );
+    }
+}
+
 /// Guards: fleets in which reports tell loads, or of few nodes, whose clients are sent on to new hosts though
 /// these fill as it is; and a wild setting that ends a node.
 #[test]
