Call the list service in turn where nothing is known, and once where two calls were made

At fault: the first call comes at the first look-around whatever the size of the fleet, a refused one is repeated within a second or two, and `Discovery::follow` calls once to read and once to wait.

Who calls when is now a value of its own (`src/calls.rs`), tested at 200 to 5,000 nodes. A node of many that knows no host asks for the list in its turn, by its number, within half of the time in which the settings want a call of each (so that as much is left to ask again), and begins to follow half of that time after its list came. Nodes that know a list call as before. A fleet just over few waits little: by the square of few over nodes. Where a version is known one call waits and brings what was missed.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -99,13 +99,17 @@
     pub fn follow(&mut self, deck: &mut Deck) {
         if !self.calls[WATCH].out {
             self.following = false;
-            // The first call comes back at once, with what was missed.
-            self.call(deck, WATCH, MILLI);
+            // What was missed since a version that is known comes at once, by the call that then waits on. Guards:
+            // two calls of each of hundreds of nodes where one does.
+            self.call(deck, WATCH, HOLD);
         }
     }
 
     fn call(&mut self, deck: &mut Deck, which: usize, hold: Nanos) {
-        let path = match self.revision.filter(|_| which == WATCH) {
+        // Without a version the whole list comes, which nothing waits for.
+        let from = self.revision.filter(|_| which == WATCH);
+        let hold = if from.is_some() { hold } else { 0 };
+        let path = match from {
             Some(from) => format!("/v1/servers?from={from}&hold_ms={}", hold / MILLI),
             None => "/v1/servers".to_string(),
         };
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,6 +8,7 @@
 //! They talk only by notes, which `Balancer::run` carries and has read until none is left. A part
 //! may look at another's record; only the part itself changes it.
 
+use crate::calls::{Call, Pace};
 use crate::records::*;
 use crate::types::*;
 use crate::word;
@@ -458,28 +459,29 @@
 }
 
 impl Roll {
-    fn read(&mut self, note: Note, now: Nanos, chance: f64, ask_within: Nanos, out: &mut Vec<Action>) {
+    fn read(
+        &mut self,
+        note: Note,
+        now: Nanos,
+        chance: f64,
+        (knows, pace): (bool, Pace),
+        out: &mut Vec<Action>,
+    ) {
         match note {
             Note::Told(RollKind::Failed) => {
-                (self.following, self.called, self.failures) = (false, None, self.failures + 1);
-                // Spread and growing, so that the nodes do not storm the one list service.
-                let wait = ((SECOND / 2) << self.failures.min(4)).min(ask_within / 4);
-                self.next = now + (wait as f64 * (0.5 + chance)) as Nanos;
-                log!(out, "roll lost failures={}", self.failures);
+                let failures = self.calls.failed(now, chance, knows, pace);
+                log!(out, "roll lost failures={failures}");
             }
             Note::Told(RollKind::Changes | RollKind::Full) => {
-                if self.called.take().is_some() && self.failures > 0 {
-                    log!(out, "roll followed again after failures={}", self.failures);
-                }
-                (self.following, self.failures) = (true, 0);
-            }
-            Note::Pulse { .. } => {
-                let waiting = self.called.is_some_and(|t| now < t + ask_within);
-                if !self.following && !waiting && now >= self.next {
-                    self.called = Some(now);
-                    out.push(Action::FollowRoll);
+                let ended = self.calls.told(now, knows, pace);
+                if ended > 0 {
+                    log!(out, "roll followed again after failures={ended}");
                 }
             }
+            Note::Pulse { .. } => out.extend(self.calls.due(now, knows, pace).map(|call| match call {
+                Call::Ask => Action::AskRoll,
+                Call::Follow => Action::FollowRoll,
+            })),
             _ => {}
         }
     }
@@ -506,9 +508,21 @@
     }
 }
 
-/// Whether cold hosts take by lot: a warm-up holds fewer turns than nodes, and no report tells who is new.
+/// Whether the fleet has more nodes than a host's warm-up has turns.
+fn many(charter: &Charter) -> bool {
+    u64::from(charter.nodes).saturating_mul(charter.tip_after) > charter.cold
+}
+
+/// The node's place among many, from 0 to 1, over as much of that as there are more than would be few.
+fn place(charter: &Charter) -> Option<f64> {
+    let few = charter.cold as f64 / charter.tip_after.max(1) as f64;
+    let nodes = f64::from(charter.nodes.max(1));
+    many(charter).then(|| (f64::from(charter.node) + 0.5) / nodes * (1.0 - (few / nodes).powi(2)))
+}
+
+/// Whether cold hosts take by lot: many nodes, and no report tells who is new.
 fn by_lot(charter: &Charter) -> bool {
-    u64::from(charter.nodes).saturating_mul(charter.tip_after) > charter.cold && !charter.probe_for_gauges
+    many(charter) && !charter.probe_for_gauges
 }
 
 /// One node's decisions.
@@ -697,8 +711,8 @@
     }
 
     /// Sends on the clients whose turn at a cold host has just come: any node they then come to hands them
-    /// there, until it has its share. Guards: a zone that came back, or hosts that took the place of most, idle
-    /// for minutes beside hosts overrun, as clients stay where they are.
+    /// there, until it has its share. Guards: a zone that came back, or hosts that took the place of most,
+    /// idle for minutes beside hosts overrun, as clients stay where they are.
     fn lead_home(&mut self, now: Nanos, view: &Survey) {
         let charter = &self.charter;
         let near = |h: &Host| h.listing.zone == charter.zone;
@@ -795,7 +809,9 @@
                 To::Helm => deliver!(self.helm.inbox, note, self.helm.read(note, &mut self.rng, out)),
                 To::Ledger => deliver!(self.ledger.inbox, note, self.ledger.read(note, now)),
                 To::Roll => deliver!(self.roll.inbox, note, {
-                    self.roll.read(note, now, self.rng.random(), self.charter.ask_within, out)
+                    let pace = Pace { ask_within: self.charter.ask_within, place: place(&self.charter) };
+                    let knows = self.hosts.iter().any(Host::ready);
+                    self.roll.read(note, now, self.rng.random(), (knows, pace), out)
                 }),
             }
         }
@@ -839,8 +855,8 @@
                 // What is refused or not connected is the host's doing, no store's; what one attachment meets
                 // at host after host counts once. Guards: bad clients taken for a store that fails.
                 let fails = matches!(ending, Ending::Error | Ending::TimedOut) && attachment.tried.is_empty();
-                // What one host alone fails is its own. Guards: one that fails fast, and so draws clients, taken
-                // for a store that fails, and left in use.
+                // What one host alone fails is its own. Guards: one that fails fast, and so draws clients,
+                // taken for a store that fails, and left in use.
                 if !begun && fails && std::mem::replace(&mut self.desk.failing, host) != host {
                     self.desk.set_up(true, out);
                 }
@@ -1022,7 +1038,7 @@
         // Guards: a zone with most of the clients overrun beside another whose hosts all are new and empty.
         let young = host.cold(now, &self.charter) && by_lot(&self.charter);
         let used = match ask.home {
-            // Guards: clients led to a new host by nodes that have just started themselves, which look elsewhere.
+            // Guards: clients led to a new host by nodes that have just started, which then look elsewhere.
             _ if young => true,
             Some(home) => !self.charter.pass && host.groups.contains_key(&home),
             _ if !host.conns.is_empty() || host.newcomer || self.charter.gathers => true,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 //! assert!(out.iter().any(|a| matches!(a, Action::HandOff { host: HostId(1), .. })));
 //! ```
 
+pub mod calls;
 pub mod choice;
 mod ledger;
 mod records;
--- a/src/records.rs
+++ b/src/records.rs
@@ -1,6 +1,7 @@
 //! The records of a node's parts, what a host's says of itself, and the notes that the parts send each other.
 //! It must never decide anything.
 
+use crate::calls::Calls;
 use crate::choice::{HORIZON, STEP, STEPS};
 use crate::types::*;
 use std::collections::{HashMap, VecDeque};
@@ -434,10 +435,7 @@
 #[derive(Default)]
 pub(crate) struct Roll {
     pub inbox: VecDeque<Note>,
-    pub following: bool,
-    pub called: Option<Nanos>,
-    pub failures: u32,
-    pub next: Nanos,
+    pub calls: Calls,
 }
 
 /// What one look over the ready hosts shows.
