Start many processes beside a bounded list service, with faults between, and measure cold starts

`rig/src/fleet.rs`: a fleet of processes at addresses of their own, hosts that warm up and tip over, a front that notices deaths late, clients that come again under the same key; judged by what hosts, clients and the list service saw, with planted breaks that the referee catches. The stand-in for the list service has a capacity, is down, turns calls away, starts anew. `reedferry-rig coldstart` measures a start of N at once beside the plain way and another build (`--before`).

--- a/rig/src/acting.rs
+++ b/rig/src/acting.rs
@@ -217,18 +217,20 @@
 }
 
 /// A thread that needs little.
-fn small(work: impl FnOnce() + Send + 'static) -> thread::JoinHandle<()> {
+pub(crate) fn small(work: impl FnOnce() + Send + 'static) -> thread::JoinHandle<()> {
     thread::Builder::new().stack_size(128 << 10).spawn(work).expect("no thread to be had")
 }
 
-fn serve(host: usize, mut stream: TcpStream, ways: &[AtomicU8], open: &[AtomicU32], referee: &Referee) {
+/// The first line that comes to a host, and where what follows is read.
+pub(crate) fn first_line(stream: &TcpStream) -> Option<(BufReader<TcpStream>, String)> {
     _ = stream.set_nodelay(true);
-    let Ok(clone) = stream.try_clone() else { return };
-    let mut reader = BufReader::with_capacity(512, clone);
+    let mut reader = BufReader::with_capacity(512, stream.try_clone().ok()?);
     let mut line = String::new();
-    if !matches!(reader.read_line(&mut line), Ok(1..)) {
-        return;
-    }
+    matches!(reader.read_line(&mut line), Ok(1..)).then_some((reader, line))
+}
+
+fn serve(host: usize, mut stream: TcpStream, ways: &[AtomicU8], open: &[AtomicU32], referee: &Referee) {
+    let Some((mut reader, mut line)) = first_line(&stream) else { return };
     let (at, way) = (Instant::now(), WAYS[usize::from(ways[host].load(SeqCst)) % WAYS.len()]);
     let Some(name) = line.split(' ').nth(1).map(str::to_string) else {
         _ = stream.write_all(b"SYNTAX\r\n");
--- a/rig/src/discovery.rs
+++ b/rig/src/discovery.rs
@@ -1,5 +1,6 @@
-//! A stand-in for discovery: it keeps a list of hosts and answers calls and watches on it over HTTP. It must
-//! never tell anything but its list, unless a test has it answer with something else instead.
+//! A stand-in for discovery: it keeps a list of hosts and answers calls and watches on it over HTTP, as many a
+//! second as a test allows, and fails as a test says. It must never tell anything but its list, unless a test has
+//! it answer with something else instead.
 
 use crate::peers::PATIENCE;
 use serde_json::{json, Value};
@@ -9,6 +10,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+const TURNED_AWAY: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+
 #[derive(Default)]
 struct Kept {
     revision: u64,
@@ -18,6 +21,15 @@
     /// When each watch was answered and when each call came.
     answered: Vec<Instant>,
     called: Vec<Instant>,
+    /// How long one call takes it, and how much work may wait before it turns calls away; when it is free.
+    work: Option<(Duration, Duration)>,
+    free: Option<Instant>,
+    down: bool,
+    /// Of ten calls so many are turned away.
+    refuses: usize,
+    turned_away: Vec<Instant>,
+    /// Grows with each start: what was begun before ends.
+    life: u64,
 }
 
 /// Discovery: keeps a list and answers watches on it.
@@ -41,6 +53,41 @@
         discovery
     }
 
+    /// From now on it works calls off in turn, so many a second, and turns away what would wait longer than that.
+    pub fn bound(&self, a_second: f64, queue: Duration) {
+        self.kept.0.lock().unwrap().work = Some((Duration::from_secs_f64(1.0 / a_second), queue));
+    }
+
+    /// It is down: watches end, and no call is answered.
+    pub fn go_down(&self) {
+        let mut kept = self.kept.0.lock().unwrap();
+        (kept.down, kept.life) = (true, kept.life + 1);
+        self.kept.1.notify_all();
+    }
+
+    pub fn come_up(&self) {
+        self.kept.0.lock().unwrap().down = false;
+    }
+
+    /// Turns away so many of ten calls.
+    pub fn turn_away(&self, of_ten: usize) {
+        self.kept.0.lock().unwrap().refuses = of_ten;
+    }
+
+    /// It starts anew with this list at this revision: all watches end at one moment.
+    pub fn restart(&self, revision: u64, members: &[Value]) {
+        let mut kept = self.kept.0.lock().unwrap();
+        (kept.life, kept.revision) = (kept.life + 1, revision);
+        kept.members = members.iter().map(|member| (revision, member.clone())).collect();
+        self.kept.1.notify_all();
+    }
+
+    /// When each call came, and when one was turned away.
+    pub fn seen(&self) -> (Vec<Instant>, Vec<Instant>) {
+        let kept = self.kept.0.lock().unwrap();
+        (kept.called.clone(), kept.turned_away.clone())
+    }
+
     /// Changes one entry of the list, which watches are told of.
     pub fn change(&self, member: Value) {
         let mut kept = self.kept.0.lock().unwrap();
@@ -82,8 +129,30 @@
             };
             let (from, hold) = (figure("from="), figure("hold_ms=").unwrap_or(0));
             let mut kept = self.kept.0.lock().unwrap();
-            kept.called.push(Instant::now());
+            let (came, life) = (Instant::now(), kept.life);
+            kept.called.push(came);
             self.kept.1.notify_all();
+            if kept.down {
+                return;
+            }
+            let refused = kept.called.len() % 10 < kept.refuses;
+            let (each, queue) = kept.work.unwrap_or_default();
+            let free = kept.free.unwrap_or(came).max(came);
+            if refused || free > came + queue {
+                kept.turned_away.push(came);
+                drop(kept);
+                if stream.write_all(TURNED_AWAY.as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
+            if !each.is_zero() {
+                kept.free = Some(free + each);
+                drop(kept);
+                // Its work takes time; nobody waits here for anything else to happen.
+                thread::sleep((free + each).saturating_duration_since(Instant::now()));
+                kept = self.kept.0.lock().unwrap();
+            }
             if let Some(instead) = kept.instead.pop() {
                 kept.answered.push(Instant::now());
                 drop(kept);
@@ -94,7 +163,11 @@
             }
             if let Some(from) = from {
                 let wait = Duration::from_millis(hold);
-                kept = self.kept.1.wait_timeout_while(kept, wait, |k| k.revision <= from).unwrap().0;
+                let same = |k: &mut Kept| k.revision <= from && k.life == life;
+                kept = self.kept.1.wait_timeout_while(kept, wait, same).unwrap().0;
+            }
+            if kept.life != life {
+                return;
             }
             let news = kept.members.iter().filter(|(r, _)| from.is_none_or(|from| *r > from));
             let members: Vec<&Value> = news.map(|(_, m)| m).collect();
--- /dev/null
+++ b/rig/src/fleet.rs
@@ -0,0 +1,515 @@
+//! A fleet of processes of the program, each at an address of its own, hosts that warm up and tip over, a front that
+//! deals clients out and notices deaths late, and clients that come again under the same key. What hosts and
+//! clients saw is noted with its time, and the rules are judged by that alone.
+
+use crate::acting::{first_line, small, GRACE, SOCKETS};
+use crate::program::{papers_of, path, Node};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub const EXPIRY: Duration = Duration::from_secs(2);
+
+/// The terms on cold hosts and on calls to the list service that the whole site works under.
+#[derive(Clone, Copy)]
+pub struct Terms {
+    pub cold: Duration,
+    pub cold_from: f64,
+    pub tip_after: Duration,
+    pub tip_multiple: f64,
+    pub ask_within: Duration,
+    /// Connections that fill a warm host.
+    pub full: f64,
+}
+
+impl Terms {
+    /// What a host that started so long ago may be sent within one window.
+    pub fn budget(&self, age: Duration) -> f64 {
+        let warmed = (age.as_secs_f64() / self.cold.as_secs_f64()).min(1.0);
+        let warmth = self.cold_from + (1.0 - self.cold_from) * warmed;
+        self.tip_multiple * warmth * self.full * self.tip_after.as_secs_f64() / self.cold.as_secs_f64()
+    }
+}
+
+struct Berth {
+    address: SocketAddr,
+    started: Option<(Instant, u64)>,
+    arrived: Mutex<Vec<Instant>>,
+    drains: Mutex<Option<Instant>>,
+    open: AtomicU32,
+    tipped: AtomicBool,
+}
+
+/// Hosts that take whoever comes, until they tip over.
+#[derive(Clone)]
+pub struct Berths {
+    all: Arc<Mutex<Vec<Arc<Berth>>>>,
+    terms: Terms,
+}
+
+impl Berths {
+    pub fn new(terms: Terms) -> Self {
+        Berths { all: Arc::default(), terms }
+    }
+
+    /// Starts some, cold or warm, and says which.
+    pub fn start(&self, count: usize, cold: bool) -> std::ops::Range<usize> {
+        let first = self.all.lock().unwrap().len();
+        for _ in 0..count {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+            let berth = Arc::new(Berth {
+                address: listener.local_addr().unwrap(),
+                started: cold.then(|| (Instant::now(), since)),
+                arrived: Mutex::default(),
+                drains: Mutex::default(),
+                open: AtomicU32::new(0),
+                tipped: AtomicBool::new(false),
+            });
+            self.all.lock().unwrap().push(berth.clone());
+            let terms = self.terms;
+            small(move || {
+                for stream in listener.incoming().flatten() {
+                    let berth = berth.clone();
+                    small(move || berth.serve(stream, terms));
+                }
+            });
+        }
+        first..first + count
+    }
+
+    fn at(&self, host: usize) -> Arc<Berth> {
+        self.all.lock().unwrap()[host].clone()
+    }
+
+    pub fn member(&self, host: usize, phase: &str) -> Value {
+        let berth = self.at(host);
+        let since = berth.started.map_or(0, |(_, since)| since);
+        json!({"id": format!("s-{host}"), "host_port": berth.address.to_string(), "locality": "a", "flavor": "m",
+            "cell": host % 2, "phase": phase, "size": 1.0, "up_since_ms": since})
+    }
+
+    pub fn members(&self, hosts: impl Iterator<Item = usize>) -> Vec<Value> {
+        hosts.map(|host| self.member(host, "active")).collect()
+    }
+
+    /// The list service tells from now on that it drains.
+    pub fn drains(&self, host: usize) {
+        *self.at(host).drains.lock().unwrap() = Some(Instant::now());
+    }
+
+    pub fn standing(&self, hosts: impl Iterator<Item = usize>) -> u32 {
+        hosts.map(|host| self.at(host).open.load(SeqCst)).sum()
+    }
+
+    /// When connections that asked came to it.
+    pub fn arrived(&self, host: usize) -> Vec<Instant> {
+        self.at(host).arrived.lock().unwrap().clone()
+    }
+
+    /// What broke rules 3 and 4, each in a line; `told` is how long word of a drain may take.
+    pub fn broken(&self, told: Duration) -> Vec<String> {
+        let mut broken = Vec::new();
+        for (host, berth) in self.all.lock().unwrap().iter().enumerate() {
+            if berth.tipped.load(SeqCst) {
+                broken.push(format!("rule 4: host {host} was pushed over"));
+            }
+            let drains = *berth.drains.lock().unwrap();
+            let late = drains.map(|t| t + GRACE + SOCKETS + told);
+            let after =
+                berth.arrived.lock().unwrap().iter().filter(|t| late.is_some_and(|l| **t > l)).count();
+            if after > 0 {
+                broken.push(format!("rule 3: {after} came to host {host} after its drain"));
+            }
+        }
+        broken
+    }
+}
+
+impl Berth {
+    fn serve(&self, mut stream: TcpStream, terms: Terms) {
+        let Some((mut reader, mut line)) = first_line(&stream) else { return };
+        let now = Instant::now();
+        {
+            let mut arrived = self.arrived.lock().unwrap();
+            arrived.push(now);
+            let within = arrived.iter().rev().take_while(|t| **t + terms.tip_after > now).count() as f64;
+            // What warm ones take is no matter here.
+            let age = self.started.map(|(t, _)| now - t).filter(|age| *age < terms.cold);
+            if age.is_some_and(|age| within > terms.budget(age).max(1.0)) {
+                self.tipped.store(true, SeqCst);
+            }
+        }
+        if self.tipped.load(SeqCst) || stream.write_all(b"UP 1\r\n").is_err() {
+            return;
+        }
+        self.open.fetch_add(1, SeqCst);
+        line.clear();
+        while matches!(reader.read_line(&mut line), Ok(1..)) && stream.write_all(line.as_bytes()).is_ok() {
+            line.clear();
+        }
+        self.open.fetch_sub(1, SeqCst);
+    }
+}
+
+/// Deals clients out over nodes, and notices late that one has gone.
+#[derive(Clone, Default)]
+pub struct Front(Arc<Mutex<Vec<Dealt>>>);
+
+/// A node's address, and from when on the front leaves it out.
+type Dealt = (SocketAddr, Option<Instant>);
+
+impl Front {
+    fn takes_in(&self, address: SocketAddr) {
+        self.0.lock().unwrap().push((address, None));
+    }
+
+    fn leaves_out(&self, address: SocketAddr, from: Instant) {
+        self.0.lock().unwrap().iter_mut().filter(|(a, _)| *a == address).for_each(|one| one.1 = Some(from));
+    }
+
+    fn pick(&self, rng: &mut ChaCha8Rng) -> Option<SocketAddr> {
+        let mut all = self.0.lock().unwrap();
+        all.retain(|(_, gone)| gone.is_none_or(|t| t > Instant::now()));
+        (!all.is_empty()).then(|| all[rng.random_range(0..all.len())].0)
+    }
+}
+
+/// Processes of the program that share a list service and hosts.
+pub struct Fleet {
+    pub nodes: Vec<Option<Node>>,
+    pub front: Front,
+    program: PathBuf,
+    discovery: SocketAddr,
+    terms: Terms,
+    alone: bool,
+    /// Where a process was killed, stopped or asked to end, and when.
+    ended: Vec<(SocketAddr, Instant)>,
+}
+
+impl Fleet {
+    /// None runs yet.
+    pub fn new(nodes: usize, discovery: SocketAddr, terms: Terms) -> Self {
+        let nodes = (0..nodes).map(|_| None).collect();
+        let (front, program) = (Front::default(), path());
+        Fleet { nodes, front, program, discovery, terms, alone: false, ended: Vec::new() }
+    }
+
+    /// Of another build of the program.
+    pub fn of(mut self, program: PathBuf) -> Self {
+        self.program = program;
+        self
+    }
+
+    /// Each thinks that it is alone, as if nobody shared the list service.
+    pub fn each_alone(mut self) -> Self {
+        self.alone = true;
+        self
+    }
+
+    /// Where those that run take clients in, by their numbers.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().flatten().map(|node| node.address).collect()
+    }
+
+    fn papers(&self, node: usize, known: &[Value], revision: u64) -> Value {
+        let millis = |d: Duration| json!(d.as_secs_f64() * 1000.0);
+        let mut papers = papers_of(json!(known), self.discovery);
+        papers["name"] = json!(format!("n{node}"));
+        papers["listen"] = json!(format!("127.1.{}.{}:0", node / 200, node % 200 + 1));
+        papers["seed"] = json!(format!("{:016x}", 0x8c1f_30d2 + node as u64));
+        papers["known"]["revision"] = json!(revision);
+        let settings = &mut papers["settings"];
+        let place = if self.alone { (1, 0) } else { (self.nodes.len(), node) };
+        (settings["balancers"], settings["index"]) = (json!(place.0), json!(place.1));
+        let contract = &mut settings["contract"];
+        contract["cold"] = millis(self.terms.cold);
+        contract["cold_from"] = json!(self.terms.cold_from);
+        contract["tip_after"] = millis(self.terms.tip_after);
+        contract["tip_multiple"] = json!(self.terms.tip_multiple);
+        contract["ask_within"] = millis(self.terms.ask_within);
+        papers
+    }
+
+    /// Starts these at once, each knowing this list; the front takes them in.
+    pub fn start(&mut self, which: &[usize], known: &[Value], revision: u64) {
+        let papers: Vec<(usize, Value)> =
+            which.iter().map(|&n| (n, self.papers(n, known, revision))).collect();
+        let program = &self.program;
+        let started: Vec<(usize, Node)> = thread::scope(|scope| {
+            let one = |(node, papers): &(usize, Value)| (*node, Node::start_of(program, papers));
+            let share = papers.len().div_ceil(16).max(1);
+            let parts = papers.chunks(share).map(|part| scope.spawn(move || part.iter().map(one).collect()));
+            let parts: Vec<thread::ScopedJoinHandle<Vec<_>>> = parts.collect();
+            parts.into_iter().flat_map(|part| part.join().expect("a node did not start")).collect()
+        });
+        for (number, node) in started {
+            self.front.takes_in(node.address);
+            self.nodes[number] = Some(node);
+        }
+    }
+
+    fn ends(&mut self, node: usize, notices: Duration) {
+        if let Some(address) = self.nodes[node].as_ref().map(|n| n.address) {
+            self.ended.push((address, Instant::now()));
+            self.front.leaves_out(address, Instant::now() + notices);
+        }
+    }
+
+    /// Kills one outright; the front notices later.
+    pub fn kill(&mut self, node: usize, notices: Duration) {
+        self.ends(node, notices);
+        self.nodes[node] = None;
+    }
+
+    /// Has one stand still until it goes on; what it had taken may get its answer late.
+    pub fn stand_still(&mut self, node: usize) {
+        self.ends(node, Duration::ZERO);
+        self.nodes[node].iter().for_each(Node::stand_still);
+    }
+
+    /// It goes on, and is dealt clients again.
+    pub fn go_on(&mut self, node: usize) {
+        if let Some(one) = &self.nodes[node] {
+            one.go_on();
+            self.front.takes_in(one.address);
+        }
+    }
+
+    /// Asks one to stop, gives it to whoever waits for its end.
+    pub fn stop(&mut self, node: usize, notices: Duration) -> Option<Node> {
+        self.ends(node, notices);
+        let node = self.nodes[node].take()?;
+        node.stop();
+        Some(node)
+    }
+
+    /// What broke rule 1 as the clients saw it: those whose node ended or stood still by then may have had no answer,
+    /// or a late one.
+    pub fn broken(&self, guests: &Guests) -> Vec<String> {
+        let mut broken = Vec::new();
+        for (number, guest) in guests.seen.iter().enumerate() {
+            for ask in &guest.lock().unwrap().asks {
+                // Up to two seconds after a front has left it out, some still come.
+                let near = |t: Instant| ask.at < t + EXPIRY && t < ask.at + EXPIRY + SOCKETS;
+                let ended = self.ended.iter().any(|(a, t)| *a == ask.node && near(*t));
+                match ask.answered {
+                    None if !ended => broken.push(format!("rule 1: guest {number} had no answer")),
+                    Some(took) if took > EXPIRY + SOCKETS + SOCKETS && !ended => {
+                        broken.push(format!("rule 1: guest {number} was answered after {took:?}"));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        broken
+    }
+}
+
+/// One line that a client sent to ask for a connection.
+pub struct Ask {
+    pub at: Instant,
+    node: SocketAddr,
+    pub answered: Option<Duration>,
+    pub up: bool,
+}
+
+#[derive(Default)]
+pub struct Seen {
+    pub asks: Vec<Ask>,
+    /// Since when its connection stands, if it does.
+    pub stands: Option<Instant>,
+}
+
+/// Clients that want a connection each, and come again under the same key whenever it ends.
+pub struct Guests {
+    pub seen: Arc<Vec<Mutex<Seen>>>,
+    over: Arc<AtomicBool>,
+    running: Vec<thread::JoinHandle<()>>,
+}
+
+impl Guests {
+    /// They come within `spread`; where `at` is given, each keeps to the node of its number.
+    pub fn come(count: usize, front: &Front, spread: Duration, at: Option<&[SocketAddr]>, seed: u64) -> Self {
+        let seen: Arc<Vec<Mutex<Seen>>> = Arc::new((0..count).map(|_| Mutex::default()).collect());
+        let over = Arc::new(AtomicBool::new(false));
+        let one = |number: usize| {
+            let (seen, over, front) = (seen.clone(), over.clone(), front.clone());
+            let kept = at.map(|all| all[number % all.len()]);
+            let mut rng = ChaCha8Rng::seed_from_u64(seed << 20 | number as u64);
+            small(move || {
+                thread::sleep(spread.mul_f64(rng.random::<f64>()));
+                let key: u64 = rng.random();
+                let mut again = false;
+                while !over.load(SeqCst) {
+                    let Some(node) = kept.or_else(|| front.pick(&mut rng)) else {
+                        thread::sleep(Duration::from_millis(50));
+                        continue;
+                    };
+                    let wait = visit(node, key, &mut again, &seen[number], &over, &mut rng);
+                    // Who keeps to a node is there to see when that serves.
+                    thread::sleep(if kept.is_some() { wait.min(Duration::from_millis(100)) } else { wait });
+                }
+            })
+        };
+        let running = (0..count).map(one).collect();
+        Guests { seen, over, running }
+    }
+
+    /// How many stand now.
+    pub fn standing(&self) -> usize {
+        self.seen.iter().filter(|seen| seen.lock().unwrap().stands.is_some()).count()
+    }
+
+    /// When each first stood, since `from`.
+    pub fn first(&self, from: Instant) -> Vec<Option<Duration>> {
+        let first = |seen: &Mutex<Seen>| {
+            let seen = seen.lock().unwrap();
+            let up = seen.asks.iter().find(|ask| ask.up)?;
+            Some((up.at + up.answered?).saturating_duration_since(from))
+        };
+        self.seen.iter().map(first).collect()
+    }
+
+    pub fn end(&mut self) {
+        self.over.store(true, SeqCst);
+        for one in self.running.drain(..) {
+            one.join().expect("a guest panicked");
+        }
+    }
+}
+
+/// One try and, where it stands, the time that it does. Gives how long to wait before the next.
+fn visit(
+    node: SocketAddr,
+    key: u64,
+    again: &mut bool,
+    seen: &Mutex<Seen>,
+    over: &AtomicBool,
+    rng: &mut ChaCha8Rng,
+) -> Duration {
+    let backs_off = Duration::from_millis(rng.random_range(100..400));
+    let Ok(mut stream) = TcpStream::connect(node) else { return backs_off };
+    _ = stream.set_nodelay(true);
+    let (at, id) = (Instant::now(), rng.random::<u64>());
+    let mark = if *again { ",again=1" } else { "" };
+    let line = format!("OPEN {id:x} {key:x} c=chat,t=acme,d={}{mark}\r\n", EXPIRY.as_millis());
+    if stream.write_all(line.as_bytes()).is_err() {
+        return backs_off;
+    }
+    let number = {
+        let mut seen = seen.lock().unwrap();
+        seen.asks.push(Ask { at, node, answered: None, up: false });
+        seen.asks.len() - 1
+    };
+    _ = stream.set_read_timeout(Some(EXPIRY + Duration::from_secs(1)));
+    let mut reader = BufReader::with_capacity(512, stream.try_clone().expect("a descriptor"));
+    let mut said = String::new();
+    if !matches!(reader.read_line(&mut said), Ok(1..)) {
+        return backs_off;
+    }
+    let up = said.starts_with("UP");
+    {
+        let mut seen = seen.lock().unwrap();
+        (seen.asks[number].answered, seen.asks[number].up) = (Some(at.elapsed()), up);
+        seen.stands = up.then(Instant::now);
+    }
+    if !up {
+        let told = said.strip_prefix("BUSY ").and_then(|ms| ms.trim().parse().ok());
+        return told.map_or(backs_off, Duration::from_millis);
+    }
+    _ = stream.set_read_timeout(Some(Duration::from_millis(250)));
+    said.clear();
+    // It stands until either side ends it; a word of its own now and then.
+    while !over.load(SeqCst) && stream.write_all(b"hello\r\n").is_ok() {
+        match reader.read_line(&mut said) {
+            Ok(1..) if said == "hello\r\n" => {
+                said.clear();
+                thread::sleep(Duration::from_millis(100));
+            }
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => thread::sleep(Duration::from_millis(50)),
+            _ => break,
+        }
+    }
+    seen.lock().unwrap().stands = None;
+    *again = true;
+    backs_off
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::peers::eventually;
+
+    const TERMS: Terms = Terms {
+        cold: Duration::from_secs(10),
+        cold_from: 0.2,
+        tip_after: Duration::from_secs(1),
+        tip_multiple: 3.0,
+        ask_within: Duration::from_secs(4),
+        full: 40.0,
+    };
+
+    /// Asks at a host as a node would, and gives the connection.
+    fn asks(at: SocketAddr) -> TcpStream {
+        let mut stream = TcpStream::connect(at).unwrap();
+        stream.write_all(b"OPEN 1 2 c=chat\r\n").unwrap();
+        stream
+    }
+
+    /// Guards: a referee that sees no broken rule whatever happens.
+    #[test]
+    fn planted_breaks_are_caught() {
+        let hosts = Berths::new(TERMS);
+        hosts.start(2, true);
+        hosts.start(1, false);
+        // Two within a second are what a host that has just started can take; a warm one takes more.
+        let _well: Vec<TcpStream> = [0, 0, 2, 2, 2, 2].map(|host| asks(hosts.at(host).address)).into();
+        eventually("six stand", || hosts.standing(0..3) == 6);
+        assert_eq!(hosts.broken(Duration::ZERO), Vec::<String>::new());
+        let _flood: Vec<TcpStream> = (0..4).map(|_| asks(hosts.at(1).address)).collect();
+        eventually("four came", || hosts.arrived(1).len() == 4);
+        hosts.drains(2);
+        thread::sleep(GRACE + SOCKETS + Duration::from_millis(10));
+        let _late = asks(hosts.at(2).address);
+        eventually("one came late", || hosts.arrived(2).len() == 5);
+        let broken = hosts.broken(Duration::ZERO);
+        assert_eq!(broken.len(), 2, "{broken:?}");
+        assert!(broken[0].starts_with("rule 4: host 1") && broken[1].starts_with("rule 3: 1 came to host 2"));
+    }
+
+    /// Guards: clients left without an answer that nobody notices, and those of a node that died held against it.
+    #[test]
+    fn a_client_without_an_answer_is_noticed_unless_its_node_died() {
+        let mute = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = mute.local_addr().unwrap();
+        thread::spawn(move || {
+            for stream in mute.incoming().flatten() {
+                _ = BufReader::new(stream).read_line(&mut String::new());
+            }
+        });
+        let mut fleet = Fleet {
+            nodes: Vec::new(),
+            front: Front::default(),
+            program: PathBuf::new(),
+            discovery: address,
+            terms: TERMS,
+            alone: false,
+            ended: Vec::new(),
+        };
+        fleet.front.takes_in(address);
+        let mut guests = Guests::come(1, &fleet.front, Duration::ZERO, None, 1);
+        eventually("it has asked twice", || guests.seen[0].lock().unwrap().asks.len() > 1);
+        guests.end();
+        assert!(!fleet.broken(&guests).is_empty());
+        fleet.ended.push((address, Instant::now()));
+        assert!(fleet.broken(&guests).is_empty());
+    }
+}
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -3,7 +3,9 @@
 //! must never be linked into the program.
 
 pub mod acting;
+pub mod coldstart;
 pub mod discovery;
+pub mod fleet;
 pub mod peers;
 pub mod program;
 pub mod relay;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -3,8 +3,10 @@
 //! usage.
 
 use clap::{Args, Parser, Subcommand};
-use reedferry_rig::two_tier::{self, Found, Size};
+use reedferry_rig::coldstart;
+use reedferry_rig::two_tier::{self, Found};
 use serde_json::json;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// Attachments a second at the most.
@@ -21,6 +23,8 @@
 enum What {
     /// Forwarders and planners beside as many single nodes.
     TwoTier(Options),
+    /// Nodes that start at once and know nothing, beside a list service of some capacity.
+    Coldstart(Cold),
 }
 
 #[derive(Args)]
@@ -36,28 +40,75 @@
     json: bool,
 }
 
+#[derive(Args)]
+struct Cold {
+    /// What chance is drawn from.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Nodes.
+    #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u64).range(1..=400))]
+    size: u64,
+    /// The last line is one object.
+    #[arg(long)]
+    json: bool,
+    /// Calls that the list service works off in a second.
+    #[arg(long, default_value_t = 40.0)]
+    rate: f64,
+    /// For how long calls may wait there before it turns them away, in milliseconds.
+    #[arg(long, default_value_t = 1000)]
+    queue: u64,
+    /// For how long it is down at first, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    down: u64,
+    /// Another build of the program, played in the same run.
+    #[arg(long)]
+    before: Option<PathBuf>,
+}
+
 fn main() {
-    let What::TwoTier(options) = Line::parse().what;
-    let nodes = options.size as usize;
-    // No more than leaves the ports of one machine to spare: connections that ended keep theirs for a minute,
-    // and what then cannot connect is dismissed.
-    let rate = (40.0 * nodes as f64).min(MOST_A_SECOND);
-    let size = Size { nodes, hosts: nodes + 2, rate, span: Duration::from_secs(6) };
-    let found = two_tier::measure(size, options.seed).unwrap_or_else(|why| {
-        eprintln!("reedferry-rig: {why}");
-        Found { figures: Default::default(), broken: vec![why] }
-    });
+    let (name, seed, size, asked, found) = match Line::parse().what {
+        What::TwoTier(options) => {
+            let nodes = options.size as usize;
+            // No more than leaves the ports of one machine to spare: connections that ended keep theirs for a minute,
+            // and what then cannot connect is dismissed.
+            let rate = (40.0 * nodes as f64).min(MOST_A_SECOND);
+            let size = two_tier::Size { nodes, hosts: nodes + 2, rate, span: Duration::from_secs(6) };
+            let found = two_tier::measure(size, options.seed).unwrap_or_else(|why| {
+                eprintln!("reedferry-rig: {why}");
+                Found { figures: Default::default(), broken: vec![why] }
+            });
+            ("two-tier", options.seed, options.size, options.json, found)
+        }
+        What::Coldstart(options) => {
+            if !options.rate.is_finite() || options.rate <= 0.0 {
+                eprintln!("reedferry-rig: --rate takes calls a second, over 0");
+                std::process::exit(2);
+            }
+            if options.before.as_ref().is_some_and(|path| !path.is_file()) {
+                eprintln!("reedferry-rig: --before names no file");
+                std::process::exit(2);
+            }
+            let size = coldstart::Size {
+                nodes: options.size as usize,
+                hosts: 8,
+                rate: options.rate,
+                queue: Duration::from_millis(options.queue),
+                down: Duration::from_millis(options.down),
+                before: options.before,
+            };
+            ("coldstart", options.seed, options.size, options.json, coldstart::measure(&size, options.seed))
+        }
+    };
     for (name, value) in &found.figures {
         println!("{name:36} {value}");
     }
     found.broken.iter().for_each(|what| println!("fell short: {what}"));
     let ok = found.broken.is_empty();
-    if options.json {
+    if asked {
         let Found { figures, broken } = found;
-        let (seed, size) = (options.seed, options.size);
         println!(
             "{}",
-            json!({"name": "two-tier", "seed": seed, "size": size, "ok": ok, "broken": broken, "figures": figures})
+            json!({"name": name, "seed": seed, "size": size, "ok": ok, "broken": broken, "figures": figures})
         );
     }
     std::process::exit(if ok { 0 } else { 1 });
--- a/rig/src/program.rs
+++ b/rig/src/program.rs
@@ -16,9 +16,14 @@
 
 /// The papers of a node that knows these hosts.
 pub fn papers(hosts: &Hosts, discovery: SocketAddr) -> Value {
+    papers_of(hosts.members(), discovery)
+}
+
+/// The papers of a node that knows this list.
+pub fn papers_of(members: Value, discovery: SocketAddr) -> Value {
     json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512},
-        "known": {"revision": 0, "complete": true, "members": hosts.members()},
+        "known": {"revision": 0, "complete": true, "members": members},
         "settings": {"balancers": 1, "index": 0, "zone": 0, "zones": ["a"], "round": 4.0,
             "offerings": [{"name": "chat", "contract_time": 500.0, "expiry": 2000.0, "effect": "free",
                 "group": "all", "payoff": 1.0}],
@@ -72,7 +77,11 @@
 
 /// The program as it is started with these papers, its output kept.
 pub fn program(papers: &str) -> Command {
-    let mut command = Command::new(path());
+    program_of(&path(), papers)
+}
+
+fn program_of(program: &Path, papers: &str) -> Command {
+    let mut command = Command::new(program);
     command.env("GW_CONFIG", file("json", papers));
     piped(command)
 }
@@ -104,6 +113,11 @@
         Node::launch(program(&papers.to_string()))
     }
 
+    /// One of this build of the program.
+    pub fn start_of(program: &Path, papers: &Value) -> Self {
+        Node::launch(program_of(program, &papers.to_string()))
+    }
+
     /// One that takes clients in at a listener which the test holds, with this folder for what it leaves.
     pub fn start_at(papers: &Value, door: &TcpListener, folder: &Path) -> Self {
         Node::launch(program_at(&papers.to_string(), &door.as_raw_fd().to_string(), folder))
