Keep drains that are known when the list service comes back with an older list, and notice it at once

At fault: `Discovery::take`, `broken`, `follow`.

Now a host that was told to drain and has not started anew drains on through an older whole list, until the service tells a change of it; one line says so. After a failure or a close the first call comes back at once. What else an older or shorter list says is believed: hosts that it does not name are gone. Versions are each service's own: at a new address (SIGHUP) nothing is older.

All nodes have the list within 3 s of the service's start in the test, at 4 calls a node at most. Taken out to see it fail: the kept drains.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -42,6 +42,8 @@
     address: SocketAddr,
     /// The version reached; none before the service at this address has given its whole list.
     revision: Option<u64>,
+    /// The version reached before the service counted backwards.
+    passed: Option<u64>,
     calls: [Call; 2],
     following: bool,
     /// The watch is kept up without being asked for.
@@ -53,7 +55,8 @@
 impl Discovery {
     pub fn new(address: SocketAddr, revision: Option<u64>, unasked: bool) -> Self {
         let calls = [Call::default(), Call::default()];
-        Discovery { address, revision, calls, following: false, unasked, next: 0, failures: 0 }
+        let (passed, following, next, failures) = (None, false, 0, 0);
+        Discovery { address, revision, passed, calls, following, unasked, next, failures }
     }
 
     /// Goes over to the service at another address, at once and from its whole list on: versions are each
@@ -62,7 +65,8 @@
     pub fn go_over(&mut self, deck: &mut Deck, address: SocketAddr) {
         let asked = self.calls[ASK].out;
         self.calls = [Call::default(), Call::default()];
-        (self.address, self.revision, self.following, self.failures) = (address, None, false, 0);
+        (self.address, self.following, self.failures) = (address, false, 0);
+        (self.revision, self.passed) = (None, None);
         self.call(deck, WATCH, 0);
         if asked {
             self.call(deck, ASK, 0);
@@ -100,8 +104,9 @@
         if !self.calls[WATCH].out {
             self.following = false;
             // What was missed since a version that is known comes at once, by the call that then waits on. Guards:
-            // two calls of each of hundreds of nodes where one does.
-            self.call(deck, WATCH, HOLD);
+            // two calls of each of hundreds of nodes where one does. After a failure the first comes back at once:
+            // the service may have started anew, with versions that the one known here is far beyond.
+            self.call(deck, WATCH, if self.failures > 0 { MILLI } else { HOLD });
         }
     }
 
@@ -232,7 +237,7 @@
         // service that counts afresh gives its whole list next.
         let backwards = self.revision.is_some_and(|known| list.revision < known);
         if which == WATCH && backwards && !list.complete {
-            self.revision = None;
+            self.passed = self.passed.max(self.revision.take());
             return self.fail(deck, which, "a revision that runs backwards");
         }
         self.take(deck, which, list);
@@ -246,20 +251,27 @@
         }
     }
 
-    fn take(&mut self, deck: &mut Deck, which: usize, list: List) {
+    fn take(&mut self, deck: &mut Deck, which: usize, mut list: List) {
         // An answer that is older than what is known, as a call that waited long may bring, is no news.
         if which == ASK && self.revision.is_some_and(|known| list.revision < known) {
             deck.events.push(Event::Roll { kind: RollKind::Changes, hosts: Vec::new() });
             return;
         }
-        self.revision = Some(list.revision);
+        // Guards: new work for hosts that drain, by a service that came back with an older list. What it says of them
+        // as a change from there on is news.
+        if list.complete && self.passed.max(self.revision).is_some_and(|known| list.revision < known) {
+            let kept = deck.hosts.keep_drains(&mut list);
+            let hosts = list.members.len();
+            warn!(deck.log, "an older list"; "revision" => list.revision, "hosts" => hosts, "drains kept" => kept);
+        }
+        (self.revision, self.passed) = (Some(list.revision), None);
         let now = deck.now;
         let event = deck.hosts.told(now, list, false, &deck.log);
         deck.events.push(event);
     }
 
     /// The connection broke. Where it had served before and nothing of this answer has come, the other
-    /// side merely closed it between two calls: the call goes out once more.
+    /// side closed it between two calls or ended: the call goes out once more.
     fn broken(&mut self, deck: &mut Deck, which: usize, why: &str) {
         let call = &mut self.calls[which];
         call.line = None;
@@ -267,8 +279,8 @@
             return;
         }
         if call.used && !call.answer.begun() {
-            call.used = false;
-            return self.start(deck, which);
+            // Without a wait: whoever closed it may have started anew, and wait for a version long passed here.
+            return self.call(deck, which, MILLI);
         }
         self.fail(deck, which, why);
     }
--- a/node/src/hosts.rs
+++ b/node/src/hosts.rs
@@ -159,6 +159,21 @@
         &self.all[host]
     }
 
+    /// Has a list that is older than what was told here keep the drains that were: a host that has not started anew
+    /// since drains on. Gives how many that are.
+    pub fn keep_drains(&self, list: &mut List) -> usize {
+        let mut kept = 0;
+        for member in list.members.iter_mut().filter(|m| m.standing == Standing::Ready) {
+            let host = self.index(HostId(lines::hash(&member.name)));
+            let said = host.and_then(|host| self.all[host].said.as_ref());
+            if said.is_some_and(|s| s.standing == Standing::Draining && s.started == member.started) {
+                member.standing = Standing::Draining;
+                kept += 1;
+            }
+        }
+        kept
+    }
+
     /// Takes a list in, and gives what the module is to be told.
     pub fn told(&mut self, now: Nanos, list: List, cached: bool, log: &Logger) -> Event {
         let kind = match (cached, list.complete) {
--- a/node/tests/fleet.rs
+++ b/node/tests/fleet.rs
@@ -137,6 +137,45 @@
     drop(stopped);
 }
 
+/// Guards: new work for hosts that drain, by a list service that starts anew with an older list, half as long, where
+/// all watches end at one moment; and nodes that all call it again in step.
+#[test]
+fn the_list_service_starts_anew_with_an_older_list_of_half_of_the_hosts() {
+    let _turn = alone();
+    let (service, hosts) = (Discovery::start(), Berths::new(TERMS));
+    let all = hosts.start(6, false);
+    let list = hosts.members(all.clone());
+    list.iter().for_each(|member| service.change(member.clone()));
+    let mut fleet = Fleet::new(16, service.address, TERMS);
+    fleet.start(&(0..16).collect::<Vec<_>>(), &list, 6);
+    let mut guests = Guests::come(96, &fleet.front, ms(500), None, 5);
+    eventually("all stand", || guests.standing() == 96);
+    for host in [0, 1] {
+        service.change(hosts.member(host, "leaving"));
+        hosts.drains(host);
+    }
+    // They leave evenly over the longest expiry.
+    eventually("the hosts that drain are empty", || hosts.standing(0..2) == 0);
+    // It knows of 0 to 2 alone, and not that two of them drain.
+    service.restart(3, &list[..3]);
+    let from = Instant::now();
+    let before = service.seen().0.len();
+    for node in fleet.nodes.iter().flatten() {
+        assert!(node.logs("an older list").contains("drains kept: 2"));
+    }
+    let took = from.elapsed();
+    assert!(took <= ms(3000), "the last node had the list after {took:?}");
+    // The clients of half of the nodes come again to the rest, which have no other word than that list.
+    for node in 0..8 {
+        drop(fleet.stop(node, ms(50)));
+    }
+    eventually("all stand again", || guests.standing() == 96);
+    let calls = service.seen().0.len() - before;
+    assert!(calls <= 16 * 4, "{calls} calls of 16 nodes");
+    guests.end();
+    judged(&fleet, &guests, &hosts, "an older list");
+}
+
 /// Guards: cold hosts pushed over, and clients lost, when most of a fleet dies and all its clients come to nodes
 /// that know nothing of any host, some of which stand still meanwhile.
 #[test]
