--- a/node/tests/fleet.rs
+++ b/node/tests/fleet.rs
@@ -93,6 +93,50 @@
     judged(&fleet, &guests, &hosts, "a service that was down");
 }
 
+/// Guards: hosts that are all new pushed over by nodes that are all new, and clients sent away for longer than the
+/// hosts take to warm up.
+#[test]
+fn all_nodes_and_all_hosts_are_cold_together() {
+    let _turn = alone();
+    let (service, hosts) = (Discovery::start(), Berths::new(TERMS));
+    service.bound(40.0, ms(1000));
+    let from = Instant::now();
+    hosts.members(hosts.start(6, true)).into_iter().for_each(|member| service.change(member));
+    let mut fleet = Fleet::new(20, service.address, TERMS);
+    fleet.start(&(0..20).collect::<Vec<_>>(), &[], 0);
+    let mut guests = Guests::come(90, &fleet.front, ms(500), None, 6);
+    eventually("all stand", || guests.standing() == 90);
+    let took = from.elapsed();
+    guests.end();
+    judged(&fleet, &guests, &hosts, "all cold");
+    assert!(took <= ms(8000), "the last client stood after {took:?}");
+}
+
+/// Guards: a list that takes nodes so long to read, or the service to write, that they ask again and again.
+#[test]
+fn a_list_of_five_thousand_hosts_is_asked_for_by_forty_nodes() {
+    let _turn = alone();
+    let (service, hosts) = (Discovery::start(), Berths::new(TERMS));
+    hosts.start(4, false);
+    let named = |n: usize| {
+        let mut member = hosts.member(n % 4, "active");
+        member["id"] = format!("s-{n}").into();
+        member
+    };
+    service.restart(1, &(0..5000).map(named).collect::<Vec<_>>());
+    let mut fleet = Fleet::new(40, service.address, TERMS);
+    let from = Instant::now();
+    fleet.start(&(0..40).collect::<Vec<_>>(), &[], 0);
+    let mut guests = Guests::come(40, &fleet.front, Duration::ZERO, Some(&fleet.addresses()), 7);
+    // How soon hangs on what writes the list here.
+    eventually("each node serves", || guests.standing() == 40);
+    at(from, ms(5500));
+    let calls = service.seen().0.len();
+    guests.end();
+    judged(&fleet, &guests, &hosts, "a long list");
+    assert!(calls <= 88, "{calls} calls of 40 nodes");
+}
+
 /// Guards: new hosts left nearly empty in a release, as nodes that are restarted meanwhile count them as hosts like
 /// the rest, of which they use few; and cold hosts pushed over, drains not heeded, clients left without an answer.
 #[test]
