Follow the list service only after all had their lists, in turn after it ended

A node follows seven eighths of ask_within after its first call. Taking in a list searches the records for spare ones once, no more once for each host.

--- a/node/src/hosts.rs
+++ b/node/src/hosts.rs
@@ -188,7 +188,8 @@
                 berth.said = None;
             }
         }
-        let hosts = list.members.into_iter().map(|m| self.listed(now, m, log)).collect();
+        let mut searched = 0;
+        let hosts = list.members.into_iter().map(|m| self.listed(now, m, &mut searched, log)).collect();
         Event::Roll { kind, hosts }
     }
 
@@ -200,7 +201,12 @@
         } else if HostId(lines::hash(&line.name)) == id {
             let (name, address, standing) = (line.name, line.address, line.stands.into());
             let (zone, size) = (String::new(), 1.0);
-            self.listed(now, Member { name, address, zone, cell: 0, standing, size, started: None }, log);
+            self.listed(
+                now,
+                Member { name, address, zone, cell: 0, standing, size, started: None },
+                &mut 0,
+                log,
+            );
         }
     }
 
@@ -227,13 +233,16 @@
         self.all.iter().filter_map(|berth| berth.said.clone()).collect()
     }
 
-    fn listed(&mut self, now: Nanos, member: Member, log: &Logger) -> Listing {
+    /// One line of a list; no record before `searched` serves again.
+    fn listed(&mut self, now: Nanos, member: Member, searched: &mut usize, log: &Logger) -> Listing {
         let id = HostId(lines::hash(&member.name));
         let host = self.index(id).unwrap_or_else(|| {
             // The record of a host long gone serves again: a node runs for months.
             let old =
                 |b: &Berth| b.left_since.is_some_and(|t| now > t + KEPT) && Rc::strong_count(&b.lease) == 1;
-            let spare = self.all.iter().position(old).unwrap_or(self.all.len());
+            let spare = self.all.iter().skip(*searched).position(old);
+            let spare = spare.map_or(self.all.len(), |n| *searched + n);
+            *searched = spare;
             info!(log, "host listed"; "name" => &member.name, "hash" => format!("{:x}", id.0));
             self.put(spare, Berth::new(member.name.clone(), id, now));
             spare
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -20,6 +20,7 @@
 mod probe;
 mod succession;
 mod tally;
+mod versions;
 mod wire;
 
 use clap::{Args, Parser, Subcommand};
--- a/rig/src/discovery.rs
+++ b/rig/src/discovery.rs
@@ -21,6 +21,8 @@
     /// When each watch was answered and when each call came.
     answered: Vec<Instant>,
     called: Vec<Instant>,
+    /// What each call asked for.
+    asked: Vec<String>,
     /// How long one call takes it, and how much work may wait before it turns calls away; when it is free.
     work: Option<(Duration, Duration)>,
     free: Option<Instant>,
@@ -90,6 +92,11 @@
         (kept.called.clone(), kept.turned_away.clone())
     }
 
+    /// What each call asked for.
+    pub fn asked(&self) -> Vec<String> {
+        self.kept.0.lock().unwrap().asked.clone()
+    }
+
     /// Changes one entry of the list, which watches are told of.
     pub fn change(&self, member: Value) {
         let mut kept = self.kept.0.lock().unwrap();
@@ -133,6 +140,7 @@
             let mut kept = self.kept.0.lock().unwrap();
             let (came, life) = (Instant::now(), kept.life);
             kept.called.push(came);
+            kept.asked.push(path.to_string());
             self.kept.1.notify_all();
             if kept.down {
                 return;
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -256,6 +256,15 @@
         }
     }
 
+    /// Tells all that run, by their files and a signal, that the list service has moved.
+    pub fn tells_of(&mut self, discovery: SocketAddr, known: &[Value], revision: u64) {
+        self.discovery = discovery;
+        for (number, node) in self.nodes.iter().enumerate() {
+            let papers = self.papers(number, known, revision).to_string();
+            node.iter().for_each(|node| node.reread(&papers));
+        }
+    }
+
     fn ends(&mut self, node: usize, notices: Duration) {
         if let Some(address) = self.nodes[node].as_ref().map(|n| n.address) {
             self.ended.push((address, Instant::now()));
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -52,15 +52,15 @@
 
     /// A list has come, of the node's own call or by itself; gives the failures that this ends, if any.
     pub fn told(&mut self, now: Nanos, knew: bool, pace: Pace) -> u32 {
-        let asked = self.called.take().is_some();
-        let ended = if asked { std::mem::take(&mut self.failures) } else { 0 };
+        let asked = self.called.take();
+        let ended = if asked.is_some() { std::mem::take(&mut self.failures) } else { 0 };
         self.failures = 0;
         let first = !std::mem::replace(&mut self.heard, true);
-        if asked && first && !knew && pace.place.is_some() {
-            // The first list, got in its turn: it follows when all have had theirs, again in its turn.
-            self.next = now + pace.ask_within / 2;
-        } else {
-            self.following = true;
+        match asked.filter(|_| first && !knew && pace.place.is_some()) {
+            // The first list, got in its turn. What follows it is called for as late as the settings allow. Guards:
+            // those who have a list and take up the service's time while others have none.
+            Some(called) => self.next = now.max(called + pace.ask_within / 8 * 7),
+            None => self.following = true,
         }
         ended
     }
@@ -68,11 +68,12 @@
     /// A call has failed, or what it followed has ended; gives how often that was so since the last list.
     pub fn failed(&mut self, now: Nanos, chance: f64, knows: bool, pace: Pace) -> u32 {
         (self.following, self.called, self.failures) = (false, None, self.failures + 1);
-        // Spread and growing, so that the nodes do not storm the one list service. Many that know nothing are as
-        // far apart at once: they have all called already.
-        let grown = if pace.place.is_some() && !knows { 4 } else { self.failures.min(4) };
+        // Spread and growing, so that the nodes do not storm the one list service. Many are as far apart at once, and
+        // call in turn where what they follow has ended, as it then has for all. Guards: watches that end together.
+        let grown = if pace.place.is_some() { 4 } else { self.failures.min(4) };
         let wait = ((SECOND / 2) << grown).min(pace.ask_within / 4);
-        self.next = now + (wait as f64 * (0.5 + chance)) as Nanos;
+        let turn = pace.place.filter(|_| knows && self.failures == 1);
+        self.next = now + (wait as f64 * turn.unwrap_or(0.5 + chance)) as Nanos;
         self.failures
     }
 }
@@ -146,6 +147,15 @@
         }
     }
 
+    /// Guards: those who were turned away coming too late, behind the second calls of those who were not.
+    #[test]
+    fn a_service_that_can_do_less_gives_all_their_lists_before_it_is_followed() {
+        let (by_second, refused, had) = start(300, 40.0, 0);
+        let calls: usize = by_second.iter().sum();
+        assert!(had[296] <= 9_750 * MILLI, "99% had theirs after {:?}", had[296]);
+        assert!(calls <= 690 && refused <= 90, "{calls} calls, {refused} turned away");
+    }
+
     /// Guards: a service that is down for long and finds all nodes at its door at once when it is back.
     #[test]
     fn a_service_that_was_down_is_not_called_in_step() {
@@ -155,4 +165,20 @@
         let most = by_second[6..].iter().max().unwrap();
         assert!(*most <= 600, "{most} calls in a second");
     }
+
+    /// Guards: a service that starts anew and is called by all at once.
+    #[test]
+    fn watches_that_end_together_are_taken_up_in_turn() {
+        let pace = |n: usize| Pace { ask_within: 10 * SECOND, place: Some((n as f64 + 0.5) / 1000.0) };
+        let mut by_tenth = [0; 25];
+        for node in 0..1000 {
+            let mut calls = Calls::default();
+            calls.due(0, true, pace(node));
+            calls.told(0, true, pace(node));
+            calls.failed(0, 0.5, true, pace(node));
+            let at = (0..=250).find(|tick| calls.due(tick * SECOND / 100, true, pace(node)).is_some());
+            by_tenth[(at.expect("it calls within a quarter of the time") as usize - 1) / 10] += 1;
+        }
+        assert!(by_tenth.iter().all(|count| (30..=50).contains(count)), "{by_tenth:?}");
+    }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -670,9 +670,9 @@
         if kind == RollKind::Failed {
             return;
         }
-        let mut named = vec![false; self.hosts.len()];
+        let (mut named, mut searched) = (vec![false; self.hosts.len()], 0);
         for listing in listings {
-            let host = record(&mut self.hosts, &mut self.known, listing.id, now);
+            let host = record(&mut self.hosts, &mut self.known, listing.id, now, &mut searched);
             named.get_mut(host).into_iter().for_each(|n| *n = true);
             self.post.push_back((To::Host(host), Note::Listed(listing, !self.listed_once)));
         }
--- a/src/records.rs
+++ b/src/records.rs
@@ -366,17 +366,21 @@
     }
 }
 
-/// The place of a host's record. That of a host long gone serves again: a node runs for months.
+/// The place of a host's record. That of a host long gone serves again: a node runs for months. None before
+/// `searched` does.
 pub(crate) fn record(
     hosts: &mut Vec<Host>,
     known: &mut HashMap<HostId, usize>,
     id: HostId,
     now: Nanos,
+    searched: &mut usize,
 ) -> usize {
     if let Some(host) = known.get(&id) {
         return *host;
     }
-    let spare = hosts.iter().position(|h| h.forgotten(now)).unwrap_or(hosts.len());
+    let spare = hosts.iter().skip(*searched).position(|h| h.forgotten(now));
+    let spare = spare.map_or(hosts.len(), |n| *searched + n);
+    *searched = spare;
     let fresh = Host { id, gone_since: now, ..Host::default() };
     if let Some(old) = hosts.get_mut(spare) {
         known.remove(&std::mem::replace(old, fresh).id);
