Play a cold start with cold hosts too, and draw it by second on one page

The measurement of a cold start had warm hosts, so that it could not show one pushed over, and printed counts by second as rows of numbers alone.

--- a/rig/src/coldstart.rs
+++ b/rig/src/coldstart.rs
@@ -1,8 +1,9 @@
 //! The measurement of a cold start: as many processes at once as asked for, all knowing nothing, beside a list service
 //! of a stated capacity. It owns what is promised and the figures, and plays the plain way (each calls when it
-//! likes, as a node alone does), and another build if one is named, in the same run. It must never report what it
-//! did not measure.
+//! likes, as a node alone does), another build if one is named, and hosts that are all cold as well, in the same run. It
+//! must never report what it did not measure.
 
+use crate::chart::Row;
 use crate::fleet::{Berths, Fleet, Guests, Terms};
 use crate::two_tier::Found;
 use crate::Discovery;
@@ -31,10 +32,13 @@
 };
 
 /// What one way of starting showed.
+#[derive(Default)]
 struct Shown {
     calls: usize,
     turned_away: usize,
     by_second: Vec<usize>,
+    /// Connections that asked at hosts.
+    arrived: Vec<usize>,
     /// From the start to the first client served at each node, in order; those that served nobody are missing.
     first: Vec<Duration>,
     broken: Vec<String>,
@@ -47,16 +51,62 @@
     }
 }
 
-fn start(size: &Size, seed: u64, alone: bool, program: Option<&PathBuf>) -> Shown {
-    let (service, hosts) = (Discovery::start(), Berths::new(TERMS));
+/// How many fell in each second from a moment on.
+fn by_second(from: Instant, all: &[Instant]) -> Vec<usize> {
+    let mut counts = Vec::new();
+    for at in all {
+        let second = at.saturating_duration_since(from).as_secs() as usize;
+        counts.resize(counts.len().max(second + 1), 0);
+        counts[second] += 1;
+    }
+    counts
+}
+
+/// Clients of each node where the hosts are cold, so that chance does not bunch what is to come to one.
+const EACH: usize = 4;
+/// What nodes may count on of a host's capacity, in what it is to hold, and what the hosts here have.
+const COUNTED_ON: f64 = 4.0;
+const FILLED_BY: f64 = 8.0;
+
+impl Size {
+    fn full(&self, multiple: f64) -> Terms {
+        Terms { full: multiple * (EACH * self.nodes) as f64 / self.hosts as f64, ..TERMS }
+    }
+
+    /// How soon hosts that are all cold may have taken all clients, where they are sent this part of the budget.
+    fn hosts_limit(&self, terms: Terms, part: f64) -> f64 {
+        let (step, mut sent, mut at) = (0.01, 0.0, 0.0);
+        while sent < (EACH * self.nodes) as f64 {
+            let a_second = terms.budget(Duration::from_secs_f64(at)) / terms.tip_after.as_secs_f64();
+            sent += part * a_second * self.hosts as f64 * step;
+            at += step;
+        }
+        at
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    Alone,
+    Together,
+    /// And the hosts are cold.
+    Cold,
+}
+
+fn start(size: &Size, seed: u64, way: Way, program: Option<&PathBuf>) -> Shown {
+    let (terms, clients) = match way {
+        Way::Cold => (size.full(FILLED_BY), EACH * size.nodes),
+        _ => (TERMS, size.nodes),
+    };
+    let (service, hosts) = (Discovery::start(), Berths::new(terms));
     service.bound(size.rate, size.queue);
-    let which = hosts.start(size.hosts, false);
-    hosts.members(which).into_iter().for_each(|member| service.change(member));
-    let mut fleet = Fleet::new(size.nodes, service.address, TERMS);
+    let which = hosts.start(size.hosts, way == Way::Cold);
+    hosts.members(which.clone()).into_iter().for_each(|member| service.change(member));
+    let mut fleet = Fleet::new(size.nodes, service.address, terms);
     if let Some(program) = program {
         fleet = fleet.of(program.clone());
     }
-    if alone {
+    if way == Way::Alone {
         fleet = fleet.each_alone();
     }
     let all: Vec<usize> = (0..size.nodes).collect();
@@ -66,12 +116,12 @@
     let from = Instant::now();
     fleet.start(&all, &[], 0);
     let addresses = fleet.addresses();
-    let mut guests = Guests::come(size.nodes, &fleet.front, Duration::ZERO, Some(&addresses), seed);
+    let mut guests = Guests::come(clients, &fleet.front, Duration::ZERO, Some(&addresses), seed);
     thread::sleep(size.down.saturating_sub(from.elapsed()));
     service.come_up();
     // Long enough for a service that turns half of the calls away, three times over.
     let until = from + size.down + Duration::from_secs_f64(6.0 * size.nodes as f64 / size.rate + 10.0);
-    while guests.standing() < size.nodes && Instant::now() < until {
+    while guests.standing() < clients && Instant::now() < until {
         thread::sleep(Duration::from_millis(20));
     }
     // What follows is begun by then: the last list came at half of the time within which each has to ask, or later.
@@ -80,43 +130,59 @@
     first.sort_unstable();
     guests.end();
     let (called, turned_away) = service.seen();
-    let mut by_second = Vec::new();
-    for at in &called {
-        let second = at.saturating_duration_since(from).as_secs() as usize;
-        by_second.resize(by_second.len().max(second + 1), 0);
-        by_second[second] += 1;
+    let arrived: Vec<Instant> = which.flat_map(|host| hosts.arrived(host)).collect();
+    let mut broken = fleet.broken(&guests);
+    broken.extend(hosts.broken(Duration::ZERO));
+    Shown {
+        calls: called.len(),
+        turned_away: turned_away.len(),
+        by_second: by_second(from, &called),
+        arrived: by_second(from, &arrived),
+        first,
+        broken,
     }
-    let broken = fleet.broken(&guests);
-    Shown { calls: called.len(), turned_away: turned_away.len(), by_second, first, broken }
 }
 
-/// Starts the fleet in each way in turn.
-pub fn measure(size: &Size, seed: u64) -> Found {
-    let (nodes, limit) = (size.nodes as f64, size.nodes as f64 / size.rate);
-    let mut ways = vec![("plain", start(size, seed, true, None))];
+/// Starts the fleet in each way in turn; gives what was counted by second beside what was found.
+pub fn measure(size: &Size, seed: u64) -> (Found, Vec<Row>) {
+    let (nodes, limit, hosts_limit) =
+        (size.nodes as f64, size.nodes as f64 / size.rate, size.hosts_limit(size.full(COUNTED_ON), 0.5));
+    let budgets = size.hosts_limit(size.full(FILLED_BY), 1.0);
+    let mut ways = vec![("plain", start(size, seed, Way::Alone, None))];
     if let Some(before) = &size.before {
-        ways.push(("before", start(size, seed, false, Some(before))));
+        ways.push(("before", start(size, seed, Way::Together, Some(before))));
     }
-    ways.push(("now", start(size, seed, false, None)));
+    ways.push(("now", start(size, seed, Way::Together, None)));
+    ways.push(("cold hosts", start(size, seed, Way::Cold, None)));
     let mut figures = Map::new();
     figures.insert("the service's own limit, s".into(), json!(limit));
+    figures.insert("cold hosts, by their budgets, s".into(), json!(budgets));
+    figures.insert("cold hosts, by half of what is counted on, s".into(), json!(hosts_limit));
+    let mut rows = Vec::new();
     for (way, shown) in &ways {
         let mut put = |what: &str, value: Value| figures.insert(format!("{way}: {what}"), value);
         put("calls", json!(shown.calls));
         put("calls a node", json!(shown.calls as f64 / nodes));
         put("turned away", json!(shown.turned_away));
         put("calls by second", json!(shown.by_second));
+        put("connections that asked at hosts", json!(shown.arrived.iter().sum::<usize>()));
+        for (what, by_second) in
+            [("calls at the list service", &shown.by_second), ("asked at hosts", &shown.arrived)]
+        {
+            rows.push(Row { name: format!("{way}: {what}"), by_second: by_second.clone() });
+        }
         put("first client, median, s", json!(shown.at(0.5)));
         put("first client, 99%, s", json!(shown.at(0.99)));
-        put("nodes that served", json!(shown.first.len()));
+        put("clients that were served", json!(shown.first.len()));
     }
     let mut broken = Vec::new();
-    if let Some((_, now)) = ways.last() {
-        let mut promised = |holds: bool, what: String| {
-            if !holds {
-                broken.push(what);
-            }
-        };
+    let mut promised = |holds: bool, what: String| {
+        if !holds {
+            broken.push(what);
+        }
+    };
+    let shown = |way: &str| ways.iter().find(|(name, _)| *name == way).map(|(_, shown)| shown);
+    if let Some(now) = shown("now") {
         let busiest = now.by_second.iter().skip(1).max().copied().unwrap_or(0);
         let share = now.turned_away as f64 / now.calls.max(1) as f64;
         promised(now.first.len() == size.nodes, format!("{} of {nodes} nodes served", now.first.len()));
@@ -127,7 +193,22 @@
         promised(share <= 0.05, format!("{share:.2} of the calls turned away"));
         promised(now.calls as f64 <= 2.2 * nodes, format!("{:.2} calls a node", now.calls as f64 / nodes));
         promised(now.at(0.99) <= 1.3 * limit, format!("99% serve after {:.1} s of {limit:.1}", now.at(0.99)));
-        broken.extend(now.broken.iter().cloned());
     }
-    Found { figures, broken }
+    if let Some(cold) = shown("cold hosts") {
+        let (all, limit, clients) =
+            (cold.arrived.iter().sum::<usize>(), limit.max(hosts_limit), EACH * size.nodes);
+        let (served, last) = (cold.first.len(), cold.at(0.99));
+        promised(served == clients, format!("{served} of {clients} clients served by cold hosts"));
+        promised(last <= 1.3 * limit, format!("99% served by cold hosts after {last:.1} s of {limit:.1}"));
+        promised(
+            all as f64 <= 1.2 * clients as f64,
+            format!("{all} asked at cold hosts for {clients} clients"),
+        );
+    }
+    broken.extend(
+        ways.iter()
+            .filter(|(way, _)| *way != "plain" && *way != "before")
+            .flat_map(|(_, s)| s.broken.clone()),
+    );
+    (Found { figures, broken }, rows)
 }
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -3,6 +3,7 @@
 //! must never be linked into the program.
 
 pub mod acting;
+pub mod chart;
 pub mod coldstart;
 pub mod discovery;
 pub mod fleet;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -3,8 +3,8 @@
 //! usage.
 
 use clap::{Args, Parser, Subcommand};
-use reedferry_rig::coldstart;
 use reedferry_rig::two_tier::{self, Found};
+use reedferry_rig::{chart, coldstart};
 use serde_json::json;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -63,6 +63,9 @@
     /// Another build of the program, played in the same run.
     #[arg(long)]
     before: Option<PathBuf>,
+    /// A page of HTML with what was counted by second.
+    #[arg(long)]
+    plot: Option<PathBuf>,
 }
 
 fn main() {
@@ -96,7 +99,15 @@
                 down: Duration::from_millis(options.down),
                 before: options.before,
             };
-            ("coldstart", options.seed, options.size, options.json, coldstart::measure(&size, options.seed))
+            let (found, rows) = coldstart::measure(&size, options.seed);
+            if let Some(path) = options.plot {
+                let title = format!("A cold start of {} nodes, seed {}", options.size, options.seed);
+                if let Err(e) = std::fs::write(&path, chart::page(&title, &rows)) {
+                    eprintln!("reedferry-rig: {}: {e}", path.display());
+                    std::process::exit(2);
+                }
+            }
+            ("coldstart", options.seed, options.size, options.json, found)
         }
     };
     for (name, value) in &found.figures {
