--- a/node/src/alone.rs
+++ b/node/src/alone.rs
@@ -6,6 +6,7 @@
 use crate::deck::{self, mark, Deck};
 use crate::discovery::Discovery;
 use crate::ferry::Ferries;
+use crate::fleet::Fleet;
 use crate::list::List;
 use crate::ops::{Call, Ops, Reply};
 use crate::papers::Papers;
@@ -15,6 +16,7 @@
 use crate::tally::Now;
 use crate::{AtStart, BEYOND_EXPIRY, SWEEP};
 use reedferry::{Action, Balancer, Event};
+use reedferry_members::State;
 use reedferry_quay::{Clock, Errno, Signal, Socket};
 use reedferry_terms::renewal;
 use slog::{info, warn};
@@ -54,6 +56,7 @@
     discovery: Discovery,
     probes: Probes,
     peers: Option<Peers>,
+    fleet: Option<Fleet>,
     correspondence: Option<Correspondence>,
     succession: Succession,
     /// What the module is told where nobody goes on with the clients of a node that stops.
@@ -76,8 +79,10 @@
     let ops = papers.ops.map(|at| Ops::open(&mut deck, &at)).transpose()?;
     let (now, log) = (deck.now, deck.log.clone());
     let mut actions = Vec::new();
-    let peers =
-        correspondence.as_ref().map(|correspondence| Peers::open(&mut deck, correspondence)).transpose()?;
+    let fleet = correspondence.as_ref().and_then(|c| c.fleet.as_ref());
+    let fleet = fleet.map(|terms| Fleet::open(&mut deck, terms, &papers)).transpose()?;
+    let peers = correspondence.as_ref().filter(|c| c.fleet.is_none());
+    let peers = peers.map(|correspondence| Peers::open(&mut deck, correspondence)).transpose()?;
     let unasked = !papers.charter.roll_on_request;
     let module = Balancer::new(papers.charter.clone(), papers.seed, now, &mut actions);
     let mut revision = deck.known(&papers)?;
@@ -102,6 +107,7 @@
         discovery: Discovery::new(papers.discovery, revision, unasked),
         probes: Probes::default(),
         peers,
+        fleet,
         correspondence,
         succession,
         parting: None,
@@ -118,6 +124,8 @@
         backlog.drain();
         let late = |t| node.deck.now >= t || node.succession.over();
         if node.deck.leaving.is_some_and(late) && node.ferries.count() == 0 {
+            let Node { fleet, deck, .. } = &mut node;
+            fleet.iter_mut().for_each(|fleet| fleet.ends(deck));
             info!(log, "stopped");
             backlog.drain();
             return Ok(());
@@ -148,7 +156,10 @@
                 deck::HEIR_DOOR | deck::HEIR | deck::ELDER => {
                     self.succession.ready(deck, &mut self.ferries, one);
                 }
-                deck::PEERS => self.peers.iter_mut().for_each(|peers| peers.ready(deck)),
+                deck::PEERS => {
+                    self.peers.iter_mut().for_each(|peers| peers.ready(deck));
+                    self.fleet.iter_mut().for_each(|fleet| fleet.ready(deck));
+                }
                 _ => self.ferries.ready(deck, one),
             }
         }
@@ -165,6 +176,7 @@
                 deck::MODULE => deck.events.push(Event::Timer { mark: word }),
                 deck::HOST => self.ferries.due(deck, mark, word),
                 deck::PROBE => self.probes.due(deck, mark),
+                deck::FLEET => self.fleet.iter_mut().for_each(|fleet| fleet.due(deck)),
                 _ => self.sweep(),
             }
         }
@@ -213,7 +225,10 @@
                 Action::AskRoll => self.discovery.ask(deck),
                 Action::FollowRoll => self.discovery.follow(deck),
                 Action::Probe { host } => self.probes.send(deck, host),
-                Action::Tell { message } => self.peers.iter().for_each(|peers| peers.tell(&message)),
+                Action::Tell { message } => {
+                    self.peers.iter().for_each(|peers| peers.tell(&message));
+                    self.fleet.iter().for_each(|fleet| fleet.tell(&message));
+                }
                 Action::Log(text) => info!(deck.log, "{}", text),
                 // The ferry has carried out the rest.
                 _ => {}
@@ -228,6 +243,7 @@
         self.ferries.sweep(deck);
         deck.spare();
         self.discovery.sweep(deck);
+        self.fleet.iter_mut().for_each(|fleet| fleet.sweep(deck));
         deck.hosts.look(deck.now, &mut deck.events);
         deck.poller.remind(deck.now + SWEEP, mark(deck::SWEEP), 0);
     }
@@ -242,6 +258,10 @@
                 let in_flight = self.ferries.in_flight();
                 Reply::new(200, self.deck.tally.text(&Now { in_flight, hosts_known, hosts_excluded }))
             }
+            Call::Fleet => match &self.fleet {
+                Some(fleet) => Reply::new(200, fleet.text(self.deck.now)),
+                None => Reply::new(404, "no fleet\n"),
+            },
             Call::Status if stops => Reply::new(503, "stopping\n"),
             Call::Status if stands_by => Reply::new(503, "standby\n"),
             Call::Status if self.module.regard(self.deck.now).0 == 0 => Reply::new(503, "no hosts known\n"),
@@ -252,6 +272,7 @@
                 if !stands_by {
                     let event = self.deck.stand_by(held);
                     self.deck.events.push(event);
+                    self.stands(State::Standby);
                 }
                 Reply::new(200, "standby\n")
             }
@@ -259,6 +280,7 @@
                 if stands_by {
                     let event = self.deck.back_to_work();
                     self.deck.events.push(event);
+                    self.stands(State::Working);
                 }
                 Reply::new(200, "active\n")
             }
@@ -271,6 +293,13 @@
         }
         self.succession.part(&self.deck);
         self.parting = Some(self.deck.leave(BEYOND_EXPIRY, self.ferries.count()));
+        self.stands(State::Leaving);
+    }
+
+    /// Tells the fleet how this node stands.
+    fn stands(&mut self, state: State) {
+        let Node { fleet, deck, .. } = self;
+        fleet.iter_mut().for_each(|fleet| fleet.stands(deck, state));
     }
 
     /// Takes the papers up afresh: discovery and settings may change in a node that runs.
@@ -287,7 +316,15 @@
             Err(why) => return warn!(self.deck.log, "papers not taken up"; "why" => why),
         };
         let mut kept = self.papers.kept_from(&fresh);
-        if correspondence != self.correspondence {
+        let fleet = correspondence.as_ref().and_then(|c| c.fleet.as_ref());
+        let same = match (&mut self.fleet, fleet) {
+            (Some(fleet), Some(terms)) => {
+                let place = (fresh.charter.node, fresh.charter.nodes);
+                fleet.renew(&mut self.deck, terms, place)
+            }
+            _ => correspondence == self.correspondence,
+        };
+        if !same {
             kept.push("peers");
             fresh.charter.peers = self.papers.charter.peers;
         }
--- a/node/src/articles.rs
+++ b/node/src/articles.rs
@@ -3,6 +3,7 @@
 //! file that is not in order throughout: whatever is wrong is one line that names the place and what
 //! would be right.
 
+use crate::fleet::FleetTerms;
 use crate::papers::Papers;
 use crate::peers::Correspondence;
 use reedferry::{Nanos, MILLI, SECOND};
@@ -29,6 +30,7 @@
     planner: Vec<Spanned<PlannerSheet>>,
     #[serde(default)]
     peer: Vec<Spanned<PeerSheet>>,
+    fleet: Option<Spanned<FleetSheet>>,
 }
 
 #[derive(Deserialize)]
@@ -43,6 +45,17 @@
     address: Spanned<String>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FleetSheet {
+    address: Spanned<String>,
+    listen: Option<Spanned<String>>,
+    name: Option<String>,
+    seeds: Vec<Spanned<String>>,
+    period: Option<Spanned<String>>,
+    most: Option<Spanned<usize>>,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ForwardSheet {
@@ -215,7 +228,7 @@
             return wrong("is one too many: settings.balancers counts this node and all its peers");
         }
     }
-    Ok(Some(Correspondence { at, peers: peers.to_vec() }))
+    Ok(Some(Correspondence { at, peers: peers.to_vec(), fleet: None }))
 }
 
 impl Articles {
@@ -260,6 +273,13 @@
             .map(|p| text.address("address", &p.get_ref().address))
             .collect::<Result<_, _>>()?;
         let single = sheet.forward.is_none() && sheet.plan.is_none();
+        let fleet_at = sheet.fleet.as_ref().map(Spanned::span);
+        let fleet = sheet.fleet.map(|part| Self::fleet(&text, part, &papers)).transpose()?;
+        if let (Some(fleet_at), true) = (&fleet_at, !single || messages.is_some() || !peers.is_empty()) {
+            let what =
+                "fleet: only a node takes part, with neither messages nor [[peer]]: members are its peers";
+            return Err(text.wrong(fleet_at.clone(), what));
+        }
         if let (false, Some(peer)) = (single, sheet.peer.first()) {
             return Err(
                 text.wrong(peer.span(), "peer: only a node has peers; planners hear their forwarders")
@@ -286,13 +306,53 @@
                     let named = n.or((!sheet.peer.is_empty()).then_some(0)).map(|n| sheet.peer[n].span());
                     named.or(sheet.node.as_ref().map(Spanned::span)).unwrap_or(at.clone())
                 };
-                let correspondence = reach(&papers, messages, &peers);
-                Role::Node(correspondence.map_err(|(n, why)| text.wrong(place(n), why))?)
+                let correspondence = match fleet {
+                    Some(fleet) => Some(Correspondence { at: fleet.listen, peers, fleet: Some(fleet) }),
+                    None => {
+                        let reach = reach(&papers, messages, &peers);
+                        reach.map_err(|(n, why)| text.wrong(place(n), why))?
+                    }
+                };
+                Role::Node(correspondence)
             }
         };
         Ok(Articles { papers, papers_at, role, planners })
     }
 
+    fn fleet(text: &Text, sheet: Spanned<FleetSheet>, papers: &Papers) -> Result<FleetTerms, String> {
+        let (span, part) = (sheet.span(), sheet.into_inner());
+        if !papers.charter.peers {
+            return Err(text.wrong(span, "fleet: policy_limits.peers in the papers is false"));
+        }
+        let address = text.address("address", &part.address)?;
+        let listen = part.listen.as_ref().map(|l| text.address("listen", l)).transpose()?.unwrap_or(address);
+        let reached = |at: SocketAddr| at.port() != 0 && !at.ip().is_unspecified();
+        if !reached(address) || listen.is_ipv4() != address.is_ipv4() {
+            return Err(
+                text.wrong(part.address.span(), format!("address {address} can't be reached by others"))
+            );
+        }
+        let mut seeds = Vec::new();
+        for seed in &part.seeds {
+            let at = text.address("seed", seed)?;
+            if !reached(at) || at.is_ipv4() != address.is_ipv4() || seeds.contains(&at) {
+                return Err(
+                    text.wrong(seed.span(), format!("seed {at} can't be reached, or stands here twice"))
+                );
+            }
+            seeds.push(at);
+        }
+        let name = part.name.unwrap_or_default();
+        if [&name, &papers.name].into_iter().any(|n| n.len() > reedferry_members::LONGEST_NAME)
+            || papers.name.is_empty()
+        {
+            return Err(text.wrong(span, "a fleet's name has 64 bytes at most, a node's 1 to 64"));
+        }
+        let period = text.span("period", part.period, SECOND, (50 * MILLI, 60 * SECOND))?;
+        let most = text.count("most", part.most, 1024, 1 << 16)?;
+        Ok(FleetTerms { address, listen, name, seeds, period, most })
+    }
+
     fn planners(text: &Text, sheets: &[Spanned<PlannerSheet>]) -> Result<Vec<PlannerAt>, String> {
         let (mut names, mut addresses, mut planners) = (HashSet::new(), HashSet::new(), Vec::new());
         for sheet in sheets {
--- a/node/src/deck.rs
+++ b/node/src/deck.rs
@@ -37,6 +37,8 @@
 pub const HEIR_DOOR: u8 = 15;
 pub const HEIR: u8 = 16;
 pub const ELDER: u8 = 17;
+/// The fleet view's next turn.
+pub const FLEET: u8 = 18;
 
 /// After a call to stop, for how long the front still deals out connections to this program, and the
 /// longest that it is granted beyond what it needs.
--- /dev/null
+++ b/node/src/fleet.rs
@@ -0,0 +1,216 @@
+//! The fleet view on a socket: letters between members come and go here, and so do nodes' words to each other. It owns
+//! that socket, the log lines on members, bounded when hundreds change at once, and the view as operators see it. It
+//! must never decide who is alive, nor take in more of a flood than a turn's worth.
+
+use crate::deck::{mark, Deck, FLEET, PEERS};
+use crate::papers::Papers;
+use reedferry::{Event, Nanos, SECOND};
+use reedferry_members::{self as members, Action, Members, Role, State, Who, LONGEST_LETTER};
+use reedferry_quay::{Errno, Socket};
+use serde_json::json;
+use slog::{info, warn};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Datagrams read in one turn.
+const A_TURN: usize = 256;
+/// Lines on members in a second; the rest is counted.
+const MOST_LINES: u32 = 32;
+/// The first byte of a word, which no letter begins with.
+const WORD: u8 = 0xff;
+
+/// What the operator's file says of the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetTerms {
+    /// Where others reach it, and where it listens.
+    pub address: SocketAddr,
+    pub listen: SocketAddr,
+    pub name: String,
+    pub seeds: Vec<SocketAddr>,
+    pub period: Nanos,
+    pub most: usize,
+}
+
+pub struct Fleet {
+    core: Members,
+    terms: FleetTerms,
+    /// None while a process before this one still has it.
+    socket: Option<Socket>,
+    /// The moment at which the core is woken next.
+    reminded: Option<Nanos>,
+    /// Lines in this second, and what was left out.
+    lines: (Nanos, u32),
+    left_out: u32,
+    /// How often what odd thing came since it was last said.
+    odd: BTreeMap<&'static str, (Nanos, u32)>,
+}
+
+impl Fleet {
+    pub fn open(deck: &mut Deck, terms: &FleetTerms, papers: &Papers) -> Result<Fleet, String> {
+        let charter = &papers.charter;
+        let who = Who {
+            name: papers.name.clone(),
+            address: terms.address,
+            role: Role::Node,
+            zone: papers.terms.zones.get(usize::from(charter.zone)).cloned().unwrap_or_default(),
+            build: env!("CARGO_PKG_VERSION").to_string(),
+            place: charter.node,
+            roster: charter.nodes,
+        };
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis() as u64);
+        let fleet = crate::lines::hash(&terms.name) as u32;
+        let FleetTerms { seeds, period, most, .. } = terms.clone();
+        let core_terms = members::Terms { period, seeds, most, fleet };
+        let core = Members::new(who, core_terms, deck.now, unix, papers.seed ^ unix);
+        let (lines, odd) = ((0, 0), BTreeMap::new());
+        let mut fleet =
+            Fleet { core, terms: terms.clone(), socket: None, reminded: None, lines, left_out: 0, odd };
+        match fleet.bind(deck) {
+            Ok(()) | Err(Errno::ADDRINUSE) => Ok(fleet),
+            Err(e) => Err(format!("cannot take letters on {}: {e}", terms.listen)),
+        }
+    }
+
+    fn bind(&mut self, deck: &mut Deck) -> Result<(), Errno> {
+        let socket = deck.budget.datagrams(&self.terms.listen)?;
+        deck.poller.watch(&socket, mark(PEERS))?;
+        let (seeds, period) = (self.terms.seeds.len(), self.terms.period / 1_000_000);
+        info!(deck.log, "fleet"; "address" => %self.terms.address, "seeds" => seeds, "period_ms" => period);
+        self.socket = Some(socket);
+        self.handle(deck, members::Event::Wake);
+        Ok(())
+    }
+
+    fn handle(&mut self, deck: &mut Deck, event: members::Event) {
+        let mut out = Vec::new();
+        self.core.handle(deck.now, event, &mut out);
+        for action in out {
+            match action {
+                Action::Send { to, bytes } => {
+                    // Whom it can't reach is found out by its silence.
+                    self.socket.iter().for_each(|socket| _ = socket.send_to(&bytes, &to));
+                }
+                Action::Changed { name, address, before, state } if self.room(deck.now) => {
+                    let before = before.map_or("unknown", State::word);
+                    info!(deck.log, "member {}", state.word(); "name" => name, "address" => %address, "before" => before);
+                }
+                Action::Changed { .. } => self.left_out += 1,
+                Action::WasGone => warn!(deck.log, "others held this node gone"),
+                Action::Superseded { by } => {
+                    warn!(deck.log, "another process has this node's name and started later; out of the fleet"; "at" => %by);
+                }
+                Action::Odd { why, from } => self.odd(deck, why, from),
+            }
+        }
+        let due = self.core.next();
+        if due != Nanos::MAX && self.reminded.is_none_or(|at| due < at) {
+            self.reminded = Some(due);
+            deck.poller.remind(due, mark(FLEET), 0);
+        }
+    }
+
+    /// Whether one more line is said in this second.
+    fn room(&mut self, now: Nanos) -> bool {
+        if now >= self.lines.0 + SECOND {
+            self.lines = (now, 0);
+        }
+        self.lines.1 += 1;
+        self.lines.1 <= MOST_LINES
+    }
+
+    /// Each kind of odd thing is said once a minute, with how often it came since.
+    fn odd(&mut self, deck: &Deck, why: &'static str, from: SocketAddr) {
+        let (said, count) = self.odd.entry(why).or_insert((0, 0));
+        *count += 1;
+        if *said == 0 || deck.now >= *said + 60 * SECOND {
+            warn!(deck.log, "letter dropped"; "why" => why, "from" => %from, "count" => *count);
+            (*said, *count) = (deck.now, 0);
+        }
+    }
+
+    pub fn ready(&mut self, deck: &mut Deck) {
+        let mut space = [0; LONGEST_LETTER + 1];
+        for _ in 0..A_TURN {
+            let Some(socket) = &self.socket else { return };
+            let (length, from) = match socket.receive_from(&mut space) {
+                Ok((length, Some(from))) => (length, from),
+                Err(Errno::AGAIN) => return,
+                // What a member that is away has the system say of an earlier letter.
+                Ok((_, None)) | Err(_) => continue,
+            };
+            match space[..length] {
+                [WORD, ref word @ ..] => {
+                    let known = self.core.others().any(|m| m.who.address == from && m.state != State::Gone);
+                    if known && word.len() <= reedferry::word::LONGEST {
+                        deck.events.push(Event::Heard { message: word.to_vec() });
+                    } else {
+                        self.odd(deck, "a word of no member's", from);
+                    }
+                }
+                ref bytes => self.handle(deck, members::Event::Letter { from, bytes }),
+            }
+        }
+        // Guards: the rest of a flood left lying, as the poller tells of each arrival once.
+        if let Some(socket) = &self.socket {
+            _ = deck.poller.rewatch(socket, mark(PEERS));
+        }
+    }
+
+    /// The moment that the core asked for, or one before it, has come.
+    pub fn due(&mut self, deck: &mut Deck) {
+        self.reminded = None;
+        self.handle(deck, members::Event::Wake);
+    }
+
+    /// Tells all that are at work.
+    pub fn tell(&self, word: &[u8]) {
+        let datagram = [&[WORD], word].concat();
+        for member in self.core.others().filter(|m| matches!(m.state, State::Working | State::Suspect)) {
+            self.socket.iter().for_each(|socket| _ = socket.send_to(&datagram, &member.who.address));
+        }
+    }
+
+    /// This node says how it stands.
+    pub fn stands(&mut self, deck: &mut Deck, state: State) {
+        self.handle(deck, members::Event::Stands(state));
+    }
+
+    pub fn ends(&mut self, deck: &mut Deck) {
+        self.handle(deck, members::Event::Ends);
+    }
+
+    /// Takes up other seeds and another place; the rest holds until the next start. Gives what does.
+    pub fn renew(&mut self, deck: &mut Deck, terms: &FleetTerms, place: (u32, u32)) -> bool {
+        self.handle(deck, members::Event::Seeds(terms.seeds.clone()));
+        self.handle(deck, members::Event::Placed { place: place.0, roster: place.1 });
+        self.terms.seeds = terms.seeds.clone();
+        self.terms == *terms
+    }
+
+    pub fn sweep(&mut self, deck: &mut Deck) {
+        if self.socket.is_none() {
+            _ = self.bind(deck);
+        }
+        if self.left_out > 0 && deck.now >= self.lines.0 + SECOND {
+            info!(deck.log, "members changed beside"; "count" => std::mem::take(&mut self.left_out));
+        }
+    }
+
+    /// The view as operators see it.
+    pub fn text(&self, now: Nanos) -> String {
+        let since = |then: Nanos| now.saturating_sub(then) / 1_000_000;
+        let (me, age, state) = self.core.me();
+        let member = |m: &members::Member| {
+            json!({"name": m.who.name, "address": m.who.address, "role": m.who.role.word(), "zone": m.who.zone,
+                "build": m.who.build, "place": m.who.place, "of": m.who.roster, "state": m.state.word(),
+                "since_ms": since(m.since), "life": m.age.life, "word": m.age.word})
+        };
+        let members: Vec<_> = self.core.others().map(member).collect();
+        let view = json!({"name": me.name, "address": me.address, "state": state.word(), "life": age.life,
+            "word": age.word, "ill": self.core.ill(), "superseded": self.core.superseded(),
+            "digest": format!("{:016x}", self.core.digest()), "still_ms": since(self.core.still()),
+            "members": members});
+        format!("{view}\n")
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -7,6 +7,7 @@
 mod deck;
 mod discovery;
 mod ferry;
+mod fleet;
 mod forward;
 mod hosts;
 mod http;
--- a/node/src/ops.rs
+++ b/node/src/ops.rs
@@ -25,6 +25,7 @@
 pub enum Call {
     Status,
     Figures,
+    Fleet,
     Standby,
     Active,
 }
@@ -65,8 +66,9 @@
         };
         let Reply { status, text } = self;
         let length = text.len();
+        let kind = if text.starts_with('{') { "application/json" } else { "text/plain; charset=utf-8" };
         format!(
-            "HTTP/1.1 {status} {why}\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: {length}\r\n\
+            "HTTP/1.1 {status} {why}\r\nContent-Type: {kind}\r\nContent-Length: {length}\r\n\
              Cache-Control: no-store\r\nConnection: close\r\n{head}\r\n{text}"
         )
         .into_bytes()
@@ -122,6 +124,7 @@
     let (call, method, allow) = match path {
         "/status" => (Call::Status, "GET", "Allow: GET\r\n"),
         "/status/metrics" => (Call::Figures, "GET", "Allow: GET\r\n"),
+        "/status/fleet" => (Call::Fleet, "GET", "Allow: GET\r\n"),
         "/standby" => (Call::Standby, "POST", "Allow: POST\r\n"),
         "/active" => (Call::Active, "POST", "Allow: POST\r\n"),
         _ => return wrong(404, "no such path"),
--- a/node/src/peers.rs
+++ b/node/src/peers.rs
@@ -3,6 +3,7 @@
 //! is longer than a message, hold a turn up over a flood, nor care whether a message arrives.
 
 use crate::deck::{mark, Deck, PEERS};
+use crate::fleet::FleetTerms;
 use reedferry::word::LONGEST;
 use reedferry::Event;
 use reedferry_quay::{Errno, Socket};
@@ -17,6 +18,8 @@
 pub struct Correspondence {
     pub at: SocketAddr,
     pub peers: Vec<SocketAddr>,
+    /// Where the node keeps a view of its fleet: its members are its peers.
+    pub fleet: Option<FleetTerms>,
 }
 
 pub struct Peers {
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -4,6 +4,7 @@
 
 use crate::acting::{first_line, small, GRACE, SOCKETS};
 use crate::program::{papers_of, path, Node};
+use crate::view::View;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{json, Value};
@@ -190,6 +191,7 @@
     discovery: SocketAddr,
     terms: Terms,
     alone: bool,
+    view: Option<View>,
     /// Where a process was killed, stopped or asked to end, and when.
     ended: Vec<(SocketAddr, Instant)>,
 }
@@ -199,7 +201,7 @@
     pub fn new(nodes: usize, discovery: SocketAddr, terms: Terms) -> Self {
         let nodes = (0..nodes).map(|_| None).collect();
         let (front, program) = (Front::default(), path());
-        Fleet { nodes, front, program, discovery, terms, alone: false, ended: Vec::new() }
+        Fleet { nodes, front, program, discovery, terms, alone: false, view: None, ended: Vec::new() }
     }
 
     /// Of another build of the program.
@@ -208,6 +210,16 @@
         self
     }
 
+    /// Each keeps a view of the fleet.
+    pub fn with_view(mut self, view: View) -> Self {
+        self.view = Some(view);
+        self
+    }
+
+    pub fn view(&self) -> &View {
+        self.view.as_ref().expect("a fleet with a view")
+    }
+
     /// Each thinks that it is alone, as if nobody shared the list service.
     pub fn each_alone(mut self) -> Self {
         self.alone = true;
@@ -227,6 +239,11 @@
         papers["seed"] = json!(format!("{:016x}", 0x8c1f_30d2 + node as u64));
         papers["known"]["revision"] = json!(revision);
         let settings = &mut papers["settings"];
+        if self.view.is_some() {
+            settings["policy_limits"]["peers"] = json!(true);
+            papers["ops"] = json!("127.0.0.1:0");
+        }
+        let settings = &mut papers["settings"];
         let place = if self.alone { (1, 0) } else { (self.nodes.len(), node) };
         (settings["balancers"], settings["index"]) = (json!(place.0), json!(place.1));
         let contract = &mut settings["contract"];
@@ -242,9 +259,12 @@
     pub fn start(&mut self, which: &[usize], known: &[Value], revision: u64) {
         let papers: Vec<(usize, Value)> =
             which.iter().map(|&n| (n, self.papers(n, known, revision))).collect();
-        let program = &self.program;
+        let (program, view) = (&self.program, self.view.as_ref());
         let started: Vec<(usize, Node)> = thread::scope(|scope| {
-            let one = |(node, papers): &(usize, Value)| (*node, Node::start_of(program, papers));
+            let one = |(node, papers): &(usize, Value)| match view {
+                Some(view) => (*node, Node::start_of_as(program, "node", &view.articles(*node), papers)),
+                None => (*node, Node::start_of(program, papers)),
+            };
             let share = papers.len().div_ceil(16).max(1);
             let parts = papers.chunks(share).map(|part| scope.spawn(move || part.iter().map(one).collect()));
             let parts: Vec<thread::ScopedJoinHandle<Vec<_>>> = parts.collect();
@@ -511,6 +531,7 @@
             discovery: address,
             terms: TERMS,
             alone: false,
+            view: None,
             ended: Vec::new(),
         };
         fleet.front.takes_in(address);
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod speaker;
 pub mod tiers;
 pub mod two_tier;
+pub mod view;
+pub mod ways;
 
 pub use discovery::Discovery;
 pub use peers::*;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use reedferry_rig::two_tier::{self, Found};
-use reedferry_rig::{chart, coldstart};
+use reedferry_rig::{chart, coldstart, view};
 use serde_json::json;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -23,6 +23,8 @@
 enum What {
     /// Forwarders and planners beside as many single nodes.
     TwoTier(Options),
+    /// Nodes that keep a view of their fleet, over ways that are spoilt.
+    Fleet(Viewed),
     /// Nodes that start at once and know nothing, beside a list service of some capacity.
     Coldstart(Cold),
 }
@@ -40,6 +42,22 @@
     json: bool,
 }
 
+#[derive(Args)]
+struct Viewed {
+    /// What chance is drawn from.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Nodes.
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(3..=300))]
+    size: u64,
+    /// The unit of the fleet view's times, in milliseconds.
+    #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u64).range(50..=2000))]
+    period: u64,
+    /// The last line is one object.
+    #[arg(long)]
+    json: bool,
+}
+
 #[derive(Args)]
 struct Cold {
     /// What chance is drawn from.
@@ -82,6 +100,11 @@
             });
             ("two-tier", options.seed, options.size, options.json, found)
         }
+        What::Fleet(options) => {
+            let found =
+                view::measure(options.size as usize, Duration::from_millis(options.period), options.seed);
+            ("fleet", options.seed, options.size, options.json, found)
+        }
         What::Coldstart(options) => {
             if !options.rate.is_finite() || options.rate <= 0.0 {
                 eprintln!("reedferry-rig: --rate takes calls a second, over 0");
--- a/rig/src/program.rs
+++ b/rig/src/program.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The papers of a node that knows these hosts.
 pub fn papers(hosts: &Hosts, discovery: SocketAddr) -> Value {
@@ -44,7 +44,7 @@
     pub address: SocketAddr,
     /// Where operators call, if they do.
     pub ops: Option<SocketAddr>,
-    log: Receiver<String>,
+    log: Receiver<(Instant, String)>,
 }
 
 static STARTED: AtomicU32 = AtomicU32::new(0);
@@ -134,9 +134,13 @@
 
     /// One of another role, by an operator's file; `PAPERS` in it stands for the file of these papers.
     pub fn start_as(role: &str, articles: &str, papers: &Value) -> Self {
+        Node::start_of_as(&path(), role, articles, papers)
+    }
+
+    pub fn start_of_as(program: &Path, role: &str, articles: &str, papers: &Value) -> Self {
         let papers = file("json", &papers.to_string());
         let articles = file("toml", &articles.replace("PAPERS", &papers.display().to_string()));
-        let mut command = Command::new(path());
+        let mut command = Command::new(program);
         command.arg(role).arg("--config").arg(&articles);
         Node::run(piped(command), articles.clone(), vec![papers, articles])
     }
@@ -152,7 +156,9 @@
         let (sender, log) = channel();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         // To its end, whether or not anybody listens. Guards: a program held up by a full pipe.
-        thread::spawn(move || lines.map_while(Result::ok).for_each(|line| _ = sender.send(line)));
+        thread::spawn(move || {
+            lines.map_while(Result::ok).for_each(|line| _ = sender.send((Instant::now(), line)))
+        });
         let mut node = Node { child, told, files, address: nowhere(), ops: None, log };
         let named = |line: &str, what: &str| {
             let rest = line.split_once(what)?.1;
@@ -174,7 +180,7 @@
         let until = Instant::now() + PATIENCE;
         loop {
             let left = until.saturating_duration_since(Instant::now());
-            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("no log line said {text}"));
+            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("no log line said {text}")).1;
             if line.contains(text) {
                 return line;
             }
@@ -243,6 +249,11 @@
 
     /// The log lines that have come and were not waited for, without waiting.
     pub fn logged(&self) -> Vec<String> {
+        self.log.try_iter().map(|(_, line)| line).collect()
+    }
+
+    /// The same, each with when it came.
+    pub fn logged_at(&self) -> Vec<(Instant, String)> {
         self.log.try_iter().collect()
     }
 
@@ -253,6 +264,15 @@
         line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() << 10
     }
 
+    /// Processor time that it has taken, as the system counts it.
+    pub fn spent(&self) -> Duration {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
+        // The name may hold anything; it ends with the last bracket. Ticks of ten milliseconds.
+        let after = text.rsplit(')').next().unwrap_or("").split_whitespace();
+        let ticks: u64 = after.skip(11).take(2).filter_map(|n| n.parse::<u64>().ok()).sum();
+        Duration::from_millis(10 * ticks)
+    }
+
     fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
--- /dev/null
+++ b/rig/src/view.rs
@@ -0,0 +1,219 @@
+//! A fleet whose processes keep a view of each other over ways that can be spoilt: how they are started so, what they
+//! say of the view, and the measurement of it. It owns what is promised of the view. It must never judge a rule by what a process says of itself.
+
+use crate::fleet::{Fleet, Terms};
+use crate::two_tier::Found;
+use crate::ways::Ways;
+use crate::Discovery;
+use serde_json::{json, Map, Value};
+use std::collections::HashMap;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What a fleet needs to keep a view.
+pub struct View {
+    pub ways: Ways,
+    pub period: Duration,
+    pub seeds: Vec<usize>,
+}
+
+impl View {
+    /// The operator's file of a node.
+    pub fn articles(&self, node: usize) -> String {
+        let (face, behind) = (self.ways.faces[node], self.ways.behind[node]);
+        let seeds: Vec<String> = self.seeds.iter().map(|seed| self.ways.faces[*seed].to_string()).collect();
+        let period = self.period.as_millis();
+        format!(
+            "papers = \"PAPERS\"\n[node]\n[fleet]\naddress = \"{face}\"\nlisten = \"{behind}\"\nseeds = {seeds:?}\n\
+             period = \"{period}ms\"\n"
+        )
+    }
+}
+
+impl Fleet {
+    /// What a node's operators see of the fleet.
+    pub fn status(&self, node: usize) -> Option<Value> {
+        let (status, text) = self.nodes[node].as_ref()?.call("GET /status/fleet");
+        assert_eq!(status, 200, "{text}");
+        serde_json::from_str(&text).ok()
+    }
+
+    /// How each node that runs holds each other one, by the names, those that are gone left out.
+    pub fn held(&self) -> Vec<(usize, HashMap<String, String>)> {
+        let held = |node: usize| {
+            let status = self.status(node)?;
+            let members = status["members"].as_array()?.iter();
+            let of = |m: &Value| Some((m["name"].as_str()?.to_string(), m["state"].as_str()?.to_string()));
+            Some((node, members.filter_map(of).filter(|(_, state)| state != "gone").collect()))
+        };
+        (0..self.nodes.len()).filter_map(held).collect()
+    }
+
+    /// Whether each that runs holds all that run, and them alone, to be at work.
+    pub fn agrees(&self) -> bool {
+        let held = self.held();
+        let well = |(node, view): &(usize, HashMap<String, String>)| {
+            let others = held.iter().filter(|(other, _)| other != node);
+            let there =
+                |(other, _): &(usize, _)| view.get(&format!("n{other}")).is_some_and(|s| s == "at work");
+            view.len() + 1 == held.len() && others.into_iter().all(there)
+        };
+        held.iter().all(well)
+    }
+
+    /// How long it takes until they agree, at the most so long.
+    pub fn agrees_within(&self, most: Duration) -> Option<Duration> {
+        let from = Instant::now();
+        while !self.agrees() {
+            if from.elapsed() > most {
+                return None;
+            }
+            // To ask all costs them time.
+            thread::sleep(Duration::from_millis(self.nodes.len() as u64).max(Duration::from_millis(10)));
+        }
+        Some(from.elapsed())
+    }
+
+    /// Whom nodes that run have held gone since the log was looked at last.
+    pub fn put_out(&self) -> Vec<String> {
+        let lines = self.nodes.iter().enumerate().flat_map(|(node, one)| {
+            let lines = one.iter().flat_map(crate::Node::logged).filter(|l| l.contains("member gone"));
+            lines.map(move |line| format!("n{node}: {line}")).collect::<Vec<_>>()
+        });
+        lines.collect()
+    }
+
+    /// Processor time that all have taken.
+    fn spent(&self) -> Duration {
+        self.nodes.iter().flatten().map(crate::Node::spent).sum()
+    }
+}
+
+const TERMS: Terms = Terms {
+    cold: Duration::from_secs(5),
+    cold_from: 0.2,
+    tip_after: Duration::from_millis(500),
+    tip_multiple: 3.0,
+    ask_within: Duration::from_secs(4),
+    full: 120.0,
+};
+
+pub fn started(nodes: usize, period: Duration, seed: u64) -> (Discovery, Fleet) {
+    let service = Discovery::start();
+    let view = View { ways: Ways::new(nodes + 1, seed), period, seeds: (0..3.min(nodes)).collect() };
+    let mut fleet = Fleet::new(nodes, service.address, TERMS).with_view(view);
+    fleet.start(&(0..nodes).collect::<Vec<_>>(), &[], 0);
+    (service, fleet)
+}
+
+/// What one size showed, in periods.
+struct Shown {
+    settled: f64,
+    letters: f64,
+    core: f64,
+    found: Vec<f64>,
+    known: Vec<f64>,
+    healed: Vec<f64>,
+    wrongly: usize,
+}
+
+fn play(nodes: usize, period: Duration, seed: u64, kills: usize, faults: bool) -> Option<Shown> {
+    let (_service, mut fleet) = started(nodes, period, seed);
+    let in_periods = |span: Duration| span.as_secs_f64() / period.as_secs_f64();
+    let settled = in_periods(fleet.agrees_within(period * 100)?);
+    let passed = |fleet: &Fleet| fleet.view().ways.passed().sent.iter().sum::<u64>();
+    // News is told for some periods more.
+    thread::sleep(period * (15 + nodes as u32 / 4));
+    let (from, before, spent) = (Instant::now(), passed(&fleet), fleet.spent());
+    thread::sleep(period * 20);
+    let quiet = from.elapsed();
+    let letters = (passed(&fleet) - before) as f64 / nodes as f64 / in_periods(quiet);
+    let core = (fleet.spent() - spent).as_secs_f64() / nodes as f64 / quiet.as_secs_f64();
+    let (mut found, mut known, mut healed, mut wrongly) = (Vec::new(), Vec::new(), Vec::new(), 0);
+    for kill in 0..kills {
+        let node = (seed as usize * 7 + kill * 5 + 3) % nodes;
+        fleet.put_out();
+        let at = Instant::now();
+        fleet.kill(node, Duration::ZERO);
+        let within = period.mul_f64(2.0 + 2.0 * (nodes as f64).log2());
+        let mut suspect: Vec<(usize, Instant)> = Vec::new();
+        let mut gone: HashMap<usize, Instant> = HashMap::new();
+        while gone.len() < nodes - 1 && at.elapsed() < within * 2 {
+            thread::sleep(Duration::from_millis(20));
+            for (from, one) in fleet.nodes.iter().enumerate().filter_map(|(n, one)| Some((n, one.as_ref()?)))
+            {
+                for (when, line) in one.logged_at() {
+                    let of_it = format!("{line},").contains(&format!("name: n{node},"));
+                    if of_it && line.contains("member suspect") {
+                        suspect.push((from, when));
+                    } else if of_it && line.contains("member gone") {
+                        gone.insert(from, when);
+                    } else if line.contains("member gone") {
+                        wrongly += 1;
+                    }
+                }
+            }
+        }
+        let first = suspect.iter().map(|s| s.1).chain(gone.values().copied()).min();
+        found.push(first.map_or(f64::INFINITY, |t| in_periods(t.saturating_duration_since(at))));
+        let last = gone.values().max().filter(|_| gone.len() == nodes - 1);
+        known.push(last.map_or(f64::INFINITY, |t| in_periods(t.saturating_duration_since(at))));
+        fleet.start(&[node], &[], 0);
+        fleet.agrees_within(period * 100)?;
+    }
+    if faults {
+        for (periods, parts) in [(10, 2), (30, 2), (30, 3)] {
+            fleet.view().ways.split(|node| node % parts);
+            thread::sleep(period * periods);
+            fleet.view().ways.heal();
+            healed.push(fleet.agrees_within(period * 100).map_or(f64::INFINITY, in_periods));
+        }
+        fleet.put_out();
+        let spoil = crate::ways::Spoil { loss: 0.2, double: 0.1, delay: period / 10, ..Default::default() };
+        fleet.view().ways.set(|_, _| spoil);
+        thread::sleep(period * 50);
+        wrongly += fleet.put_out().len();
+    }
+    Some(Shown { settled, letters, core, found, known, healed, wrongly })
+}
+
+fn middle(mut all: Vec<f64>) -> f64 {
+    all.sort_by(f64::total_cmp);
+    all.get(all.len() / 2).copied().unwrap_or(f64::INFINITY)
+}
+
+/// Starts a fleet and spoils its ways and ends some of it; and a few processes beside it, for what a letter costs.
+pub fn measure(nodes: usize, period: Duration, seed: u64) -> Found {
+    let (mut figures, mut broken) = (Map::new(), Vec::new());
+    let few = play(nodes.min(20), period, seed, 0, false);
+    let Some((few, now)) = few.zip(play(nodes, period, seed, 3, true)) else {
+        return Found { figures, broken: vec!["views never agreed".into()] };
+    };
+    let within = 2.0 + 2.0 * (nodes as f64).log2();
+    let known = now.known.iter().copied().fold(0.0, f64::max);
+    let healed = now.healed.iter().copied().fold(0.0, f64::max);
+    let mut put = |what: &str, value: Value| figures.insert(what.into(), value);
+    put("period, ms", json!(period.as_millis() as u64));
+    put("settled after the start, periods", json!(now.settled));
+    put("death found first, periods", json!(now.found));
+    put("death known to all, periods", json!(now.known));
+    put("agreed after a cut, periods", json!(now.healed));
+    put("wrongly held gone", json!(now.wrongly));
+    put("letters a node and period", json!(now.letters));
+    put("letters a node and period, 20 nodes", json!(few.letters));
+    put("share of a core a node", json!(now.core));
+    let mut promised = |holds: bool, what: String| {
+        if !holds {
+            broken.push(what);
+        }
+    };
+    let found = middle(now.found);
+    promised(found <= 2.0, format!("a death found after {found:.1} periods at the median"));
+    promised(known <= within, format!("a death known to all after {known:.1} periods of {within:.1}"));
+    promised(healed <= 10.0, format!("views agree {healed:.1} periods after a cut"));
+    promised(now.wrongly == 0, format!("{} wrongly held gone", now.wrongly));
+    let level = now.letters / few.letters;
+    promised((level - 1.0).abs() <= 0.1, format!("{level:.2} times the letters of 20 nodes"));
+    promised(now.core <= 0.01, format!("{:.4} of a core each", now.core));
+    Found { figures, broken }
+}
