Share turns at cold hosts and probes by the fleet view, under leases of a majority

Turns at cold hosts of nodes that are dead stay unused, and each node probes as if all lived: read in the code by the issue. Half of a place's share is its own whatever anybody believes; the other half is lent for three periods by a majority of the fixed roster, counted from the question on the holder's own clock, granted by nobody who has started since (members/src/leases.rs, walked through 40,000 worlds; two planted breaks found). Each host's probe has one owner by rendezvous hashing (members/src/duties.rs); a node that stood still does no duty for three periods. The module is told by Event::Turns and Event::Looks; without them it goes by numbers as before.

Seen over processes: 6 nodes, 2 cold hosts: shares sum to 6.0 of 6 with all at work, 5.5 with one dead, 2.5 behind a cut without a majority, never above 6; 8 hosts probed at least twice in three rounds, never more than twice in one, through three deaths and a stop of 3 s.

--- a/link/src/forwarder.rs
+++ b/link/src/forwarder.rs
@@ -486,6 +486,8 @@
             | Event::Timer { .. }
             | Event::Probed { .. }
             | Event::Heard { .. }
+            | Event::Turns(_)
+            | Event::Looks(_)
             | Event::Staying
             | Event::PassedOn(..)
             | Event::Renewed(..)
--- a/members/src/letters.rs
+++ b/members/src/letters.rs
@@ -44,6 +44,15 @@
     Compare {
         parts: Vec<u32>,
     },
+    /// Promise me these parts; and those that are promised.
+    Lend {
+        seq: u32,
+        parts: Vec<u32>,
+    },
+    Lent {
+        seq: u32,
+        parts: Vec<u32>,
+    },
     /// Members of the view, and of which parts the receiver's are wanted.
     Page {
         wanted: u32,
--- a/members/src/lib.rs
+++ b/members/src/lib.rs
@@ -3,18 +3,23 @@
 //! comparison of whole views, so that parts that lost each other find together again. Events and the caller's clock
 //! in, actions out, chance from a given seed. It must never do I/O, nor act on what it holds of others.
 
+mod duties;
+mod leases;
 mod letters;
 #[cfg(test)]
 mod trials;
 mod types;
 mod view;
 
+pub use duties::owner;
 pub use types::*;
 pub use view::Member;
 
+use leases::Leases;
 use letters::{Body, Claim, Head, Sheet, PARTS};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeSet;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use view::{Heard, View};
@@ -35,6 +40,12 @@
 const LOOK_INTO: f64 = 5.0;
 /// Members asked in a round by one that hears nobody.
 const MOST_ASKED: usize = 64;
+/// For how many periods a share is lent.
+const LENT: u64 = 3;
+/// What of a place's share is always its own; the rest is lent.
+const OWN: f64 = 0.5;
+/// After a stand-still no duty is done for so many periods: the word that it is another's may be under way.
+const HOLDS_OFF: u64 = 3;
 /// Members asked for others at a time.
 const MOST_FAVOURS: usize = 64;
 
@@ -95,6 +106,12 @@
     seq: u32,
     pages: u32,
     compared: Option<Nanos>,
+    leases: Leases,
+    lending: bool,
+    /// The roster before the one that counts now, until all are of that.
+    before: Option<u32>,
+    /// Until when no duty is done.
+    off_until: Nanos,
     superseded: bool,
     /// The latest of its words by which others held it gone.
     held_gone: Option<Age>,
@@ -113,6 +130,7 @@
         // Members that start together do not ask in step.
         let first = now + (period as f64 / 4.0 * chance.0.random::<f64>()) as Nanos;
         let seq = chance.0.random();
+        let leases = Leases::new(who.place, unix, who.roster, LENT * period, now);
         Members {
             view: View::new(who, unix, now, most),
             period: period.max(1),
@@ -133,6 +151,10 @@
             seq,
             pages: PAGES,
             compared: None,
+            leases,
+            lending: false,
+            before: None,
+            off_until: now,
             superseded: false,
             held_gone: None,
             due: first,
@@ -179,7 +201,7 @@
         if self.superseded {
             return;
         }
-        self.mind_the_gap(now);
+        self.mind_the_gap(now, out);
         match event {
             Event::Wake => {}
             Event::Letter { from, bytes } => self.letter(now, from, bytes, out),
@@ -190,12 +212,16 @@
             Event::Placed { place, roster } => {
                 let who = &self.view.me.who;
                 if (who.place, who.roster) != (place, roster) {
+                    self.before = Some(who.roster);
+                    let life = self.view.me.age.life;
+                    self.leases = Leases::new(place, life, roster, LENT * self.period, now);
                     self.view.say(now, |me| (me.who.place, me.who.roster) = (place, roster));
                 }
             }
             Event::Seeds(seeds) => self.seeds = seeds,
+            Event::Lending(lending) => self.lending = lending,
             Event::Ends => {
-                self.view.say(now, |me| me.state = State::Gone);
+                self.view.say(now, |me| (me.state, me.who.roster) = (State::Gone, 0));
                 for id in self.some(HELPERS + 1, None) {
                     self.send(id, Body::Gossip, None, out);
                 }
@@ -216,7 +242,11 @@
         let probe = unasked.map(|p| p.sent + self.patience()).min();
         let favour = self.favours.iter().map(|favour| favour.until).min();
         let over = self.view.next_over(self.period);
-        [probe, favour, over].into_iter().flatten().fold(self.next_round.min(self.next_talk), Nanos::min)
+        let lease = self.leases.next().filter(|_| self.lending);
+        [probe, favour, over, lease]
+            .into_iter()
+            .flatten()
+            .fold(self.next_round.min(self.next_talk), Nanos::min)
     }
 
     /// How long a direct answer may take.
@@ -225,13 +255,15 @@
     }
 
     /// The process may have stood still. Guards: others accused of not answering one who did not listen.
-    fn mind_the_gap(&mut self, now: Nanos) {
+    fn mind_the_gap(&mut self, now: Nanos, out: &mut Vec<Action>) {
         let late = now.saturating_sub(self.due);
         if late > self.period / 2 {
             self.probes.clear();
             self.view.wait_longer(late);
             self.worse(1);
             self.next_round = now;
+            self.off_until = now + HOLDS_OFF * self.period;
+            out.push(Action::StoodStill(late));
         }
     }
 
@@ -261,6 +293,9 @@
                 self.hear(now, &Claim { state: State::Gone, by: self.view.id, ..claim }, out);
             }
         }
+        if self.lending {
+            self.borrow(now, out);
+        }
         if now >= self.next_talk {
             self.talk(now, out);
         }
@@ -270,6 +305,81 @@
         }
     }
 
+    /// Those that are at work, this member among them, by their numbers: one that is suspect is until it is gone.
+    fn at_work(&self) -> impl Iterator<Item = u64> + '_ {
+        let there = |held: &Member| matches!(held.state, State::Working | State::Suspect);
+        let me = Some(self.view.id).filter(|_| self.view.me.state == State::Working && !self.superseded);
+        self.view.all.iter().filter(move |(_, held)| there(held)).map(|(id, _)| *id).chain(me)
+    }
+
+    /// Whether duties rest, as this member has stood still.
+    pub fn holds_off(&self, now: Nanos) -> bool {
+        now < self.off_until
+    }
+
+    /// Of these duties, those that are this member's to do.
+    pub fn duties(&self, now: Nanos, duties: impl Iterator<Item = u64>) -> Vec<u64> {
+        if self.holds_off(now) {
+            return Vec::new();
+        }
+        let members: Vec<u64> = self.at_work().collect();
+        duties.filter(|duty| owner(*duty, members.iter().copied()) == Some(self.view.id)).collect()
+    }
+
+    /// Whether all that are known, the gone too, go by one roster; those that left by their own word do not count.
+    fn one_roster(&self) -> bool {
+        let roster = self.view.me.who.roster;
+        self.view.all.values().all(|held| held.who.roster == roster || held.who.roster == 0)
+    }
+
+    /// Asks all places to promise this member its own share and those of the gone that are its to take up.
+    fn borrow(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        let me = &self.view.me.who;
+        let (place, roster) = (me.place, me.roster);
+        let mut parts = BTreeSet::new();
+        if self.one_roster() && self.view.me.state == State::Working {
+            self.before = None;
+            let there: BTreeSet<u32> =
+                self.view.all.values().filter(|m| m.state != State::Gone).map(|m| m.who.place).collect();
+            let members: Vec<u64> = self.at_work().collect();
+            let mine = |part: &u32| owner(u64::from(*part), members.iter().copied()) == Some(self.view.id);
+            parts = (0..roster).filter(|part| !there.contains(part) && *part != place).filter(mine).collect();
+            parts.insert(place);
+        }
+        self.leases.want(&parts);
+        if let Some((seq, parts)) = self.leases.due(now) {
+            let all: Vec<u64> =
+                self.view.all.keys().copied().filter(|id| !self.view.gone.contains(id)).collect();
+            for id in all {
+                self.send(id, Body::Lend { seq, parts: parts.clone() }, None, out);
+            }
+        }
+    }
+
+    /// Which places' shares this member may use now, and how much of each: half of its own whatever anybody holds to
+    /// be true, and what others have lent it.
+    pub fn shares(&self, now: Nanos) -> Vec<(u32, f64)> {
+        let (place, roster) = (self.view.me.who.place, self.view.me.who.roster);
+        if self.superseded {
+            return Vec::new();
+        }
+        let mut shares: Vec<(u32, f64)> =
+            (0..roster).filter(|part| self.leases.holds(now, *part)).map(|part| (part, 1.0 - OWN)).collect();
+        // Where rosters differ, no more of the whole than by either.
+        let own = match self.before {
+            Some(before) if !self.one_roster() => {
+                OWN * (f64::from(roster) / f64::from(before.max(1))).min(1.0)
+            }
+            None if !self.one_roster() => 0.0,
+            _ => OWN,
+        };
+        match shares.iter_mut().find(|(part, _)| *part == place) {
+            Some((_, share)) => *share += own,
+            None => shares.push((place, own)),
+        }
+        shares
+    }
+
     /// What a period brings beside the round.
     fn talk(&mut self, now: Nanos, out: &mut Vec<Action>) {
         self.next_talk = now + self.period;
@@ -465,6 +575,19 @@
                     self.accuse(now, probe.id, out);
                 }
             }
+            Body::Lend { seq, parts } => {
+                let (who, life) = (&head.me.who, head.me.age.life);
+                if who.roster == self.view.me.who.roster && who.place != self.view.me.who.place {
+                    let parts = self.leases.ask(now, who.place, life, &parts);
+                    self.send_to(from, Body::Lent { seq, parts }, None, out);
+                }
+            }
+            Body::Lent { seq, parts } => {
+                let who = &head.me.who;
+                if who.roster == self.view.me.who.roster && who.place != self.view.me.who.place {
+                    self.leases.granted(now, who.place, seq, &parts);
+                }
+            }
             Body::Gossip => {
                 if grave.is_some() {
                     self.send_to(from, Body::Gossip, grave, out);
--- a/members/src/trials.rs
+++ b/members/src/trials.rs
@@ -104,7 +104,7 @@
                     self.seen.push((self.now, node, name[1..].parse().unwrap(), state));
                 }
                 Action::WasGone => self.was_gone.push(node),
-                Action::Superseded { .. } | Action::Odd { .. } => {}
+                Action::StoodStill(_) | Action::Superseded { .. } | Action::Odd { .. } => {}
             }
         }
     }
@@ -645,3 +645,175 @@
         assert!(walk(Three::new(planted), BOUNDS).is_err());
     }
 }
+
+/// Three members that want each other's shares, with what is under way between them and a clock that steps.
+#[derive(Clone)]
+struct Lenders {
+    now: Nanos,
+    all: Vec<Option<Leases>>,
+    way: Vec<(usize, usize, Word)>,
+    restarts: u32,
+    doubles: u32,
+}
+
+#[derive(Clone, Debug, Hash)]
+enum Word {
+    Ask(u64, u32, Vec<u32>),
+    Yes(u32, Vec<u32>),
+}
+
+#[derive(Clone, Debug)]
+enum Lending {
+    /// Time passes; who is due asks.
+    Pass,
+    Deliver(usize),
+    Double(usize),
+    Restart(usize),
+}
+
+const LENGTH: Nanos = 48;
+
+impl Lenders {
+    /// Long after they started; the first two want the share of place 0.
+    fn new(planted: impl Fn(&mut Leases)) -> Lenders {
+        let one = |place: u32| {
+            let mut leases = Leases::new(place, 1, 3, LENGTH, 0);
+            planted(&mut leases);
+            if place < 2 {
+                leases.want(&BTreeSet::from([0]));
+            }
+            Some(leases)
+        };
+        Lenders { now: 10 * LENGTH, all: (0..3).map(one).collect(), way: Vec::new(), restarts: 1, doubles: 1 }
+    }
+}
+
+impl World for Lenders {
+    type Step = Lending;
+
+    fn steps(&self) -> Vec<Lending> {
+        let mut steps = vec![Lending::Pass];
+        // What stays under way for ever is lost.
+        for place in 0..self.way.len().min(5) {
+            steps.push(Lending::Deliver(place));
+            steps.extend((self.doubles > 0).then_some(Lending::Double(place)));
+        }
+        steps.extend((self.restarts > 0).then_some(Lending::Restart(2)));
+        steps
+    }
+
+    fn take(&mut self, step: &Lending) {
+        match *step {
+            Lending::Pass => {
+                self.now += LENGTH / 2;
+                for place in 0..3 {
+                    if let Some((seq, parts)) = self.all[place].as_mut().and_then(|one| one.due(self.now)) {
+                        // Each has its own voice; the third place decides.
+                        self.way.push((place, 2, Word::Ask(1, seq, parts)));
+                    }
+                }
+            }
+            Lending::Deliver(place) | Lending::Double(place) => {
+                let (from, to, word) = match step {
+                    Lending::Deliver(_) => self.way.remove(place),
+                    _ => {
+                        self.doubles -= 1;
+                        self.way[place].clone()
+                    }
+                };
+                let Some(one) = &mut self.all[to] else { return };
+                match word {
+                    Word::Ask(life, seq, parts) => {
+                        let granted = one.ask(self.now, from as u32, life, &parts);
+                        self.way.push((to, from, Word::Yes(seq, granted)));
+                    }
+                    Word::Yes(seq, parts) => one.granted(self.now, from as u32, seq, &parts),
+                }
+            }
+            Lending::Restart(place) => {
+                let planted = self.all[place].as_ref().is_some_and(|one| one.forgets);
+                let mut fresh = Leases::new(place as u32, 2, 3, LENGTH, self.now);
+                fresh.forgets = planted;
+                (self.all[place], self.restarts) = (Some(fresh), 0);
+            }
+        }
+    }
+
+    fn mark(&self) -> u64 {
+        let mut hash = xxhash_rust::xxh3::Xxh3::new();
+        (self.now, &self.all, &self.way, self.restarts, self.doubles).hash(&mut hash);
+        hash.finish()
+    }
+
+    fn wrong(&self) -> Option<String> {
+        let holders = self.all.iter().flatten().filter(|one| one.holds(self.now, 0)).count();
+        (holders > 1).then(|| format!("{holders} hold one share"))
+    }
+}
+
+const LENDING: Bounds = Bounds { depth: 13, worlds: 40_000 };
+
+/// Guards: a share of the budget of cold hosts used by two, by any order of losses, doubles, delays and a restart.
+#[test]
+fn no_share_is_ever_lent_to_two() {
+    match walk(Lenders::new(|_| {}), LENDING) {
+        Ok(walked) => assert!(walked.worlds >= 30_000, "{walked:?}"),
+        Err(found) => panic!("{}: {:?}", found.why, found.steps),
+    }
+}
+
+/// Guards: a search that does not find a member that forgets its promises, or one that counts them from the answer.
+#[test]
+fn planted_breaks_of_lending_are_found() {
+    assert!(walk(Lenders::new(|one| one.forgets = true), LENDING).is_err());
+    assert!(walk(Lenders::new(|one| one.counts_from_the_answer = true), LENDING).is_err());
+}
+
+/// Guards: shares of the dead that stay unused; more than the whole in any part of a fleet, whatever it believes.
+#[test]
+fn shares_of_the_gone_are_lent_and_never_more_than_the_whole_is_used() {
+    let mut net = Net::new(6, true, 21);
+    for node in 0..6 {
+        net.nodes[node].as_mut().unwrap().view.me.who.roster = 6;
+    }
+    let whole = |net: &Net| -> f64 {
+        let of = |one: &Members| one.shares(net.now).iter().map(|(_, share)| share).sum::<f64>();
+        net.nodes.iter().flatten().map(of).sum::<f64>() / 6.0
+    };
+    let mut most: f64 = 0.0;
+    let mut run = |net: &mut Net, periods: u64| {
+        for _ in 0..periods * 10 {
+            net.run(net.now + P / 10);
+            most = most.max(whole(net));
+        }
+        whole(net)
+    };
+    run(&mut net, 6);
+    // They all learn of the roster that they share.
+    (0..6).for_each(|node| net.handle(node, Event::Placed { place: node as u32, roster: 7 }));
+    (0..6).for_each(|node| net.handle(node, Event::Placed { place: node as u32, roster: 6 }));
+    (0..6).for_each(|node| net.handle(node, Event::Lending(true)));
+    let near = |share: f64, wanted: f64| assert!((share - wanted).abs() < 1e-9, "{share} used, not {wanted}");
+    near(run(&mut net, 12), 1.0);
+    net.kill(2);
+    near(run(&mut net, 20), 0.5 * 5.0 / 6.0 + 0.5);
+    // The smaller part uses its own halves alone; the larger one what is lent, too.
+    net.part = vec![0, 0, 0, 1, 1, 1];
+    near(run(&mut net, 20), 0.5 * 5.0 / 6.0);
+    net.part = vec![0, 0, 0, 0, 0, 1];
+    near(run(&mut net, 30), 0.5 * 5.0 / 6.0 + 0.5);
+    net.part = vec![0; 6];
+    run(&mut net, 15);
+    // One that goes on after six periods has its lease run out on its own clock.
+    net.still[4] = net.now + 6 * P;
+    run(&mut net, 12);
+    // A roster that shrinks behind a cut, and grows again.
+    net.part = vec![0, 0, 0, 0, 1, 1];
+    run(&mut net, 5);
+    (0..2).for_each(|node| net.handle(node, Event::Placed { place: node as u32, roster: 4 }));
+    run(&mut net, 10);
+    (0..2).for_each(|node| net.handle(node, Event::Placed { place: node as u32, roster: 6 }));
+    net.part = vec![0; 6];
+    run(&mut net, 30);
+    assert!(most <= 1.0 + 1e-9, "{most} of the whole were used at a time");
+}
--- a/members/src/types.rs
+++ b/members/src/types.rs
@@ -115,6 +115,8 @@
         roster: u32,
     },
     Seeds(Vec<SocketAddr>),
+    /// Whether shares of the gone are of use now.
+    Lending(bool),
     /// It ends now.
     Ends,
 }
@@ -134,6 +136,8 @@
     },
     /// Others held this member gone: what it held to is over.
     WasGone,
+    /// It stood still for so long: others may have taken up what was its own.
+    StoodStill(Nanos),
     /// Another process goes by this member's name and counts; this one takes no part any more.
     Superseded {
         by: SocketAddr,
--- a/node/src/alone.rs
+++ b/node/src/alone.rs
@@ -141,6 +141,7 @@
         let at_once = !self.deck.events.is_empty() || self.ferries.busy();
         self.deck.poller.wait(clock.read(), at_once, &mut ready)?;
         self.deck.now = clock.read();
+        self.fleet.iter_mut().for_each(|fleet| fleet.mind(&mut self.deck));
         // Guards: an operator who waits behind a crowd of clients.
         ready.sort_by_key(|one| !matches!(one.mark.part, deck::OPS | deck::OPS_DOOR));
         for one in ready {
@@ -243,7 +244,11 @@
         self.ferries.sweep(deck);
         deck.spare();
         self.discovery.sweep(deck);
-        self.fleet.iter_mut().for_each(|fleet| fleet.sweep(deck));
+        let (shares, looks) = (self.module.shares_turns(deck.now), self.papers.charter.probe_for_gauges);
+        if let Some(fleet) = &mut self.fleet {
+            fleet.sweep(deck);
+            fleet.serve(deck, shares, looks);
+        }
         deck.hosts.look(deck.now, &mut deck.events);
         deck.poller.remind(deck.now + SWEEP, mark(deck::SWEEP), 0);
     }
--- a/node/src/fleet.rs
+++ b/node/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use crate::deck::{mark, Deck, FLEET, PEERS};
 use crate::papers::Papers;
-use reedferry::{Event, Nanos, SECOND};
+use reedferry::{Event, HostId, Nanos, SECOND};
 use reedferry_members::{self as members, Action, Members, Role, State, Who, LONGEST_LETTER};
 use reedferry_quay::{Errno, Socket};
 use serde_json::json;
@@ -44,6 +44,11 @@
     left_out: u32,
     /// How often what odd thing came since it was last said.
     odd: BTreeMap<&'static str, (Nanos, u32)>,
+    /// What the module was told last: whose turns are its own, and which hosts it looks at, by which view and list.
+    shares: Vec<(u32, f64)>,
+    looks: Vec<u64>,
+    looked_by: Option<(u64, u64)>,
+    lending: bool,
 }
 
 impl Fleet {
@@ -64,8 +69,20 @@
         let core_terms = members::Terms { period, seeds, most, fleet };
         let core = Members::new(who, core_terms, deck.now, unix, papers.seed ^ unix);
         let (lines, odd) = ((0, 0), BTreeMap::new());
-        let mut fleet =
-            Fleet { core, terms: terms.clone(), socket: None, reminded: None, lines, left_out: 0, odd };
+        let (shares, looks) = (Vec::new(), Vec::new());
+        let mut fleet = Fleet {
+            core,
+            terms: terms.clone(),
+            socket: None,
+            reminded: None,
+            lines,
+            left_out: 0,
+            odd,
+            shares,
+            looks,
+            looked_by: None,
+            lending: false,
+        };
         match fleet.bind(deck) {
             Ok(()) | Err(Errno::ADDRINUSE) => Ok(fleet),
             Err(e) => Err(format!("cannot take letters on {}: {e}", terms.listen)),
@@ -97,6 +114,10 @@
                 }
                 Action::Changed { .. } => self.left_out += 1,
                 Action::WasGone => warn!(deck.log, "others held this node gone"),
+                Action::StoodStill(span) => {
+                    warn!(deck.log, "stood still"; "ms" => span / 1_000_000);
+                    self.look(deck, Vec::new());
+                }
                 Action::Superseded { by } => {
                     warn!(deck.log, "another process has this node's name and started later; out of the fleet"; "at" => %by);
                 }
@@ -163,6 +184,43 @@
         self.handle(deck, members::Event::Wake);
     }
 
+    /// Before anything is decided in a turn: what the module may use and do now. Guards: turns and duties of before a
+    /// stand-still, which others have taken up.
+    pub fn mind(&mut self, deck: &mut Deck) {
+        if deck.now > self.core.next() {
+            self.handle(deck, members::Event::Wake);
+        }
+        let shares = self.core.shares(deck.now);
+        if shares != self.shares {
+            if self.room(deck.now) {
+                info!(deck.log, "turns"; "of" => format!("{shares:?}"));
+            }
+            deck.events.push(Event::Turns(shares.clone()));
+            self.shares = shares;
+        }
+    }
+
+    /// Whether any turns are shared now, and which hosts are to be looked at by this node.
+    pub fn serve(&mut self, deck: &mut Deck, shares_turns: bool, looks: bool) {
+        if std::mem::replace(&mut self.lending, shares_turns) != shares_turns {
+            self.handle(deck, members::Event::Lending(shares_turns));
+        }
+        let by = Some((self.core.digest(), deck.hosts.lists)).filter(|_| !self.core.holds_off(deck.now));
+        if looks && (by.is_none() || by != self.looked_by) {
+            let mine = self.core.duties(deck.now, deck.hosts.ids());
+            self.look(deck, mine);
+            self.looked_by = by;
+        }
+    }
+
+    fn look(&mut self, deck: &mut Deck, mine: Vec<u64>) {
+        // Those of a host that is new are told though none is this node's.
+        if mine != self.looks || self.looked_by.is_none_or(|(_, lists)| lists != deck.hosts.lists) {
+            deck.events.push(Event::Looks(mine.iter().map(|id| HostId(*id)).collect()));
+            self.looks = mine;
+        }
+    }
+
     /// Tells all that are at work.
     pub fn tell(&self, word: &[u8]) {
         let datagram = [&[WORD], word].concat();
@@ -210,7 +268,7 @@
         let view = json!({"name": me.name, "address": me.address, "state": state.word(), "life": age.life,
             "word": age.word, "ill": self.core.ill(), "superseded": self.core.superseded(),
             "digest": format!("{:016x}", self.core.digest()), "still_ms": since(self.core.still()),
-            "members": members});
+            "turns": self.shares, "looks": self.looks.len(), "members": members});
         format!("{view}\n")
     }
 }
--- a/node/src/hosts.rs
+++ b/node/src/hosts.rs
@@ -128,6 +128,8 @@
     all: Vec<Berth>,
     by_id: HashMap<HostId, usize>,
     zones: Vec<String>,
+    /// Grows with every list.
+    pub lists: u64,
     /// Message time from which the module is told.
     long: Nanos,
 }
@@ -151,6 +153,10 @@
         self.all.len()
     }
 
+    pub fn ids(&self) -> impl Iterator<Item = u64> + '_ {
+        self.all.iter().filter(|berth| berth.said.is_some()).map(|berth| berth.id.0)
+    }
+
     pub fn index(&self, id: HostId) -> Option<usize> {
         self.by_id.get(&id).copied()
     }
@@ -188,6 +194,7 @@
                 berth.said = None;
             }
         }
+        self.lists += 1;
         let mut searched = 0;
         let hosts = list.members.into_iter().map(|m| self.listed(now, m, &mut searched, log)).collect();
         Event::Roll { kind, hosts }
--- a/node/tests/members.rs
+++ b/node/tests/members.rs
@@ -190,6 +190,106 @@
     assert_eq!(suspect.filter(|line| line.contains("member suspect")).collect::<Vec<_>>(), [""; 0]);
 }
 
+/// Guards: hosts that several nodes probe in one round, or none after a death; and a node that goes on after a stop
+/// with duties that others have taken up.
+#[test]
+fn each_host_is_probed_once_a_round_whoever_dies_or_stands_still() {
+    let _turn = alone();
+    let (service, hosts) = (Discovery::start(), Berths::new(QUIET));
+    let list = hosts.members(hosts.start(8, false));
+    list.iter().for_each(|member| service.change(member.clone()));
+    let view = View { ways: Ways::new(6, 6), period: PERIOD, seeds: vec![0, 1, 2] };
+    let mut fleet = Fleet::new(6, service.address, QUIET).with_view(view).probing();
+    fleet.start(&(0..6).collect::<Vec<_>>(), &list, 8);
+    agree(&fleet, 20, "at the start");
+    let round = Duration::from_secs(2);
+    // Fewest of any host within so many rounds, and most within one.
+    let probed = |from: Instant, rounds: u32| {
+        thread::sleep((from + round * rounds).saturating_duration_since(Instant::now()));
+        let of = |host: usize| hosts.probed(host).into_iter().filter(|t| *t >= from).collect::<Vec<_>>();
+        let within = |all: &[Instant], at: Instant| {
+            all.iter().filter(|t| **t >= at && **t < at + round * 9 / 10).count()
+        };
+        let all: Vec<Vec<Instant>> = (0..8).map(of).collect();
+        let most = all.iter().flat_map(|a| a.iter().map(|at| within(a, *at))).max().unwrap_or(0);
+        (all.iter().map(Vec::len).min().unwrap_or(0), most)
+    };
+    // Those who knew nobody yet went by their numbers.
+    thread::sleep(round);
+    let (fewest, most) = probed(Instant::now(), 3);
+    assert!(fewest >= 2 && most <= 2, "{fewest} in three rounds, {most} in one");
+    (0..3).for_each(|node| fleet.kill(node, Duration::ZERO));
+    agree(&fleet, 30, "after three died");
+    let (fewest, most) = probed(Instant::now(), 3);
+    assert!(fewest >= 2 && most <= 2, "{fewest} in three rounds after deaths, {most} in one");
+    fleet.stand_still(4);
+    let from = Instant::now();
+    thread::sleep(Duration::from_secs(3));
+    fleet.go_on(4);
+    let (fewest, most) = probed(from, 4);
+    assert!(fewest >= 2 && most <= 2, "{fewest} in four rounds with a stop, {most} in one");
+}
+
+/// Guards: turns of dead nodes that stay unused, more than the whole used by any parts of a fleet, and cold hosts
+/// pushed over meanwhile.
+#[test]
+fn turns_of_the_dead_are_lent_under_a_majority_and_never_used_twice() {
+    let _turn = alone();
+    let (service, hosts) = (Discovery::start(), Berths::new(QUIET));
+    let mut list = hosts.members(hosts.start(4, false));
+    list.iter().for_each(|member| service.change(member.clone()));
+    let view = View { ways: Ways::new(6, 7), period: PERIOD, seeds: vec![0, 1, 2] };
+    let mut fleet = Fleet::new(6, service.address, QUIET).with_view(view);
+    fleet.start(&(0..6).collect::<Vec<_>>(), &list, 4);
+    let guests = Guests::come(60, &fleet.front, Duration::from_millis(300), None, 7);
+    agree(&fleet, 20, "at the start");
+    let mut cold = |count: usize| {
+        for member in hosts.members(hosts.start(count, true)) {
+            service.change(member.clone());
+            list.push(member);
+        }
+        list.clone()
+    };
+    let used = |fleet: &Fleet| -> f64 {
+        let of = |node: usize| {
+            fleet.status(node).map_or(0.0, |status| {
+                let turns = status["turns"].as_array().cloned().unwrap_or_default();
+                turns.iter().filter_map(|turn| turn[1].as_f64()).sum()
+            })
+        };
+        (0..6).map(of).sum()
+    };
+    let mut most: f64 = 0.0;
+    let mut comes = |fleet: &Fleet, wanted: f64, what: &str| {
+        eventually(what, || {
+            let now = used(fleet);
+            most = most.max(now);
+            (now - wanted).abs() < 1e-6
+        });
+    };
+    cold(2);
+    comes(&fleet, 6.0, "all is used");
+    fleet.kill(5, Duration::from_millis(200));
+    comes(&fleet, 5.5, "the half of the dead one that is lent is used");
+    fleet.view().ways.split(|node| node % 2);
+    // Three of six are no majority, and neither are two.
+    comes(&fleet, 2.5, "without a majority each uses its own half alone");
+    fleet.view().ways.heal();
+    let known = cold(1);
+    comes(&fleet, 5.5, "after the cut");
+    fleet.stand_still(4);
+    thread::sleep(Duration::from_secs(2));
+    fleet.go_on(4);
+    fleet.start(&[5], &known, 7);
+    comes(&fleet, 6.0, "with all again");
+    assert!(most <= 6.0 + 1e-6, "{most} of 6 were used");
+    eventually("all stand", || guests.standing() == 60);
+    let mut guests = guests;
+    guests.end();
+    assert_eq!(hosts.broken(Duration::from_millis(300)), [""; 0]);
+    assert_eq!(fleet.broken(&guests), [""; 0]);
+}
+
 /// Guards: a rule broken, clients lost or views that differ for ever where two faults overlap. Seed 31 flipped bits in
 /// letters, which members then held for true.
 #[test]
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -43,6 +43,7 @@
     address: SocketAddr,
     started: Option<(Instant, u64)>,
     arrived: Mutex<Vec<Instant>>,
+    probed: Mutex<Vec<Instant>>,
     drains: Mutex<Option<Instant>>,
     open: AtomicU32,
     tipped: AtomicBool,
@@ -70,6 +71,7 @@
                 address: listener.local_addr().unwrap(),
                 started: cold.then(|| (Instant::now(), since)),
                 arrived: Mutex::default(),
+                probed: Mutex::default(),
                 drains: Mutex::default(),
                 open: AtomicU32::new(0),
                 tipped: AtomicBool::new(false),
@@ -115,6 +117,11 @@
         self.at(host).arrived.lock().unwrap().clone()
     }
 
+    /// When nodes looked at it.
+    pub fn probed(&self, host: usize) -> Vec<Instant> {
+        self.at(host).probed.lock().unwrap().clone()
+    }
+
     /// What broke rules 3 and 4, each in a line; `told` is how long word of a drain may take.
     pub fn broken(&self, told: Duration) -> Vec<String> {
         let mut broken = Vec::new();
@@ -137,6 +144,15 @@
 impl Berth {
     fn serve(&self, mut stream: TcpStream, terms: Terms) {
         let Some((mut reader, mut line)) = first_line(&stream) else { return };
+        while line.starts_with("STATS") {
+            self.probed.lock().unwrap().push(Instant::now());
+            line.clear();
+            if stream.write_all(b"PONG util=0.2,x0=0.2\r\n").is_err()
+                || !matches!(reader.read_line(&mut line), Ok(1..))
+            {
+                return;
+            }
+        }
         let now = Instant::now();
         {
             let mut arrived = self.arrived.lock().unwrap();
@@ -191,6 +207,8 @@
     discovery: SocketAddr,
     terms: Terms,
     alone: bool,
+    /// Loads are told by probes alone.
+    probes: bool,
     /// The places that settings name, where some of the processes have none of their own.
     pub(crate) places: usize,
     view: Option<View>,
@@ -203,7 +221,18 @@
     pub fn new(nodes: usize, discovery: SocketAddr, terms: Terms) -> Self {
         let (places, nodes) = (nodes, (0..nodes).map(|_| None).collect());
         let (front, program, ended) = (Front::default(), path(), Vec::new());
-        Fleet { nodes, front, program, discovery, terms, alone: false, places, view: None, ended }
+        Fleet {
+            nodes,
+            front,
+            program,
+            discovery,
+            terms,
+            alone: false,
+            probes: false,
+            places,
+            view: None,
+            ended,
+        }
     }
 
     /// Of another build of the program.
@@ -228,6 +257,12 @@
         self
     }
 
+    /// Loads are told by probes alone.
+    pub fn probing(mut self) -> Self {
+        self.probes = true;
+        self
+    }
+
     /// Each thinks that it is alone, as if nobody shared the list service.
     pub fn each_alone(mut self) -> Self {
         self.alone = true;
@@ -251,6 +286,9 @@
             settings["policy_limits"]["peers"] = json!(true);
             papers["ops"] = json!("127.0.0.1:0");
         }
+        if self.probes {
+            papers["settings"]["reporting"] = json!({"fields": ["util", "x0"], "via": "pull"});
+        }
         let settings = &mut papers["settings"];
         let place = if self.alone { (1, 0) } else { (self.places, node) };
         (settings["balancers"], settings["index"]) = (json!(place.0), json!(place.1));
@@ -558,6 +596,7 @@
             discovery: address,
             terms: TERMS,
             alone: false,
+            probes: false,
             places: 0,
             view: None,
             ended: Vec::new(),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -105,12 +105,13 @@
         (self.reported > 0 && now < self.reported + REPORT_AGE).then_some(self.report)
     }
 
-    /// Whether it is this node's turn to look at it: by number, in another order for each host.
+    /// Whether it is this node's turn to look at it: by what it was told, or by number, in another order for each host.
     fn due(&self, now: Nanos, charter: &Charter) -> bool {
         let turn = now / LOOK;
         let place = turn.wrapping_add((draw(self.id.0, 1) * 1e6) as u64);
         let nodes = u64::from(charter.nodes.max(1));
-        self.ready() && turn != self.looked && place % nodes == u64::from(charter.node) % nodes
+        let mine = self.mine.unwrap_or(place % nodes == u64::from(charter.node) % nodes);
+        self.ready() && turn != self.looked && mine
     }
 
     /// How late its messages are, by what was last told; old word fades.
@@ -167,11 +168,15 @@
         let (cycle, part) = (nodes.div_ceil(together), half / together as f64);
         let turn = now / charter.tip_after.max(MILLI);
         let place = turn.wrapping_add((draw(self.id.0, 0) * 1e6) as u64);
-        if place % cycle != u64::from(charter.node) % cycle || turn == self.turn {
+        let in_turn = |of: u32| place % cycle == u64::from(of) % cycle;
+        let turns = charter.turns.iter().filter(|(of, _)| in_turn(*of)).map(|(_, share)| share);
+        let own = charter.turns.is_empty() && in_turn(charter.node);
+        let share = if own { 1.0 } else { turns.sum() };
+        if share <= 0.0 || turn == self.turn {
             return (if turn == self.turn { self.credit } else { 0.0 }, self.turn);
         }
         let missed = if self.turn == 0 { 1 } else { ((turn - self.turn) / cycle).clamp(1, 8) };
-        ((self.credit.min(1.0) + part * missed as f64).min(part.max(1.0)), turn)
+        ((self.credit.min(1.0) + part * share * missed as f64).min(part.max(1.0)), turn)
     }
 
     fn mask(&mut self, now: Nanos, chance: f64, why: &str, out: &mut Vec<Action>) {
@@ -314,6 +319,7 @@
                     }
                 }
             }
+            Note::Mine(mine) => self.mine = Some(mine),
             Note::Look => {
                 self.looked = now / LOOK;
                 at.out.push(Action::Probe { host: self.id });
@@ -595,7 +601,8 @@
             (Event::Renewed(charter, others), ..) => {
                 post(To::Ledger, Note::Offers(charter.offerings.len(), others));
                 log!(out, "terms renewed offered={}", charter.offered().count());
-                self.charter = *charter;
+                let turns = std::mem::take(&mut self.charter.turns);
+                self.charter = Charter { turns, ..*charter };
             }
             (Event::Heir(comes), ..) => post(To::Desk, Note::Heir(comes)),
             (Event::Inherited(mut legacy), ..) => {
@@ -626,6 +633,15 @@
                 self.gauge(host, &gauges, silent);
             }
             (Event::Heard { message }, ..) => self.hear(&message),
+            (Event::Turns(turns), ..) => self.charter.turns = turns,
+            (Event::Looks(mine), ..) => {
+                let told = self
+                    .hosts
+                    .iter()
+                    .enumerate()
+                    .map(|(n, h)| (To::Host(n), Note::Mine(mine.contains(&h.id))));
+                self.post.extend(told);
+            }
             _ => {}
         }
         self.run(now, out);
@@ -638,6 +654,11 @@
         Legacy { hosts, trouble, late, ..self.ledger.leave() }
     }
 
+    /// Whether any host is cold whose budget is shared by turns.
+    pub fn shares_turns(&self, now: Nanos) -> bool {
+        !by_lot(&self.charter) && self.hosts.iter().any(|h| h.ready() && h.cold(now, &self.charter))
+    }
+
     /// How many hosts the roll lists, and how many of those this node avoids now.
     pub fn regard(&self, now: Nanos) -> (usize, usize) {
         let listed = self.hosts.iter().filter(|h| h.listed);
--- a/src/records.rs
+++ b/src/records.rs
@@ -42,6 +42,8 @@
         mean: f64,
     },
     Look,
+    /// Whether it is this node's to look at.
+    Mine(bool),
     Pulse {
         mean: f64,
         refuge: f64,
@@ -167,6 +169,8 @@
     pub told_at: Nanos,
     /// The turn in which this node last asked it for a report.
     pub looked: u64,
+    /// Whether it is this node's to look at, where that was told.
+    pub mine: Option<bool>,
     /// Open connections that it broke since the last look.
     pub broken: u32,
     /// Own load now, and how much of it the host has shown to bear from this node.
--- a/src/types.rs
+++ b/src/types.rs
@@ -114,6 +114,8 @@
     pub probe_for_gauges: bool,
     /// Nodes may tell each other things.
     pub peers: bool,
+    /// Whose turns at cold hosts are this node's to use, and how much of each; its own alone where none are told.
+    pub turns: Vec<(u32, f64)>,
 }
 
 impl Charter {
@@ -154,6 +156,7 @@
             gauges: Vec::new(),
             probe_for_gauges: false,
             peers: false,
+            turns: Vec::new(),
         }
     }
 }
@@ -353,6 +356,10 @@
         ending: Ending,
         gauges: Vec<f64>,
     },
+    /// Whose turns at cold hosts this node may use from here on, and how much of each.
+    Turns(Vec<(u32, f64)>),
+    /// The hosts that are this node's to look at from here on, each in each turn.
+    Looks(Vec<HostId>),
     /// Another node's message, as it came.
     Heard {
         message: Vec<u8>,
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -277,6 +277,7 @@
         probe_for_gauges: limits.may_probe && terms.reporting.via == "pull",
         peers: limits.peers,
         gauges: terms.reporting.fields.iter().map(|name| gauge(name)).collect(),
+        turns: Vec::new(),
     };
     let connect_within = match nanos(limits.connect_timeout) {
         0 => SECOND / 4,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -404,6 +404,12 @@
                         let some: Vec<u64> = held.take(num(words[3]) as usize).collect();
                         some.into_iter().for_each(|id| self.end(id, Ending::Broken, true));
                     }
+                    "turns" => {
+                        let share =
+                            |word: &&str| word.split_once(':').map(|(of, part)| (num(of) as u32, num(part)));
+                        self.tell(Event::Turns(words[2..].iter().filter_map(share).collect()));
+                    }
+                    "looks" => self.tell(Event::Looks(words[2..].iter().map(|name| host(name)).collect())),
                     "leaving" => {
                         let (from, by) = (self.now + ms(words[2]), self.now + ms(words[3]));
                         self.tell(Event::Leaving { from, by });
