Give the node's files rooms, end two circles, and fill the ground of trials

Cause. node/src held 25 files on one floor; deck and ferry, and choice, records and ledger, needed each other for constants in the wrong file. The ground of trials lacked connections between processes, and a list service that hangs, goes silent or is slow; a member that moves had no line; no trial changed the roster behind a cut.

Connections pass the one relay loop and are cut, held up, garbled and cut short (test of each). Faults hang, silent, sluggish in schedules.

Seen: two of six nodes told of four places behind a cut use 0.67 of a place's share together, the three others 1.5, 6.0 of 6 when all are back, never more.

--- a/members/src/lib.rs
+++ b/members/src/lib.rs
@@ -658,16 +658,22 @@
     /// Takes in what is said of anyone.
     fn hear(&mut self, now: Nanos, claim: &Claim, out: &mut Vec<Action>) -> Heard {
         let clock = self.unix + now.saturating_sub(self.start) / 1_000_000;
+        let id = view::number(&claim.who.name);
+        let address = self.view.all.get(&id).map(|held| held.who.address);
         let heard = self.view.hear(now, claim, clock);
         match heard {
             Heard::Changed(before) => {
+                let (name, to) = (claim.who.name.clone(), claim.who.address);
+                if let Some(from) = address.filter(|from| *from != to) {
+                    out.push(Action::Moved { name, from, to });
+                }
                 if before.is_none() {
                     // It is asked within the pass that is under way.
                     let place = self.chance.0.random_range(self.at.min(self.order.len())..=self.order.len());
-                    self.order.insert(place, view::number(&claim.who.name));
+                    self.order.insert(place, id);
                 }
                 if claim.state == State::Suspect && before != Some(State::Suspect) {
-                    self.look_into(view::number(&claim.who.name));
+                    self.look_into(id);
                 }
                 // What is held now may be graver than nothing: a new one that is suspect has become it at once.
                 if before != Some(claim.state) {
--- a/members/src/trials.rs
+++ b/members/src/trials.rs
@@ -104,7 +104,10 @@
                     self.seen.push((self.now, node, name[1..].parse().unwrap(), state));
                 }
                 Action::WasGone => self.was_gone.push(node),
-                Action::StoodStill(_) | Action::Superseded { .. } | Action::Odd { .. } => {}
+                Action::Moved { .. }
+                | Action::StoodStill(_)
+                | Action::Superseded { .. }
+                | Action::Odd { .. } => {}
             }
         }
     }
--- a/members/src/types.rs
+++ b/members/src/types.rs
@@ -134,6 +134,12 @@
         before: Option<State>,
         state: State,
     },
+    /// A member has another address by a later life.
+    Moved {
+        name: String,
+        from: SocketAddr,
+        to: SocketAddr,
+    },
     /// Others held this member gone: what it held to is over.
     WasGone,
     /// It stood still for so long: others may have taken up what was its own.
--- a/node/src/deck.rs
+++ b/node/src/deck.rs
@@ -1,11 +1,10 @@
 //! What the parts of the node share while they work: the clock's one reading for this turn, the poller,
 //! the budgets, the hosts, and the events gathered for who decides. It must never act by itself.
 
-use crate::ferry::LONGEST_MOVE;
-use crate::hosts::Hosts;
-use crate::list::Reader;
-use crate::papers::Papers;
-use crate::tally::Tally;
+use crate::listing::hosts::Hosts;
+use crate::listing::list::Reader;
+use crate::operators::papers::Papers;
+use crate::operators::tally::Tally;
 use crate::AtStart;
 use reedferry::{Event, Nanos, MILLI, SECOND};
 use reedferry_quay::log::Backlog;
@@ -46,6 +45,8 @@
 const LONGEST_GRACE: Nanos = 3 * SECOND;
 /// What the last clients that are moved need to be gone by then.
 const LAST_MOVES: Nanos = 300 * MILLI;
+/// How long the end of a line is waited for before a client is moved, where its host stands between two lines.
+pub const LONGEST_MOVE: Nanos = 800 * MILLI;
 /// How long after operators ask for it a node that stands by holds no client any more.
 const EMPTY_WITHIN: Nanos = 4 * SECOND;
 
--- a/node/src/ferry/door.rs
+++ b/node/src/ferry/door.rs
@@ -5,8 +5,8 @@
 use super::landing::STANDING_WITHIN;
 use super::{Ferries, Ferry, Stage};
 use crate::deck::{Deck, CLIENT};
-use crate::lane::Side;
-use crate::lines::{self, Opening, Request};
+use crate::ferry::lane::Side;
+use crate::ferry::lines::{self, Opening, Request};
 use reedferry::{Arrival, AttachmentId, Event, HostId, Nanos, MILLI, SECOND};
 use reedferry_quay::{Errno, Mark, Socket};
 use std::collections::{BTreeMap, HashSet, VecDeque};
--- a/node/src/ferry/endings.rs
+++ b/node/src/ferry/endings.rs
@@ -4,8 +4,8 @@
 
 use super::{Ferries, Stage};
 use crate::deck::Deck;
-use crate::lane::{Flow, Lane};
-use crate::tally::Outcome;
+use crate::ferry::lane::{Flow, Lane};
+use crate::operators::tally::Outcome;
 use reedferry::{AttachmentId, Ending, Nanos, MILLI};
 use reedferry_quay::Errno;
 
--- a/node/src/ferry/landing.rs
+++ b/node/src/ferry/landing.rs
@@ -4,10 +4,10 @@
 
 use super::{Ferries, Ferry, Stage};
 use crate::deck::{Deck, HOST};
-use crate::hosts::Hosts;
-use crate::lane::{Flow, Lane, Side};
-use crate::lines::{self, Word};
-use crate::tally::Outcome;
+use crate::ferry::lane::{Flow, Lane, Side};
+use crate::ferry::lines::{self, Word};
+use crate::listing::hosts::Hosts;
+use crate::operators::tally::Outcome;
 use reedferry::{AttachmentId, Ending, Event, HostId, Nanos, SECOND};
 use reedferry_quay::{Buffer, Errno, Mark};
 use slog::warn;
--- a/node/src/ferry/mod.rs
+++ b/node/src/ferry/mod.rs
@@ -8,15 +8,18 @@
 mod door;
 mod endings;
 mod landing;
+pub mod lane;
+pub mod lines;
 mod passage;
 mod passing;
+pub mod probe;
+pub mod wire;
 
 use crate::deck::{Deck, CLIENT};
-use crate::lane::{Lane, Side};
+use crate::ferry::lane::{Lane, Side};
 use door::{Door, SILENT_CLIENT};
 use endings::MOST_WASTE;
 use landing::Landing;
-pub use passage::LONGEST_MOVE;
 pub use passing::Passenger;
 use reedferry::{Action, Arrival, AttachmentId, Ending, HostId, Nanos, SECOND};
 use reedferry_quay::{Buffer, Readiness, Socket};
--- a/node/src/ferry/passage.rs
+++ b/node/src/ferry/passage.rs
@@ -5,8 +5,8 @@
 use super::endings::LINGER;
 use super::landing::Landing;
 use super::{Ferries, Stage};
-use crate::deck::Deck;
-use crate::lane::Flow;
+use crate::deck::{Deck, LONGEST_MOVE};
+use crate::ferry::lane::Flow;
 use reedferry::{AttachmentId, Ending, Event, Nanos, MILLI, SECOND};
 use reedferry_quay::Buffer;
 use slog::{info, warn};
@@ -17,11 +17,6 @@
 const SILENT_HOST: Nanos = 4500 * MILLI;
 /// How long a client that has ended its sending is still passed what its host has to say.
 const LAST_WORDS: Nanos = 2 * SECOND;
-/// How long the end of a line is waited for before a move.
-const MOVE_WITHIN: Nanos = 800 * MILLI;
-
-/// How long a client that is to be moved may be held where its host stands between two lines.
-pub const LONGEST_MOVE: Nanos = MOVE_WITHIN;
 
 impl Ferries {
     /// Passes lines both ways, and ends the one side as the other ended.
@@ -109,7 +104,7 @@
         let Some(slot) = self.find(id) else { return };
         let ferry = &mut self.slab[slot];
         if ferry.stage == Stage::Open && ferry.moving.is_none() {
-            ferry.moving = Some(deck.now + MOVE_WITHIN);
+            ferry.moving = Some(deck.now + LONGEST_MOVE);
             ferry.ending = Ending::CalledOff;
             self.move_now(deck, slot);
         }
@@ -141,7 +136,7 @@
             deck.hosts.unanswered(landing.host, then);
             if now >= then + SILENT_HOST && ferry.moving.is_none() {
                 warn!(deck.log, "silent"; "host" => &deck.hosts.berth(landing.host).name);
-                ferry.moving = Some(now + MOVE_WITHIN);
+                ferry.moving = Some(now + LONGEST_MOVE);
                 // Guards: a host that answers all others, masked and cut for one connection.
                 let alone = deck.hosts.answers_since(landing.host, then);
                 ferry.ending = if alone { Ending::CalledOff } else { Ending::Broken };
--- a/node/src/ferry/passing.rs
+++ b/node/src/ferry/passing.rs
@@ -5,8 +5,8 @@
 use super::landing::{Landing, Said};
 use super::{Ferries, Ferry, Stage};
 use crate::deck::{Deck, CLIENT, HOST};
-use crate::lane::{Lane, Side};
-use crate::lines::Scanner;
+use crate::ferry::lane::{Lane, Side};
+use crate::ferry::lines::Scanner;
 use reedferry::{AttachmentId, Ending, Event, HostId, Nanos};
 use reedferry_quay::Socket;
 use serde::{Deserialize, Serialize};
--- a/node/src/probe.rs
+++ b/node/src/ferry/probe.rs
@@ -2,7 +2,7 @@
 //! probe that the module did not ask for, nor let one outlast its time.
 
 use crate::deck::{Deck, PROBE};
-use crate::lines::{self, Scanner, Word};
+use crate::ferry::lines::{self, Scanner, Word};
 use reedferry::{Ending, Event, HostId, Nanos};
 use reedferry_quay::{Buffer, Errno, Mark, Readiness, Socket};
 use slab::Slab;
--- a/node/src/discovery.rs
+++ b/node/src/listing/discovery.rs
@@ -4,9 +4,9 @@
 //! ends alone.
 
 use crate::deck::{Deck, DISCOVERY};
-use crate::http::Answer;
-use crate::list::{List, Reader};
-use crate::versions::{Versions, Worth};
+use crate::listing::http::Answer;
+use crate::listing::list::{List, Reader};
+use crate::listing::versions::{Versions, Worth};
 use reedferry::{Event, Nanos, RollKind, MILLI, SECOND};
 use reedferry_quay::{Errno, Readiness, Socket};
 use slog::{info, warn};
--- a/node/src/hosts.rs
+++ b/node/src/listing/hosts.rs
@@ -2,8 +2,8 @@
 //! since when it is told to be leaving, and how long messages take there. It must never judge a host:
 //! it tells the module what it measured, and no more often than that asks for.
 
-use crate::lines;
-use crate::list::{List, Member};
+use crate::ferry::lines;
+use crate::listing::list::{List, Member};
 use reedferry::{Event, HostId, Listing, Nanos, RollKind, Standing, MILLI, SECOND};
 use reedferry_link::HostLine;
 use slog::{info, Logger};
@@ -320,7 +320,7 @@
     fn one() -> Hosts {
         let mut hosts = Hosts::new(Vec::new(), 48 * MILLI);
         let text = br#"{"revision":1,"complete":true,"members":[{"id":"a","phase":"active"}]}"#;
-        let mut reader = crate::list::Reader::default();
+        let mut reader = crate::listing::list::Reader::default();
         reader.feed(text).unwrap();
         hosts.told(T, reader.finish().unwrap(), true, &Logger::root(slog::Discard, slog::o!()));
         hosts.answered(0, T + 100 * MILLI, T + 102 * MILLI);
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -2,27 +2,12 @@
 //! file that `GW_CONFIG` names, as the platform starts it. It owns what all roles do first. It must never
 //! serve anybody itself.
 
-mod alone;
-mod articles;
 mod deck;
-mod discovery;
 mod ferry;
-mod fleet;
-mod forward;
-mod hosts;
-mod http;
-mod lane;
-mod lines;
-mod list;
-mod ops;
-mod papers;
+mod listing;
+mod operators;
 mod peers;
-mod plan;
-mod probe;
-mod succession;
-mod tally;
-mod versions;
-mod wire;
+mod roles;
 
 use clap::{Args, Parser, Subcommand};
 use reedferry::{Nanos, MILLI};
@@ -82,12 +67,12 @@
     // First of all. Guards: a node ended by a call to read its papers that comes while it starts.
     let start = AtStart { stop: Signal::told(SIGTERM)?, reread: Signal::told(SIGHUP)? };
     match Line::parse().command {
-        None => alone::run(alone::Told::Environment, start),
-        Some(Command::Node(file)) => alone::run(alone::Told::Operator(&file.config), start),
-        Some(Command::Forward(file)) => forward::run(&file.config, start),
-        Some(Command::Plan(file)) => plan::run(&file.config, start),
+        None => roles::alone::run(roles::alone::Told::Environment, start),
+        Some(Command::Node(file)) => roles::alone::run(roles::alone::Told::Operator(&file.config), start),
+        Some(Command::Forward(file)) => roles::forward::run(&file.config, start),
+        Some(Command::Plan(file)) => roles::plan::run(&file.config, start),
         Some(Command::Check { file }) => {
-            let articles = articles::Articles::read(&file)?;
+            let articles = operators::articles::Articles::read(&file)?;
             let (role, papers) = (articles.role.word(), articles.papers_at.display());
             println!("{}: in order, for `reedferry {role}`, with the papers {papers}", file.display());
             Ok(())
--- a/node/src/articles.rs
+++ b/node/src/operators/articles.rs
@@ -3,9 +3,9 @@
 //! file that is not in order throughout: whatever is wrong is one line that names the place and what
 //! would be right.
 
-use crate::fleet::FleetTerms;
-use crate::papers::Papers;
-use crate::peers::Correspondence;
+use crate::operators::papers::Papers;
+use crate::peers::fleet::FleetTerms;
+use crate::peers::words::Correspondence;
 use reedferry::{Nanos, MILLI, SECOND};
 use reedferry_link::PlannerAt;
 use serde::Deserialize;
--- /dev/null
+++ b/node/src/operators/mod.rs
@@ -0,0 +1,6 @@
+//! What operators and the platform tell the program, and what it tells them. It must never act on it by itself.
+
+pub mod articles;
+pub mod ops;
+pub mod papers;
+pub mod tally;
--- a/node/src/fleet.rs
+++ b/node/src/peers/fleet.rs
@@ -3,7 +3,7 @@
 //! must never decide who is alive, nor take in more of a flood than a turn's worth.
 
 use crate::deck::{mark, Deck, FLEET, PEERS};
-use crate::papers::Papers;
+use crate::operators::papers::Papers;
 use reedferry::{Event, HostId, Nanos, SECOND};
 use reedferry_members::{self as members, Action, Members, Role, State, Who, LONGEST_LETTER};
 use reedferry_quay::{Errno, Socket};
@@ -64,7 +64,7 @@
             roster: charter.nodes,
         };
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis() as u64);
-        let fleet = crate::lines::hash(&terms.name) as u32;
+        let fleet = crate::ferry::lines::hash(&terms.name) as u32;
         let FleetTerms { seeds, period, most, .. } = terms.clone();
         let core_terms = members::Terms { period, seeds, most, fleet };
         let core = Members::new(who, core_terms, deck.now, unix, papers.seed ^ unix);
@@ -112,7 +112,10 @@
                     let before = before.map_or("unknown", State::word);
                     info!(deck.log, "member {}", state.word(); "name" => name, "address" => %address, "before" => before);
                 }
-                Action::Changed { .. } => self.left_out += 1,
+                Action::Moved { name, from, to } if self.room(deck.now) => {
+                    info!(deck.log, "member moved"; "name" => name, "from" => %from, "to" => %to);
+                }
+                Action::Changed { .. } | Action::Moved { .. } => self.left_out += 1,
                 Action::WasGone => warn!(deck.log, "others held this node gone"),
                 Action::StoodStill(span) => {
                     warn!(deck.log, "stood still"; "ms" => span / 1_000_000);
--- /dev/null
+++ b/node/src/peers/mod.rs
@@ -0,0 +1,4 @@
+//! What nodes tell each other. It must never depend on any of it arriving.
+
+pub mod fleet;
+pub mod words;
--- a/node/src/peers.rs
+++ b/node/src/peers/words.rs
@@ -3,7 +3,7 @@
 //! is longer than a message, hold a turn up over a flood, nor care whether a message arrives.
 
 use crate::deck::{mark, Deck, PEERS};
-use crate::fleet::FleetTerms;
+use crate::peers::fleet::FleetTerms;
 use reedferry::word::LONGEST;
 use reedferry::Event;
 use reedferry_quay::{Errno, Socket};
--- a/node/src/alone.rs
+++ b/node/src/roles/alone.rs
@@ -2,18 +2,18 @@
 //! hand it to the module in one go with one reading of the clock, carry out what came back. It must
 //! never decide anything that the module decides, nor wait for anything but the poller.
 
-use crate::articles::{self, Articles, Role};
 use crate::deck::{self, mark, Deck};
-use crate::discovery::Discovery;
+use crate::ferry::probe::Probes;
 use crate::ferry::Ferries;
-use crate::fleet::Fleet;
-use crate::list::List;
-use crate::ops::{Call, Ops, Reply};
-use crate::papers::Papers;
-use crate::peers::{Correspondence, Peers};
-use crate::probe::Probes;
-use crate::succession::{Estate, Succession};
-use crate::tally::Now;
+use crate::listing::discovery::Discovery;
+use crate::listing::list::List;
+use crate::operators::articles::{self, Articles, Role};
+use crate::operators::ops::{Call, Ops, Reply};
+use crate::operators::papers::Papers;
+use crate::operators::tally::Now;
+use crate::peers::fleet::Fleet;
+use crate::peers::words::{Correspondence, Peers};
+use crate::roles::succession::{Estate, Succession};
 use crate::{AtStart, BEYOND_EXPIRY, SWEEP};
 use reedferry::{Action, Balancer, Event};
 use reedferry_members::State;
--- a/node/src/forward.rs
+++ b/node/src/roles/forward.rs
@@ -3,10 +3,10 @@
 //! the forwarder's end of the link, carry out what came back, send what is to go. It must never decide
 //! anything, nor follow discovery: hosts are known as planners tell of them.
 
-use crate::articles::{Articles, Forwards, Role};
 use crate::deck::{self, mark, Deck, LINK, STOP, TICK};
+use crate::ferry::wire::{Wire, Wires};
 use crate::ferry::Ferries;
-use crate::wire::{Wire, Wires};
+use crate::operators::articles::{Articles, Forwards, Role};
 use crate::{AtStart, BEYOND_EXPIRY, SWEEP};
 use reedferry::Nanos;
 use reedferry_link::{Covenant, Deed, Forwarder, PlannerAt};
--- a/node/src/plan.rs
+++ b/node/src/roles/plan.rs
@@ -3,11 +3,11 @@
 //! holds the drains: what a forwarder asked for before it could know of one is never decided under a roll
 //! that is older than the beat which the order answers. It must never take a client.
 
-use crate::articles::{Articles, Plans, Role};
 use crate::deck::{self, mark, Deck, LINK, STOP};
-use crate::discovery::Discovery;
-use crate::probe::Probes;
-use crate::wire::{Wire, Wires};
+use crate::ferry::probe::Probes;
+use crate::ferry::wire::{Wire, Wires};
+use crate::listing::discovery::Discovery;
+use crate::operators::articles::{Articles, Plans, Role};
 use crate::{AtStart, SWEEP};
 use reedferry::{Event, Listing, Nanos, MILLI};
 use reedferry_link::{HostLine, Order, Planner, Remit};
--- a/node/src/succession.rs
+++ b/node/src/roles/succession.rs
@@ -5,8 +5,8 @@
 
 use crate::deck::{self, Deck, ELDER, HEIR, HEIR_DOOR};
 use crate::ferry::{Ferries, Passenger};
-use crate::list::Member;
-use crate::papers::Papers;
+use crate::listing::list::Member;
+use crate::operators::papers::Papers;
 use reedferry::{AttachmentId, Event, Legacy, Nanos, MILLI};
 use reedferry_quay::{channel, Clock, Errno, Mark, Readiness, Socket};
 use serde::{Deserialize, Serialize};
--- a/node/tests/members.rs
+++ b/node/tests/members.rs
@@ -280,6 +280,16 @@
     fleet.stand_still(4);
     thread::sleep(Duration::from_secs(2));
     fleet.go_on(4);
+    // The places shrink behind a cut, for one part of the fleet, and grow again.
+    fleet.view().ways.split(|node| usize::from(node < 2));
+    fleet.tells_of_places(0..2, 4, &known, 7);
+    comes(
+        &fleet,
+        0.5 * 4.0 / 6.0 * 2.0 + 1.5,
+        "those who shrank use no more than they did, the others their own",
+    );
+    fleet.tells_of_places(0..2, 6, &known, 7);
+    fleet.view().ways.heal();
     fleet.start(&[5], &known, 7);
     comes(&fleet, 6.0, "with all again");
     assert!(most <= 6.0 + 1e-6, "{most} of 6 were used");
--- a/rig/src/discovery.rs
+++ b/rig/src/discovery.rs
@@ -27,6 +27,8 @@
     work: Option<(Duration, Duration)>,
     free: Option<Instant>,
     down: bool,
+    /// Takes calls and answers none; with the head of an answer, or with nothing.
+    hangs: Option<bool>,
     /// Of ten calls so many are turned away.
     refuses: usize,
     turned_away: Vec<Instant>,
@@ -73,6 +75,23 @@
         self.kept.0.lock().unwrap().down = false;
     }
 
+    /// From now on it takes calls and answers none, or begins an answer and goes silent; watches stand.
+    pub fn hang(&self, begins: bool) {
+        self.kept.0.lock().unwrap().hangs = Some(begins);
+    }
+
+    /// It is well again: what hung ends.
+    pub fn stop_hanging(&self) {
+        let mut kept = self.kept.0.lock().unwrap();
+        kept.hangs = None;
+        self.kept.1.notify_all();
+    }
+
+    /// It works off calls as fast as it can again.
+    pub fn unbound(&self) {
+        self.kept.0.lock().unwrap().work = None;
+    }
+
     /// Turns away so many of ten calls.
     pub fn turn_away(&self, of_ten: usize) {
         self.kept.0.lock().unwrap().refuses = of_ten;
@@ -145,6 +164,13 @@
             if kept.down {
                 return;
             }
+            if let Some(begins) = kept.hangs {
+                if begins {
+                    _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n{\"revision\":");
+                }
+                drop(self.kept.1.wait_while(kept, |k| k.hangs.is_some() && k.life == life));
+                return;
+            }
             let refused = kept.called.len() % 10 < kept.refuses;
             let (each, queue) = kept.work.unwrap_or_default();
             let free = kept.free.unwrap_or(came).max(came);
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -327,7 +327,22 @@
         self.discovery = discovery;
         for (number, node) in self.nodes.iter().enumerate() {
             let papers = self.papers(number, known, revision).to_string();
-            node.iter().for_each(|node| node.reread(&papers));
+            node.iter().for_each(|node| node.reread_papers(&papers));
+        }
+    }
+
+    /// Tells these that settings name so many places.
+    pub fn tells_of_places(
+        &mut self,
+        which: std::ops::Range<usize>,
+        places: usize,
+        known: &[Value],
+        revision: u64,
+    ) {
+        self.places = places;
+        for number in which {
+            let papers = self.papers(number, known, revision).to_string();
+            self.nodes[number].iter().for_each(|node| node.reread_papers(&papers));
         }
     }
 
--- a/rig/src/program.rs
+++ b/rig/src/program.rs
@@ -227,6 +227,12 @@
         self.signal(Signal::HUP);
     }
 
+    /// Puts other papers in place of those that it was started with, and has it read them.
+    pub fn reread_papers(&self, text: &str) {
+        std::fs::write(&self.files[0], text).unwrap();
+        self.signal(Signal::HUP);
+    }
+
     /// The file that it was started with.
     pub fn told(&self) -> String {
         std::fs::read_to_string(&self.told).unwrap()
--- a/rig/src/schedule.rs
+++ b/rig/src/schedule.rs
@@ -28,8 +28,12 @@
     /// The second does not hear the first.
     Deaf(usize, usize),
     Lossy(Spoil),
-    /// The list service is down, turns away so many of ten, or starts anew with an older list.
+    /// The list service is down, takes calls and answers none, begins answers and goes silent, works off five calls a
+    /// second, turns away so many of ten, or starts anew with an older list.
     Down,
+    Hang,
+    Silent,
+    Sluggish,
     Refuse(usize),
     Older,
 }
@@ -69,6 +73,9 @@
                     writeln!(out, "lossy {loss} {double} {garble} {short} {}", delay.as_millis())?;
                 }
                 Fault::Down => writeln!(out, "down")?,
+                Fault::Hang => writeln!(out, "hang")?,
+                Fault::Silent => writeln!(out, "silent")?,
+                Fault::Sluggish => writeln!(out, "sluggish")?,
                 Fault::Refuse(of_ten) => writeln!(out, "refuse {of_ten}")?,
                 Fault::Older => writeln!(out, "older")?,
             }
@@ -116,6 +123,9 @@
                         delay: Duration::from_millis(figure(9)?),
                     }),
                     ["down"] => Fault::Down,
+                    ["hang"] => Fault::Hang,
+                    ["silent"] => Fault::Silent,
+                    ["sluggish"] => Fault::Sluggish,
                     ["refuse", _] => Fault::Refuse(node(5)?),
                     ["older"] => Fault::Older,
                     _ => return Err(wrong()),
@@ -151,7 +161,7 @@
             let one = rng.random_range(0..nodes);
             let share =
                 |rng: &mut ChaCha8Rng, most: f64| (rng.random::<f64>() * most * 100.0).round() / 100.0;
-            let fault = match rng.random_range(0..12) {
+            let fault = match rng.random_range(0..14) {
                 0 | 1 => Fault::Kill(one),
                 2 | 3 => Fault::Still(one),
                 4 => Fault::Slow(one),
@@ -168,7 +178,10 @@
                     Fault::Lossy(Spoil { cut: false, loss, double, garble, short, delay })
                 }
                 10 => Fault::Refuse(rng.random_range(5..10)),
-                _ => [Fault::Down, Fault::Older][usize::from(rng.random_bool(0.5))].clone(),
+                11 => Fault::Older,
+                _ => {
+                    [Fault::Down, Fault::Hang, Fault::Silent, Fault::Sluggish][rng.random_range(0..4)].clone()
+                }
             };
             drawn.push(Planned { at, lasts, fault });
         }
@@ -261,6 +274,12 @@
             Fault::Twin(_) => fleet.kill(nodes, Duration::ZERO),
             Fault::Down if begins => service.go_down(),
             Fault::Down => service.come_up(),
+            Fault::Hang | Fault::Silent if begins => {
+                service.hang(schedule.faults[number].fault == Fault::Silent);
+            }
+            Fault::Hang | Fault::Silent => service.stop_hanging(),
+            Fault::Sluggish if begins => service.bound(5.0, Duration::from_secs(1)),
+            Fault::Sluggish => service.unbound(),
             Fault::Refuse(of_ten) => service.turn_away(if begins { *of_ten } else { 0 }),
             Fault::Older if begins => service.restart(3, &list[..3]),
             Fault::Older => list.iter().for_each(|member| service.change(member.clone())),
--- a/rig/src/view.rs
+++ b/rig/src/view.rs
@@ -108,6 +108,9 @@
 
 /// What one size showed, in periods.
 struct Shown {
+    /// Milliseconds to start one, sixteen at a time, and megabytes that one takes.
+    start: f64,
+    memory: f64,
     settled: f64,
     letters: f64,
     core: f64,
@@ -118,7 +121,9 @@
 }
 
 fn play(nodes: usize, period: Duration, seed: u64, kills: usize, faults: bool) -> Option<Shown> {
+    let begun = Instant::now();
     let (_service, mut fleet) = started(nodes, period, seed);
+    let start = begun.elapsed().as_secs_f64() * 1000.0 / nodes as f64;
     let in_periods = |span: Duration| span.as_secs_f64() / period.as_secs_f64();
     let settled = in_periods(fleet.agrees_within(period * 100)?);
     let passed = |fleet: &Fleet| fleet.view().ways.passed().sent.iter().sum::<u64>();
@@ -128,6 +133,8 @@
     thread::sleep(period * 20);
     let quiet = from.elapsed();
     let letters = (passed(&fleet) - before) as f64 / nodes as f64 / in_periods(quiet);
+    let memory =
+        fleet.nodes.iter().flatten().map(crate::Node::memory).sum::<usize>() as f64 / nodes as f64 / 1e6;
     let core = (fleet.spent() - spent).as_secs_f64() / nodes as f64 / quiet.as_secs_f64();
     let (mut found, mut known, mut healed, mut wrongly) = (Vec::new(), Vec::new(), Vec::new(), 0);
     for kill in 0..kills {
@@ -174,7 +181,7 @@
         thread::sleep(period * 50);
         wrongly += fleet.put_out().len();
     }
-    Some(Shown { settled, letters, core, found, known, healed, wrongly })
+    Some(Shown { start, memory, settled, letters, core, found, known, healed, wrongly })
 }
 
 fn middle(mut all: Vec<f64>) -> f64 {
@@ -194,6 +201,8 @@
     let healed = now.healed.iter().copied().fold(0.0, f64::max);
     let mut put = |what: &str, value: Value| figures.insert(what.into(), value);
     put("period, ms", json!(period.as_millis() as u64));
+    put("start of a process, ms", json!(now.start));
+    put("memory of a process, MB", json!(now.memory));
     put("settled after the start, periods", json!(now.settled));
     put("death found first, periods", json!(now.found));
     put("death known to all, periods", json!(now.known));
--- a/rig/src/ways.rs
+++ b/rig/src/ways.rs
@@ -1,5 +1,6 @@
-//! The way of datagrams between processes: each has a face that the others know, a socket of the one loop here, and
-//! what comes there goes on to the process behind it, from the sender's own face. It owns what is lost, held up,
+//! The way of datagrams and connections between processes: each has a face that the others know, one socket of the one
+//! loop here for datagrams and one that listens, and what comes there goes on to the process behind it, datagrams from the
+//! sender's own face. It owns what is lost, held up,
 //! doubled, garbled or cut short on the way from whom to whom. It must never look into what passes.
 
 use crate::acting::small;
@@ -7,8 +8,9 @@
 use rand_chacha::ChaCha8Rng;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
-use std::net::{IpAddr, SocketAddr, UdpSocket};
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -54,14 +56,15 @@
     over: Arc<AtomicBool>,
 }
 
+const SOON: Timespec = Timespec { tv_sec: 0, tv_nsec: 1_000_000 };
+
 /// What is held up: until when, in which order, whence, whither.
 type Held = BinaryHeap<Reverse<(Instant, u64, usize, usize, Vec<u8>)>>;
 
 impl Ways {
     pub fn new(count: usize, seed: u64) -> Ways {
         static DEALT: AtomicU32 = AtomicU32::new(0);
-        let sockets: Vec<UdpSocket> = (0..count).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
-        sockets.iter().for_each(|socket| socket.set_nonblocking(true).unwrap());
+        let (sockets, doors): (Vec<UdpSocket>, Vec<TcpListener>) = (0..count).map(|_| face()).unzip();
         let faces = sockets.iter().map(|socket| socket.local_addr().unwrap()).collect();
         let behind: Vec<SocketAddr> = (0..count)
             .map(|_| {
@@ -77,6 +80,8 @@
             by_address: behind.iter().enumerate().map(|(n, at)| (at.ip(), n)).collect(),
             behind: behind.clone(),
             sockets,
+            doors,
+            lines: Vec::new(),
             kept: kept.clone(),
             held: Held::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -122,8 +127,89 @@
     }
 }
 
+/// One port for both.
+fn face() -> (UdpSocket, TcpListener) {
+    loop {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        // Another connection may have that port.
+        let Ok(door) = TcpListener::bind(socket.local_addr().unwrap()) else { continue };
+        socket.set_nonblocking(true).unwrap();
+        door.set_nonblocking(true).unwrap();
+        return (socket, door);
+    }
+}
+
+/// Bytes of a connection that are held here, one way.
+const MOST_HELD: usize = 64 << 10;
+
+/// A connection that passes: both ends, whose they are, and what is under way from each.
+struct Line {
+    ends: [TcpStream; 2],
+    nodes: [usize; 2],
+    held: [VecDeque<(Instant, Vec<u8>)>; 2],
+    /// The end there has nothing more to say; and that was told to the other.
+    over: [bool; 2],
+    told: [bool; 2],
+    broken: bool,
+}
+
+impl Line {
+    fn bytes(&self, end: usize) -> usize {
+        self.held[end].iter().map(|(_, bytes)| bytes.len()).sum()
+    }
+
+    /// Takes what an end has to say, as the way spoils it.
+    fn take(&mut self, end: usize, spoil: Spoil, rng: &mut ChaCha8Rng, passed: &mut Passed) {
+        let mut space = [0; 16 << 10];
+        if spoil.cut || self.over[end] || self.bytes(end) >= MOST_HELD {
+            return;
+        }
+        let mut bytes = match self.ends[end].read(&mut space) {
+            Ok(0) => return self.over[end] = true,
+            Ok(count) => space[..count].to_vec(),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+            Err(_) => return self.broken = true,
+        };
+        let mut meets = |share: f64| share > 0.0 && rng.random::<f64>() < share;
+        if meets(spoil.garble) {
+            let place = bytes.len() / 2;
+            bytes[place] ^= 0x55;
+            passed.garbled += 1;
+        } else if meets(spoil.short) {
+            bytes.truncate(bytes.len() / 2);
+            self.broken = true;
+            passed.shortened += 1;
+        }
+        passed.held_up += u64::from(!spoil.delay.is_zero());
+        let wait = spoil.delay.mul_f64(rng.random());
+        let after = self.held[end].back().map_or(Instant::now(), |(at, _)| *at);
+        self.held[end].push_back((after.max(Instant::now() + wait), bytes));
+    }
+
+    /// Gives the other end what is due.
+    fn give(&mut self, end: usize) {
+        let other = 1 - end;
+        while let Some((at, bytes)) = self.held[end].front_mut() {
+            if *at > Instant::now() {
+                return;
+            }
+            match self.ends[other].write(bytes) {
+                Ok(count) if count == bytes.len() => _ = self.held[end].pop_front(),
+                Ok(count) => _ = bytes.drain(..count),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(_) => return self.broken = true,
+            }
+        }
+        if self.over[end] && !std::mem::replace(&mut self.told[end], true) {
+            _ = self.ends[other].shutdown(Shutdown::Write);
+        }
+    }
+}
+
 struct Way {
     sockets: Vec<UdpSocket>,
+    doors: Vec<TcpListener>,
+    lines: Vec<Line>,
     by_address: HashMap<IpAddr, usize>,
     behind: Vec<SocketAddr>,
     kept: Arc<Mutex<Kept>>,
@@ -145,16 +231,60 @@
             let next = self.held.peek().map(|Reverse(held)| held.0.saturating_duration_since(Instant::now()));
             let wait = next.unwrap_or(Duration::MAX).min(Duration::from_millis(20));
             let wait = Timespec { tv_sec: 0, tv_nsec: wait.as_nanos() as i64 };
-            let mut ready: Vec<PollFd> = self.sockets.iter().map(|s| PollFd::new(s, PollFlags::IN)).collect();
+            let wait =
+                if self.lines.iter().any(|line| line.bytes(0) + line.bytes(1) > 0) { SOON } else { wait };
+            let sockets = self.sockets.iter().map(|s| PollFd::new(s, PollFlags::IN));
+            let doors = self.doors.iter().map(|d| PollFd::new(d, PollFlags::IN));
+            let open = self
+                .lines
+                .iter()
+                .flat_map(|line| line.ends.iter().enumerate().map(move |(n, e)| (line, n, e)));
+            let open = open.filter(|(line, n, _)| !line.over[*n] && line.bytes(*n) < MOST_HELD);
+            let open = open.map(|(.., end)| PollFd::new(end, PollFlags::IN));
+            let mut ready: Vec<PollFd> = sockets.chain(doors).chain(open).collect();
             _ = poll(&mut ready, Some(&wait));
+            let count = self.sockets.len();
             let ready: Vec<usize> =
                 ready.iter().enumerate().filter(|(_, fd)| !fd.revents().is_empty()).map(|(n, _)| n).collect();
-            for to in ready {
-                self.take(to, &mut order);
+            for place in ready {
+                match place {
+                    to if to < count => self.take(to, &mut order),
+                    door if door < 2 * count => self.accept(door - count),
+                    _ => {}
+                }
             }
+            self.pass();
+        }
+    }
+
+    /// Takes in who wants to speak to one process, and calls that for it.
+    fn accept(&mut self, to: usize) {
+        while let Ok((client, from)) = self.doors[to].accept() {
+            let Some(&from) = self.by_address.get(&from.ip()) else { continue };
+            // Who calls one that is not there hears so by the end of its connection.
+            let Ok(host) = TcpStream::connect_timeout(&self.behind[to], Duration::from_millis(100)) else {
+                continue;
+            };
+            let ends = [client, host];
+            ends.iter().for_each(|end| _ = end.set_nonblocking(true).and_then(|()| end.set_nodelay(true)));
+            let (held, over, told) = Default::default();
+            self.lines.push(Line { ends, nodes: [from, to], held, over, told, broken: false });
         }
     }
 
+    /// Passes on what connections have to say.
+    fn pass(&mut self) {
+        let mut kept = self.kept.lock().unwrap();
+        let Kept { spoils, passed } = &mut *kept;
+        for line in &mut self.lines {
+            for end in 0..2 {
+                line.take(end, spoils[line.nodes[end]][line.nodes[1 - end]], &mut self.rng, passed);
+                line.give(end);
+            }
+        }
+        self.lines.retain(|line| !line.broken && line.told != [true, true]);
+    }
+
     /// Takes what has come for one process.
     fn take(&mut self, to: usize, order: &mut u64) {
         let mut space = [0; LONGEST];
@@ -246,4 +376,57 @@
         );
         assert_eq!(passed.sent, [14, 14]);
     }
+
+    /// A connection from one process's address to the other's face.
+    fn connect(ways: &Ways, from: usize, to: usize) -> TcpStream {
+        use rustix::net::{bind, connect, socket, AddressFamily, SocketType};
+        let end = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+        bind(&end, &SocketAddr::new(ways.behind[from].ip(), 0)).unwrap();
+        connect(&end, &ways.faces[to]).unwrap();
+        let end = TcpStream::from(end);
+        end.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        end
+    }
+
+    /// Guards: connections between processes that faults pass by, or that lose what they are to carry whole.
+    #[test]
+    fn connections_pass_whole_and_are_cut_held_up_garbled_and_cut_short() {
+        let ways = Ways::new(2, 2);
+        let door = TcpListener::bind(ways.behind[1]).unwrap();
+        let both = || (connect(&ways, 0, 1), door.accept().unwrap().0);
+        let (mut near, mut far) = both();
+        let long: Vec<u8> = (0..300_000u32).map(|n| n as u8).collect();
+        let sent = long.clone();
+        let writes = std::thread::spawn(move || {
+            near.write_all(&sent).unwrap();
+            near.shutdown(Shutdown::Write).unwrap();
+            let mut answer = String::new();
+            near.read_to_string(&mut answer).unwrap();
+            answer
+        });
+        let mut came = Vec::new();
+        far.read_to_end(&mut came).unwrap();
+        assert!(came == long, "{} of {} bytes", came.len(), long.len());
+        far.write_all(b"thanks").unwrap();
+        drop(far);
+        assert_eq!(writes.join().unwrap(), "thanks");
+        let spoilt = |spoil: Spoil| ways.set(|from, _| if from == 0 { spoil } else { Spoil::default() });
+        let (mut near, mut far) = both();
+        spoilt(Spoil { cut: true, ..Spoil::default() });
+        near.write_all(b"one").unwrap();
+        far.set_read_timeout(Some(Duration::from_millis(150))).unwrap();
+        let mut space = [0; 8];
+        assert!(far.read(&mut space).is_err(), "a cut way carries");
+        spoilt(Spoil { delay: Duration::from_millis(30), ..Spoil::default() });
+        assert_eq!(far.read(&mut space).unwrap(), 3);
+        spoilt(Spoil { garble: 1.0, ..Spoil::default() });
+        near.write_all(b"two").unwrap();
+        assert!(far.read(&mut space).unwrap() == 3 && &space[..3] != b"two");
+        spoilt(Spoil { short: 1.0, ..Spoil::default() });
+        near.write_all(b"three").unwrap();
+        let mut rest = Vec::new();
+        assert!(far.read_to_end(&mut rest).is_ok() && rest == b"th", "{rest:?}");
+        let passed = ways.passed();
+        assert!(passed.held_up >= 1 && passed.garbled == 1 && passed.shortened == 1);
+    }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,12 +16,6 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::{HashMap, VecDeque};
 
-/// Look-ahead steps, the paper's setting, and their length.
-pub(crate) const STEPS: u64 = 10;
-pub(crate) const STEP: Nanos = 3 * SECOND;
-pub(crate) const HORIZON: f64 = (STEPS * STEP) as f64;
-/// How often the node looks around by itself.
-pub(crate) const PULSE: Nanos = SECOND / 2;
 const MASK: Nanos = 3 * SECOND;
 /// How long a client's lot at a cold host holds; what a warm host bears, over the mean.
 const LOT: Nanos = 2 * SECOND;
@@ -42,8 +36,6 @@
 /// Share of the last connections that met late messages from which some are dismissed, and how many.
 const MANY: f64 = 0.3;
 const SHED: f64 = 8.0;
-/// What a pulse leaves of that share.
-pub(crate) const FADE: f64 = 0.98;
 /// Message time over what is wanted from which a host counts as late.
 const LATE: f64 = 0.6;
 /// Hosts that fail an attachment before no other is asked.
@@ -52,9 +44,8 @@
 const PARTING: Nanos = SECOND / 20;
 const PART: u64 = 1;
 const MUTATION: (f64, f64) = (0.25, 0.05);
-/// What a host's first connection of a group costs, in usual loads, and a crossing, in mean own loads.
-pub(crate) const GROUP_PRICE: f64 = 2.0;
 const HOME: f64 = 4.0;
+/// What a crossing costs, in mean own loads.
 const CROSSING: f64 = 18.0;
 /// Seconds within which a cut is to let the work piled up at a host drain.
 const DRAIN: f64 = 2.0;
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -2,13 +2,10 @@
 //! It owns those means and their fading, and the table of clients with its bound. It must never decide
 //! anything: the module asks it and judges.
 
-use crate::choice::{FADE, GROUP_PRICE, HORIZON, PULSE, STEP};
-use crate::records::{Ledger, Note};
+use crate::records::{Ledger, Note, FADE, GROUP_PRICE, HORIZON, PULSE, STEP, TABLE_AGE};
 use crate::types::*;
 
 const TABLE_SIZE: usize = 8192;
-/// How long a client, or a host that is gone, is remembered.
-pub(crate) const TABLE_AGE: Nanos = 3600 * SECOND;
 
 impl Ledger {
     pub(crate) fn length(&self, key: Option<u64>, now: Nanos) -> Option<f64> {
--- a/src/records.rs
+++ b/src/records.rs
@@ -2,10 +2,21 @@
 //! It must never decide anything.
 
 use crate::calls::Calls;
-use crate::choice::{HORIZON, STEP, STEPS};
 use crate::types::*;
 use std::collections::{HashMap, VecDeque};
 
+/// Look-ahead steps, the paper's setting, and their length.
+pub(crate) const STEPS: u64 = 10;
+pub(crate) const STEP: Nanos = 3 * SECOND;
+pub(crate) const HORIZON: f64 = (STEPS * STEP) as f64;
+/// How often the node looks around by itself, and what that leaves of a share that fades.
+pub(crate) const PULSE: Nanos = SECOND / 2;
+pub(crate) const FADE: f64 = 0.98;
+/// What a host's first connection of a group costs, in usual loads.
+pub(crate) const GROUP_PRICE: f64 = 2.0;
+/// How long a client, or a host that is gone, is remembered.
+pub(crate) const TABLE_AGE: Nanos = 3600 * SECOND;
+
 pub(crate) enum To {
     Host(usize),
     Desk,
@@ -191,9 +202,7 @@
     }
 
     pub fn forgotten(&self, now: Nanos) -> bool {
-        !self.listed
-            && self.conns.is_empty()
-            && now >= self.gone_since.saturating_add(crate::ledger::TABLE_AGE)
+        !self.listed && self.conns.is_empty() && now >= self.gone_since.saturating_add(TABLE_AGE)
     }
 
     pub fn own(&self) -> f64 {
