--- a/node/src/operators/articles.rs
+++ b/node/src/operators/articles.rs
@@ -507,6 +507,38 @@
         }
     }
 
+    /// Guards: a node that takes part in a fleet without leave, or under an address that nobody can reach.
+    #[test]
+    fn a_fleet_has_leave_and_addresses_that_can_be_reached() {
+        let fleet = |more: &str| {
+            format!("[fleet]\naddress = \"127.0.0.1:7400\"\nseeds = [\"127.0.0.1:7401\"]\n{more}")
+        };
+        let good = among("fleet", true, &fleet("period = \"200ms\"\n")).unwrap();
+        let Role::Node(Some(Correspondence { fleet: Some(terms), .. })) = good.role else {
+            panic!("no fleet")
+        };
+        assert_eq!((terms.listen, terms.period, terms.most), (terms.address, 200 * MILLI, 1024));
+        let peer = "[[peer]]\naddress = \"127.0.0.1:7101\"\n";
+        for (leave, text, why) in [
+            (false, fleet(""), "policy_limits.peers in the papers is false"),
+            (true, fleet(peer), "neither messages nor [[peer]]"),
+            (
+                true,
+                format!("[node]\nmessages = \"127.0.0.1:7100\"\n{}", fleet("")),
+                "neither messages nor [[peer]]",
+            ),
+            (true, fleet("").replace("7400", "0"), "can't be reached by others"),
+            (true, fleet("").replace("7401", "0"), "seed 127.0.0.1:0 can't be reached"),
+            (true, fleet("").replace("\"127.0.0.1:7401\"", "\"[::1]:7401\""), "can't be reached"),
+            (true, fleet("period = \"1ms\"\n"), "period is 1ms, not between 50ms"),
+            (true, fleet("most = 0\n"), "most is 0, not between 1"),
+            (true, fleet("perod = \"1s\"\n"), "unknown field"),
+        ] {
+            let got = among("bad-fleet", leave, &text).err().unwrap_or_else(|| panic!("taken: {text}"));
+            assert!(got.contains(why) && got.contains("x.toml:") && !got.contains('\n'), "{got}");
+        }
+    }
+
     #[test]
     fn contradictions_are_refused_at_their_line() {
         let head = "papers = \"papers.example.json\"\n";
