--- a/src/choice.rs
+++ b/src/choice.rs
@@ -96,7 +96,7 @@
         (self.reported > 0 && now < self.reported + REPORT_AGE).then_some(self.report)
     }
 
-    /// Whether it is this node's turn to look at it: by what it was told, or by number, in another order for each host.
+    /// Whether it is this node's turn to look at it: as told, or by number, in another order for each host.
     fn due(&self, now: Nanos, charter: &Charter) -> bool {
         let turn = now / LOOK;
         let place = turn.wrapping_add((draw(self.id.0, 1) * 1e6) as u64);
