Hand irreversible work off once though its node dies, by records of three guardians

Change. node/src/peers/wards.rs: what is labelled or irreversible and has a key waits for its ward before the module hears of it, and each hand-off for its record with two of three guardians before a byte leaves; taken up elsewhere it comes as TakenUp. [fleet.wards] in an operator's file, off by default and on the platform. A claim that an older, higher term refuses is made anew twice.

Failed first: without claims made anew most were dismissed (BUSY), as a node's first terms are lower than those of a node that had claimed more.

--- a/members/src/letters.rs
+++ b/members/src/letters.rs
@@ -96,7 +96,7 @@
 }
 
 /// Guards: a flipped bit in a name, an address or a word that members then hold for true.
-fn sum(bytes: &[u8]) -> [u8; 4] {
+pub fn sum(bytes: &[u8]) -> [u8; 4] {
     (xxh3_64(bytes) as u32).to_le_bytes()
 }
 
--- a/members/src/lib.rs
+++ b/members/src/lib.rs
@@ -6,6 +6,7 @@
 mod duties;
 mod leases;
 mod letters;
+pub use letters::sum;
 #[cfg(test)]
 mod trials;
 mod types;
@@ -312,6 +313,20 @@
         self.view.all.iter().filter(move |(_, held)| there(held)).map(|(id, _)| *id).chain(me)
     }
 
+    /// Where the member of a place takes letters, unless it is gone.
+    pub fn address_of(&self, place: u32) -> Option<SocketAddr> {
+        let roster = self.view.me.who.roster;
+        let of = |m: &&Member| (m.who.place, m.who.roster) == (place, roster) && m.state != State::Gone;
+        self.view.all.values().find(of).map(|m| m.who.address)
+    }
+
+    /// The place of the member that takes letters there, if it is of this one's roster.
+    pub fn place_at(&self, address: SocketAddr) -> Option<u32> {
+        let roster = self.view.me.who.roster;
+        let of = |m: &&Member| m.who.address == address && m.who.roster == roster;
+        self.view.all.values().find(of).map(|m| m.who.place)
+    }
+
     /// Whether duties rest, as this member has stood still.
     pub fn holds_off(&self, now: Nanos) -> bool {
         now < self.off_until
--- a/node/src/deck.rs
+++ b/node/src/deck.rs
@@ -38,6 +38,8 @@
 pub const ELDER: u8 = 17;
 /// The fleet view's next turn.
 pub const FLEET: u8 = 18;
+/// The time of what waits for a ward.
+pub const WARDS: u8 = 19;
 
 /// After a call to stop, for how long the front still deals out connections to this program, and the
 /// longest that it is granted beyond what it needs.
--- a/node/src/operators/articles.rs
+++ b/node/src/operators/articles.rs
@@ -5,6 +5,7 @@
 
 use crate::operators::papers::Papers;
 use crate::peers::fleet::FleetTerms;
+use crate::peers::wards::WardTerms;
 use crate::peers::words::Correspondence;
 use reedferry::{Nanos, MILLI, SECOND};
 use reedferry_link::PlannerAt;
@@ -54,6 +55,15 @@
     seeds: Vec<Spanned<String>>,
     period: Option<Spanned<String>>,
     most: Option<Spanned<usize>>,
+    wards: Option<WardSheet>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WardSheet {
+    life: Option<Spanned<String>>,
+    within: Option<Spanned<String>>,
+    most: Option<Spanned<usize>>,
 }
 
 #[derive(Deserialize)]
@@ -350,7 +360,14 @@
         }
         let period = text.span("period", part.period, SECOND, (50 * MILLI, 60 * SECOND))?;
         let most = text.count("most", part.most, 1024, 1 << 16)?;
-        Ok(FleetTerms { address, listen, name, seeds, period, most })
+        let wards = part.wards.map(|part| {
+            let life = text.span("life", part.life, 60 * SECOND, (SECOND, 3600 * SECOND))?;
+            let within = text.span("within", part.within, 50 * MILLI, (5 * MILLI, SECOND))?;
+            let most = text.count("most", part.most, 1 << 16, 1 << 22)?;
+            Ok::<_, String>(WardTerms { life, within, most })
+        });
+        let wards = wards.transpose()?;
+        Ok(FleetTerms { address, listen, name, seeds, period, most, wards })
     }
 
     fn planners(text: &Text, sheets: &[Spanned<PlannerSheet>]) -> Result<Vec<PlannerAt>, String> {
--- a/node/src/peers/fleet.rs
+++ b/node/src/peers/fleet.rs
@@ -4,6 +4,7 @@
 
 use crate::deck::{mark, Deck, FLEET, PEERS};
 use crate::operators::papers::Papers;
+use crate::peers::wards::WardTerms;
 use reedferry::{Event, HostId, Nanos, SECOND};
 use reedferry_members::{self as members, Action, Members, Role, State, Who, LONGEST_LETTER};
 use reedferry_quay::{Errno, Socket};
@@ -19,6 +20,10 @@
 const MOST_LINES: u32 = 32;
 /// The first byte of a word, which no letter begins with.
 const WORD: u8 = 0xff;
+/// The same for what is about wards; a sum over the rest follows.
+const WARD: u8 = 0xfe;
+/// Of those, taken in in a turn.
+const MOST_LETTERS: usize = 1024;
 
 /// What the operator's file says of the fleet.
 #[derive(Clone, Debug, PartialEq)]
@@ -30,6 +35,8 @@
     pub seeds: Vec<SocketAddr>,
     pub period: Nanos,
     pub most: usize,
+    /// Where work in hand is to survive its node.
+    pub wards: Option<WardTerms>,
 }
 
 pub struct Fleet {
@@ -49,6 +56,7 @@
     looks: Vec<u64>,
     looked_by: Option<(u64, u64)>,
     lending: bool,
+    letters: Vec<(u32, Vec<u8>)>,
 }
 
 impl Fleet {
@@ -82,6 +90,7 @@
             looks,
             looked_by: None,
             lending: false,
+            letters: Vec::new(),
         };
         match fleet.bind(deck) {
             Ok(()) | Err(Errno::ADDRINUSE) => Ok(fleet),
@@ -172,6 +181,15 @@
                         self.odd(deck, "a word of no member's", from);
                     }
                 }
+                [WARD, a, b, c, d, ref rest @ ..]
+                    if self.core.place_at(from).is_some() && [a, b, c, d] == members::sum(rest) =>
+                {
+                    let place = self.core.place_at(from).unwrap_or(u32::MAX);
+                    if self.letters.len() < MOST_LETTERS {
+                        self.letters.push((place, rest.to_vec()));
+                    }
+                }
+                [WARD, ..] => self.odd(deck, "a ward of no member's, or garbled", from),
                 ref bytes => self.handle(deck, members::Event::Letter { from, bytes }),
             }
         }
@@ -232,6 +250,24 @@
         }
     }
 
+    /// What others said about wards, by their places.
+    pub fn letters(&mut self) -> Vec<(u32, Vec<u8>)> {
+        std::mem::take(&mut self.letters)
+    }
+
+    /// Sends a word about wards to the member of that place, if there is one.
+    pub fn send_letter(&self, place: u32, bytes: &[u8]) {
+        let datagram = [&[WARD], &members::sum(bytes)[..], bytes].concat();
+        if let (Some(socket), Some(to)) = (&self.socket, self.core.address_of(place)) {
+            _ = socket.send_to(&datagram, &to);
+        }
+    }
+
+    /// In which life this process is.
+    pub fn life(&self) -> u64 {
+        self.core.me().1.life
+    }
+
     /// This node says how it stands.
     pub fn stands(&mut self, deck: &mut Deck, state: State) {
         self.handle(deck, members::Event::Stands(state));
@@ -259,7 +295,7 @@
     }
 
     /// The view as operators see it.
-    pub fn text(&self, now: Nanos) -> String {
+    pub fn text(&self, now: Nanos, wards: Option<serde_json::Value>) -> String {
         let since = |then: Nanos| now.saturating_sub(then) / 1_000_000;
         let (me, age, state) = self.core.me();
         let member = |m: &members::Member| {
@@ -271,7 +307,7 @@
         let view = json!({"name": me.name, "address": me.address, "state": state.word(), "life": age.life,
             "word": age.word, "ill": self.core.ill(), "superseded": self.core.superseded(),
             "digest": format!("{:016x}", self.core.digest()), "still_ms": since(self.core.still()),
-            "turns": self.shares, "looks": self.looks.len(), "members": members});
+            "turns": self.shares, "looks": self.looks.len(), "wards": wards, "members": members});
         format!("{view}\n")
     }
 }
--- /dev/null
+++ b/node/src/peers/wards.rs
@@ -0,0 +1,307 @@
+//! Work in hand that survives its node, round the core of `wards/`: what is labelled or irreversible waits here for its
+//! ward before the module hears of it, and its hand-offs for their record before a byte of them leaves. It owns what
+//! waits, and the form of histories. It must never hold up what is redoable, nor decide what becomes of an attachment
+//! whose ward it has.
+
+use crate::deck::{mark, Deck, WARDS};
+use crate::peers::fleet::Fleet;
+use reedferry::{Action, Arrival, AttachmentId, Effect, Ending, Event, HostId, Nanos, Past, SECOND};
+use reedferry_wards::{guardians, Answer, Guardian, Holder, Keeper, Outcome, Question, Record};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use slog::warn;
+use std::collections::{HashMap, HashSet};
+
+/// What the operator's file says of wards.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WardTerms {
+    /// How long a record matters, how long a majority may take, and how many records are kept for others.
+    pub life: Nanos,
+    pub within: Nanos,
+    pub most: usize,
+}
+
+/// When a client that can't be served now may come back.
+const COME_BACK: Nanos = SECOND;
+/// Hosts tried that a record names.
+const MOST_TRIED: usize = 16;
+
+#[derive(Serialize, Deserialize)]
+enum Word {
+    Question(Question),
+    Answer(Answer),
+}
+
+/// What passed of an attachment, as guardians keep it.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct History {
+    hand_offs: u32,
+    /// The host of the first hand-off that may have run.
+    ran: Option<u64>,
+    tried: Vec<u64>,
+}
+
+/// An attachment under a ward.
+struct Held {
+    id: AttachmentId,
+    arrival: Arrival,
+    came: Nanos,
+    history: History,
+    /// The hand-off that waits for its record, and since when.
+    waits: Option<(Action, Nanos)>,
+}
+
+/// Counts since the start.
+#[derive(Default)]
+struct Figures {
+    written: u64,
+    taken_over: u64,
+    turned_away: u64,
+}
+
+pub struct Wards {
+    terms: WardTerms,
+    keeper: Keeper,
+    guardian: Guardian,
+    place: u32,
+    roster: u32,
+    held: HashMap<u64, Held>,
+    keys: HashMap<AttachmentId, u64>,
+    /// Answered here, and not to be handed off by what the module orders in the same turn.
+    refused: HashSet<AttachmentId>,
+    out: Vec<(u32, Word)>,
+    ready: Vec<Action>,
+    figures: Figures,
+    /// Whether a majority was missing last.
+    missing: bool,
+}
+
+impl Wards {
+    pub fn new(deck: &Deck, terms: &WardTerms, place: u32, roster: u32, life: u64) -> Wards {
+        Wards {
+            terms: terms.clone(),
+            keeper: Keeper::new(Holder { place, life }, roster, terms.within),
+            guardian: Guardian::new(deck.now, terms.life, terms.most),
+            place,
+            roster,
+            held: HashMap::new(),
+            keys: HashMap::new(),
+            refused: HashSet::new(),
+            out: Vec::new(),
+            ready: Vec::new(),
+            figures: Figures::default(),
+            missing: false,
+        }
+    }
+
+    /// What operators see.
+    pub fn figures(&self) -> serde_json::Value {
+        let Figures { written, taken_over, turned_away } = &self.figures;
+        let (kept, held) = (self.guardian.count(), self.held.len());
+        json!({"kept_for_others": kept, "held": held, "written_ahead": written, "taken_over": taken_over,
+            "turned_away": turned_away})
+    }
+
+    fn ask(&mut self, deck: &mut Deck, key: u64, question: &Question) {
+        for place in guardians(key, self.roster) {
+            self.out.push((place, Word::Question(question.clone())));
+        }
+        deck.poller.remind(deck.now + self.terms.within, mark(WARDS), 0);
+    }
+
+    /// An event on its way to the module: one that waits for a ward does not get there yet.
+    pub fn before(&mut self, deck: &mut Deck, effects: &[Effect], event: Event) -> Option<Event> {
+        match &event {
+            Event::Arrived(arrival) if effects.get(arrival.offering) != Some(&Effect::Redoable) => {
+                // Without a key nobody can bring it again; and this is one whose ward has come.
+                let Some(client) = arrival.key.filter(|_| !self.keys.contains_key(&arrival.id)) else {
+                    return Some(event);
+                };
+                let key = client.rotate_left(17)
+                    ^ (arrival.offering as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+                if self.held.contains_key(&key) {
+                    self.turn_away(arrival.id);
+                    return None;
+                }
+                let (id, arrival, came) = (arrival.id, *arrival, deck.now);
+                self.held.insert(key, Held { id, arrival, came, history: History::default(), waits: None });
+                self.keys.insert(id, key);
+                let question = self.keeper.claim(deck.now, key);
+                self.ask(deck, key, &question);
+                return None;
+            }
+            Event::Begun { id, .. } => self.answered(deck, *id),
+            Event::Left { id } => {
+                // Its history stays on record: it may come again.
+                if let Some(key) = self.keys.remove(id) {
+                    self.held.remove(&key);
+                    self.keeper.drop(key);
+                }
+            }
+            Event::Ended { id, host, ending, .. } if ending.never_ran() => {
+                if let Some(held) = self.keys.get(id).and_then(|key| self.held.get_mut(key)) {
+                    if held.history.ran == Some(host.0) {
+                        held.history.ran = None;
+                    }
+                }
+            }
+            _ => {}
+        }
+        Some(event)
+    }
+
+    /// An action on its way out: a hand-off waits until it is on record.
+    pub fn ahead(&mut self, deck: &mut Deck, action: Action) -> Option<Action> {
+        match &action {
+            Action::HandOff { id, .. } if self.refused.contains(id) => return None,
+            Action::HandOff { id, host, .. } => {
+                let Some(&key) = self.keys.get(id) else { return Some(action) };
+                let host = host.0;
+                let held = self.held.get_mut(&key)?;
+                let history = &mut held.history;
+                history.hand_offs += 1;
+                history.ran = history.ran.or(Some(host));
+                if history.tried.len() < MOST_TRIED {
+                    history.tried.push(host);
+                }
+                let record =
+                    Record { history: postcard::to_allocvec(history).unwrap_or_default(), over: false };
+                held.waits = Some((action, deck.now));
+                match self.keeper.keep(deck.now, key, record) {
+                    Some(question) => self.ask(deck, key, &question),
+                    None => self.refuse(deck, key),
+                }
+                return None;
+            }
+            Action::Dismiss { id, .. } | Action::GiveUp { id } => self.answered(deck, *id),
+            _ => {}
+        }
+        Some(action)
+    }
+
+    /// It has had its final answer: what comes under its key from here on is another one.
+    fn answered(&mut self, deck: &mut Deck, id: AttachmentId) {
+        let Some(key) = self.keys.remove(&id) else { return };
+        self.held.remove(&key);
+        if let Some(question) = self.keeper.keep(deck.now, key, Record { history: Vec::new(), over: true }) {
+            self.ask(deck, key, &question);
+        }
+    }
+
+    /// Answers one that the module knows nothing of.
+    fn turn_away(&mut self, id: AttachmentId) {
+        self.figures.turned_away += 1;
+        self.ready.push(Action::Dismiss { id, wait: COME_BACK });
+    }
+
+    /// The ward is not to be had: what has not run is dismissed, the rest given up; nothing more is handed off.
+    fn refuse(&mut self, deck: &mut Deck, key: u64) {
+        let Some(held) = self.held.remove(&key) else { return };
+        self.keys.remove(&held.id);
+        self.keeper.drop(key);
+        let waits = held.waits.map(|(action, _)| action);
+        if let Some(Action::HandOff { id, host, .. }) = waits {
+            let (hand_off, ending, gauges) = (held.history.hand_offs, Ending::NeverSent, Vec::new());
+            deck.events.push(Event::Ended { id, hand_off, host, over: true, ending, gauges });
+            deck.events.push(Event::Left { id });
+            self.refused.insert(id);
+        }
+        // What waits has not run; what went before it may have.
+        let before = held.history.hand_offs > 1 && held.history.ran.is_some();
+        if before {
+            self.ready.push(Action::GiveUp { id: held.id });
+        } else {
+            self.turn_away(held.id);
+        }
+    }
+
+    fn came(&mut self, deck: &mut Deck, outcome: Outcome) {
+        match outcome {
+            Outcome::Owned { key, record } => {
+                let Some(held) = self.held.get_mut(&key) else { return };
+                let waited = deck.now.saturating_sub(held.came);
+                let arrival =
+                    Arrival { time_left: held.arrival.time_left.saturating_sub(waited), ..held.arrival };
+                let known =
+                    if record.over { None } else { postcard::from_bytes::<History>(&record.history).ok() };
+                held.history = known.unwrap_or_default();
+                if held.history.hand_offs == 0 {
+                    return deck.events.push(Event::Arrived(arrival));
+                }
+                self.figures.taken_over += 1;
+                let History { hand_offs, ran, tried } = &held.history;
+                // Nobody's clock says when that was: as long ago as a record may be.
+                let then = deck.now.saturating_sub(self.terms.life);
+                let ran = ran.map(|host| (HostId(host), then));
+                let tried = tried.iter().map(|host| HostId(*host)).collect();
+                deck.events.push(Event::TakenUp(arrival, Past { hand_offs: *hand_offs, ran, tried }));
+            }
+            Outcome::Written { key } => {
+                let Some(held) = self.held.get_mut(&key) else { return self.keeper.drop(key) };
+                let Some((action, since)) = held.waits.take() else { return };
+                // Guards: a hand-off by a record that another has taken up, after a stand-still.
+                if deck.now >= since + self.terms.within {
+                    held.waits = Some((action, since));
+                    return self.refuse(deck, key);
+                }
+                self.figures.written += 1;
+                self.missing = false;
+                self.ready.push(action);
+            }
+            Outcome::Again { key, question } => self.ask(deck, key, &question),
+            Outcome::Lost { key } => self.refuse(deck, key),
+            Outcome::NoMajority { key } => {
+                if !std::mem::replace(&mut self.missing, true) && self.held.contains_key(&key) {
+                    warn!(deck.log, "no majority of guardians; labelled and irreversible work is sent away");
+                }
+                self.refuse(deck, key);
+            }
+        }
+    }
+
+    /// Takes in what others say, and what this node says to itself; sends what is to go.
+    pub fn turn(&mut self, deck: &mut Deck, fleet: &mut Fleet) {
+        for (place, bytes) in fleet.letters() {
+            match postcard::from_bytes(&bytes) {
+                Ok(Word::Question(question)) => {
+                    let answer = self.guardian.answer(deck.now, &question);
+                    self.out.push((place, Word::Answer(answer)));
+                }
+                Ok(Word::Answer(answer)) => self.hear(deck, place, answer),
+                // The sum over it was right: another version.
+                Err(_) => {}
+            }
+        }
+        while !self.out.is_empty() {
+            for (place, word) in std::mem::take(&mut self.out) {
+                match word {
+                    Word::Question(question) if place == self.place => {
+                        let answer = self.guardian.answer(deck.now, &question);
+                        self.hear(deck, place, answer);
+                    }
+                    word => fleet.send_letter(place, &postcard::to_allocvec(&word).unwrap_or_default()),
+                }
+            }
+        }
+    }
+
+    fn hear(&mut self, deck: &mut Deck, place: u32, answer: Answer) {
+        if let Some(outcome) = self.keeper.heard(deck.now, place, answer) {
+            self.came(deck, outcome);
+        }
+    }
+
+    /// A time has come.
+    pub fn due(&mut self, deck: &mut Deck) {
+        for outcome in self.keeper.due(deck.now) {
+            self.came(deck, outcome);
+        }
+        self.guardian.sweep(deck.now);
+    }
+
+    /// What is to be carried out now, past the module.
+    pub fn ready(&mut self) -> Vec<Action> {
+        self.refused.clear();
+        std::mem::take(&mut self.ready)
+    }
+}
--- a/node/src/roles/alone.rs
+++ b/node/src/roles/alone.rs
@@ -12,10 +12,11 @@
 use crate::operators::papers::Papers;
 use crate::operators::tally::Now;
 use crate::peers::fleet::Fleet;
+use crate::peers::wards::Wards;
 use crate::peers::words::{Correspondence, Peers};
 use crate::roles::succession::{Estate, Succession};
 use crate::{AtStart, BEYOND_EXPIRY, SWEEP};
-use reedferry::{Action, Balancer, Event};
+use reedferry::{Action, Balancer, Charter, Effect, Event};
 use reedferry_members::State;
 use reedferry_quay::{Clock, Errno, Signal, Socket};
 use reedferry_terms::renewal;
@@ -57,6 +58,7 @@
     probes: Probes,
     peers: Option<Peers>,
     fleet: Option<Fleet>,
+    wards: Option<Wards>,
     correspondence: Option<Correspondence>,
     succession: Succession,
     /// What the module is told where nobody goes on with the clients of a node that stops.
@@ -81,6 +83,11 @@
     let mut actions = Vec::new();
     let fleet = correspondence.as_ref().and_then(|c| c.fleet.as_ref());
     let fleet = fleet.map(|terms| Fleet::open(&mut deck, terms, &papers)).transpose()?;
+    let wards = fleet.as_ref().and_then(|fleet| {
+        let terms = correspondence.as_ref()?.fleet.as_ref()?.wards.as_ref()?;
+        let Charter { node, nodes, .. } = papers.charter;
+        Some(Wards::new(&deck, terms, node, nodes, fleet.life()))
+    });
     let peers = correspondence.as_ref().filter(|c| c.fleet.is_none());
     let peers = peers.map(|correspondence| Peers::open(&mut deck, correspondence)).transpose()?;
     let unasked = !papers.charter.roll_on_request;
@@ -108,6 +115,7 @@
         probes: Probes::default(),
         peers,
         fleet,
+        wards,
         correspondence,
         succession,
         parting: None,
@@ -121,6 +129,7 @@
     node.deck.poller.remind(now + SWEEP, mark(deck::SWEEP), 0);
     loop {
         node.decide();
+        node.guard();
         backlog.drain();
         let late = |t| node.deck.now >= t || node.succession.over();
         if node.deck.leaving.is_some_and(late) && node.ferries.count() == 0 {
@@ -177,10 +186,14 @@
                 deck::MODULE => deck.events.push(Event::Timer { mark: word }),
                 deck::HOST => self.ferries.due(deck, mark, word),
                 deck::PROBE => self.probes.due(deck, mark),
+                deck::WARDS => self.wards.iter_mut().for_each(|wards| wards.due(deck)),
                 deck::FLEET => self.fleet.iter_mut().for_each(|fleet| fleet.due(deck)),
                 _ => self.sweep(),
             }
         }
+        if let (Some(wards), Some(fleet)) = (&mut self.wards, &mut self.fleet) {
+            wards.turn(&mut self.deck, fleet);
+        }
         self.pass_on();
         Ok(())
     }
@@ -209,7 +222,16 @@
 
     /// Hands what was gathered to the module and carries out what it orders.
     fn decide(&mut self) {
+        let effects: Vec<Effect> = match &self.wards {
+            Some(_) => self.papers.charter.offerings.iter().map(|o| o.effect).collect(),
+            None => Vec::new(),
+        };
         for event in std::mem::take(&mut self.deck.events) {
+            let event = match &mut self.wards {
+                Some(wards) => wards.before(&mut self.deck, &effects, event),
+                None => Some(event),
+            };
+            let Some(event) = event else { continue };
             if self.trace {
                 info!(self.deck.log, "event {:?}", event);
             }
@@ -220,6 +242,11 @@
             if self.trace {
                 info!(deck.log, "action {:?}", action);
             }
+            let action = match &mut self.wards {
+                Some(wards) => wards.ahead(deck, action),
+                None => Some(action),
+            };
+            let Some(action) = action else { continue };
             let Some(action) = self.ferries.carry_out(deck, action) else { continue };
             match action {
                 Action::WakeAt { time, mark: word } => deck.poller.remind(time, mark(deck::MODULE), word),
@@ -237,6 +264,15 @@
         }
     }
 
+    /// What wards let go ahead, and what they ask of others.
+    fn guard(&mut self) {
+        let (Some(wards), Some(fleet)) = (&mut self.wards, &mut self.fleet) else { return };
+        wards.turn(&mut self.deck, fleet);
+        for action in wards.ready() {
+            self.ferries.carry_out(&mut self.deck, action);
+        }
+    }
+
     fn sweep(&mut self) {
         let deck = &mut self.deck;
         self.ops.iter_mut().for_each(|ops| ops.sweep(deck));
@@ -264,7 +300,9 @@
                 Reply::new(200, self.deck.tally.text(&Now { in_flight, hosts_known, hosts_excluded }))
             }
             Call::Fleet => match &self.fleet {
-                Some(fleet) => Reply::new(200, fleet.text(self.deck.now)),
+                Some(fleet) => {
+                    Reply::new(200, fleet.text(self.deck.now, self.wards.as_ref().map(Wards::figures)))
+                }
                 None => Reply::new(404, "no fleet\n"),
             },
             Call::Status if stops => Reply::new(503, "stopping\n"),
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -209,6 +209,9 @@
     alone: bool,
     /// Loads are told by probes alone.
     probes: bool,
+    /// What every attachment's effect is, and how long records of work in hand matter where they are kept.
+    effect: &'static str,
+    wards: Option<Duration>,
     /// The places that settings name, where some of the processes have none of their own.
     pub(crate) places: usize,
     view: Option<View>,
@@ -229,6 +232,8 @@
             terms,
             alone: false,
             probes: false,
+            effect: "free",
+            wards: None,
             places,
             view: None,
             ended,
@@ -263,6 +268,12 @@
         self
     }
 
+    /// Of attachments with this effect, recorded by guardians for so long where that is told.
+    pub fn offering(mut self, effect: &'static str, wards: Option<Duration>) -> Self {
+        (self.effect, self.wards) = (effect, wards);
+        self
+    }
+
     /// Each thinks that it is alone, as if nobody shared the list service.
     pub fn each_alone(mut self) -> Self {
         self.alone = true;
@@ -286,6 +297,7 @@
             settings["policy_limits"]["peers"] = json!(true);
             papers["ops"] = json!("127.0.0.1:0");
         }
+        papers["settings"]["offerings"][0]["effect"] = json!(self.effect);
         if self.probes {
             papers["settings"]["reporting"] = json!({"fields": ["util", "x0"], "via": "pull"});
         }
@@ -306,9 +318,13 @@
         let papers: Vec<(usize, Value)> =
             which.iter().map(|&n| (n, self.papers(n, known, revision))).collect();
         let (program, view) = (&self.program, self.view.as_ref());
+        let more = self.wards.map(|life| format!("[fleet.wards]\nlife = \"{}ms\"\n", life.as_millis()));
+        let more = more.unwrap_or_default();
         let started: Vec<(usize, Node)> = thread::scope(|scope| {
             let one = |(node, papers): &(usize, Value)| match view {
-                Some(view) => (*node, Node::start_of_as(program, "node", &view.articles(*node), papers)),
+                Some(view) => {
+                    (*node, Node::start_of_as(program, "node", &(view.articles(*node) + &more), papers))
+                }
                 None => (*node, Node::start_of(program, papers)),
             };
             let share = papers.len().div_ceil(16).max(1);
@@ -612,6 +628,8 @@
             terms: TERMS,
             alone: false,
             probes: false,
+            effect: "free",
+            wards: None,
             places: 0,
             view: None,
             ended: Vec::new(),
--- a/wards/src/lib.rs
+++ b/wards/src/lib.rs
@@ -31,6 +31,8 @@
 
 /// The longest history that is kept.
 pub const LONGEST_HISTORY: usize = 256;
+/// How often a claim is made anew where a higher term went before.
+const TRIES: u32 = 2;
 /// Guardians of a ward.
 const GUARDIANS: usize = 3;
 
@@ -165,6 +167,8 @@
     Owned { key: u64, record: Record },
     /// What was to be put on record is with a majority.
     Written { key: u64 },
+    /// A term that went before was higher: the claim by a new one is to go out.
+    Again { key: u64, question: Question },
     /// Another one owns it by a higher term.
     Lost { key: u64 },
     /// No majority answered in time.
@@ -183,6 +187,7 @@
     term: Term,
     stage: Stage,
     refused: Vec<u32>,
+    tries: u32,
     until: Nanos,
 }
 
@@ -228,7 +233,7 @@
         self.number += 1;
         let term = Term { number: self.number, holder: self.me };
         let stage = Stage::Claiming { granted: BTreeMap::new() };
-        self.held.insert(key, Held { term, stage, refused: Vec::new(), until: now + self.within });
+        self.held.insert(key, Held { term, stage, refused: Vec::new(), tries: 0, until: now + self.within });
         Question::Claim { key, term }
     }
 
@@ -302,6 +307,15 @@
                 self.held.get_mut(&key)?.stage = Stage::Owned;
                 Some(Outcome::Written { key })
             }
+            // The one who was at it before may be gone; two that are at it together do not go on for ever.
+            (Answer::Refused { by: Some(_), .. }, Stage::Claiming { granted }) if held.tries < TRIES => {
+                granted.clear();
+                held.refused.clear();
+                held.tries += 1;
+                self.number += 1;
+                held.term = Term { number: self.number, holder: self.me };
+                Some(Outcome::Again { key, question: Question::Claim { key, term: held.term } })
+            }
             (Answer::Refused { by: Some(_), .. }, _) => {
                 self.held.remove(&key);
                 Some(Outcome::Lost { key })
