Let labelled work go on at the next node inside its window, by the guardian's clock

A record did not say how old it is, so that a labelled line taken up at the next node counted as old as a record may be, and was given up inside its window.

A guardian says for how long it has kept the record; the history says how old the first hand-off was when it was written; the way counts as its longest. No two clocks are compared.

--- a/node/src/peers/wards.rs
+++ b/node/src/peers/wards.rs
@@ -36,8 +36,8 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct History {
     hand_offs: u32,
-    /// The host of the first hand-off that may have run.
-    ran: Option<u64>,
+    /// The host of the first hand-off that may have run, and how long ago that was when this was written.
+    ran: Option<(u64, Nanos)>,
     tried: Vec<u64>,
 }
 
@@ -47,6 +47,8 @@
     arrival: Arrival,
     came: Nanos,
     history: History,
+    /// When the first hand-off that may have run went, by this node's clock.
+    ran_at: Nanos,
     /// The hand-off that waits for its record, and since when.
     waits: Option<(Action, Nanos)>,
 }
@@ -124,7 +126,10 @@
                     return None;
                 }
                 let (id, arrival, came) = (arrival.id, *arrival, deck.now);
-                self.held.insert(key, Held { id, arrival, came, history: History::default(), waits: None });
+                self.held.insert(
+                    key,
+                    Held { id, arrival, came, history: History::default(), ran_at: deck.now, waits: None },
+                );
                 self.keys.insert(id, key);
                 let question = self.keeper.claim(deck.now, key);
                 self.ask(deck, key, &question);
@@ -140,7 +145,7 @@
             }
             Event::Ended { id, host, ending, .. } if ending.never_ran() => {
                 if let Some(held) = self.keys.get(id).and_then(|key| self.held.get_mut(key)) {
-                    if held.history.ran == Some(host.0) {
+                    if held.history.ran.is_some_and(|(ran, _)| ran == host.0) {
                         held.history.ran = None;
                     }
                 }
@@ -160,7 +165,11 @@
                 let held = self.held.get_mut(&key)?;
                 let history = &mut held.history;
                 history.hand_offs += 1;
-                history.ran = history.ran.or(Some(host));
+                if history.ran.is_none() {
+                    held.ran_at = deck.now;
+                }
+                let ago = deck.now.saturating_sub(held.ran_at);
+                history.ran = Some((history.ran.map_or(host, |(ran, _)| ran), ago));
                 if history.tried.len() < MOST_TRIED {
                     history.tried.push(host);
                 }
@@ -217,7 +226,7 @@
 
     fn came(&mut self, deck: &mut Deck, outcome: Outcome) {
         match outcome {
-            Outcome::Owned { key, record } => {
+            Outcome::Owned { key, record, age } => {
                 let Some(held) = self.held.get_mut(&key) else { return };
                 let waited = deck.now.saturating_sub(held.came);
                 let arrival =
@@ -230,9 +239,10 @@
                 }
                 self.figures.taken_over += 1;
                 let History { hand_offs, ran, tried } = &held.history;
-                // Nobody's clock says when that was: as long ago as a record may be.
-                let then = deck.now.saturating_sub(self.terms.life);
-                let ran = ran.map(|host| (HostId(host), then));
+                // No two clocks are compared: so long before it was written, since then there, and on the way here.
+                let ago = ran.map_or(0, |(_, before)| before) + age + self.terms.within;
+                held.ran_at = deck.now.saturating_sub(ago);
+                let ran = ran.map(|(host, _)| (HostId(host), held.ran_at));
                 let tried = tried.iter().map(|host| HostId(*host)).collect();
                 deck.events.push(Event::TakenUp(arrival, Past { hand_offs: *hand_offs, ran, tried }));
             }
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -17,6 +17,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub const EXPIRY: Duration = Duration::from_secs(2);
+/// Within which hosts drop repeats of what is labelled.
+pub const REPEATS: Duration = Duration::from_millis(1500);
 
 /// The terms on cold hosts and on calls to the list service that the whole site works under.
 #[derive(Clone, Copy)]
@@ -298,6 +300,9 @@
             papers["ops"] = json!("127.0.0.1:0");
         }
         papers["settings"]["offerings"][0]["effect"] = json!(self.effect);
+        if self.effect == "guarded" {
+            papers["settings"]["offerings"][0]["repeat_window"] = millis(REPEATS);
+        }
         if self.probes {
             papers["settings"]["reporting"] = json!({"fields": ["util", "x0"], "via": "pull"});
         }
--- a/wards/src/lib.rs
+++ b/wards/src/lib.rs
@@ -46,11 +46,11 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Answer {
-    /// Yes; with what was put on record last, and under which term.
+    /// Yes; with what was put on record last, under which term, and how long ago.
     Granted {
         key: u64,
         term: Term,
-        kept: Option<(Term, Record)>,
+        kept: Option<(Term, Record, Nanos)>,
     },
     Kept {
         key: u64,
@@ -80,6 +80,8 @@
 struct Ward {
     promised: Term,
     kept: Option<(Term, Record)>,
+    /// When that was.
+    since: Nanos,
     until: Nanos,
 }
 
@@ -147,12 +149,16 @@
             return Answer::Refused { key, term, by: Some(ward.promised) };
         }
         let until = now.saturating_add(self.life);
-        let ward = self.wards.entry(key).or_insert(Ward { promised: term, kept: None, until });
+        let ward = self.wards.entry(key).or_insert(Ward { promised: term, kept: None, since: now, until });
         (ward.promised, ward.until) = (ward.promised.max(term), until);
         match question {
-            Question::Claim { .. } => Answer::Granted { key, term, kept: ward.kept.clone() },
+            Question::Claim { .. } => {
+                let age = now.saturating_sub(ward.since);
+                let kept = ward.kept.clone().map(|(by, record)| (by, record, age));
+                Answer::Granted { key, term, kept }
+            }
             Question::Keep { seq, record, .. } if record.history.len() <= LONGEST_HISTORY => {
-                ward.kept = Some((term, record.clone()));
+                (ward.kept, ward.since) = (Some((term, record.clone())), now);
                 Answer::Kept { key, term, seq: *seq }
             }
             Question::Keep { .. } => Answer::Refused { key, term, by: None },
@@ -163,8 +169,8 @@
 /// What came of a ward that this member wants.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
-    /// It is this member's under a term, with what was on record.
-    Owned { key: u64, record: Record },
+    /// It is this member's under a term, with what was on record, and for how long at the guardian that said so.
+    Owned { key: u64, record: Record, age: Nanos },
     /// What was to be put on record is with a majority.
     Written { key: u64 },
     /// A term that went before was higher: the claim by a new one is to go out.
@@ -177,7 +183,7 @@
 
 #[derive(Clone, Hash)]
 enum Stage {
-    Claiming { granted: BTreeMap<u32, Option<(Term, Record)>> },
+    Claiming { granted: BTreeMap<u32, Option<(Term, Record, Nanos)>> },
     Owned,
     Writing { seq: u32, kept: Vec<u32> },
 }
@@ -288,13 +294,13 @@
             (Answer::Granted { kept, .. }, Stage::Claiming { granted }) => {
                 granted.insert(place, kept);
                 let count = granted.len();
-                let latest = granted.values().flatten().max_by_key(|(term, _)| *term);
-                let record = latest.map(|(_, record)| record.clone()).unwrap_or_default();
+                let latest = granted.values().flatten().max_by_key(|(term, _, age)| (*term, *age));
+                let (record, age) = latest.map(|(_, record, age)| (record.clone(), *age)).unwrap_or_default();
                 if !self.enough(key, count) {
                     return None;
                 }
                 self.held.get_mut(&key)?.stage = Stage::Owned;
-                Some(Outcome::Owned { key, record })
+                Some(Outcome::Owned { key, record, age })
             }
             (Answer::Kept { seq, .. }, Stage::Writing { seq: wanted, kept }) if seq == *wanted => {
                 if !kept.contains(&place) {
