Take a silent watch up again before what it missed counts as told

Ruled out: a list taken as stale (the list came 33 ms after the broken request and was believed); a line that waited in the node (the host was chosen in that turn); a service that turned it away (the one call was answered). At fault: HOLD, PATIENCE and the wait of a failed call after a silent one in node/src/listing/discovery.rs.

Change: listing/hearing.rs, a value without I/O, says how long a watch waits (20 s, less by the node's place over half of ask_within), when it counts as silent (a quarter of the protocol's 2 s) and when to call again while time is short (at once, then in shorter steps until what was missed counts).

--- a/node/src/listing/discovery.rs
+++ b/node/src/listing/discovery.rs
@@ -1,21 +1,18 @@
 //! Calls to discovery: the watch on the roll, and the whole roll where that is asked for. It owns the
-//! connections to discovery. It must never decide when to call, nor which list is believed: the module asks,
-//! or where changes are to come unasked the watch is kept up by itself. A call that fails is told and
-//! ends alone.
+//! connections to discovery. It must never decide which list is believed, nor when to call: the module asks, or where
+//! changes are to come unasked the watch is kept up by itself, and where a watch has fallen silent `Hearing` says
+//! when. A call that fails is told and ends alone.
 
 use crate::deck::{Deck, DISCOVERY};
+use crate::listing::hearing::Hearing;
 use crate::listing::http::Answer;
 use crate::listing::list::{List, Reader};
 use crate::listing::versions::{Versions, Worth};
-use reedferry::{Event, Nanos, RollKind, MILLI, SECOND};
+use reedferry::{Charter, Event, Nanos, RollKind, MILLI, SECOND};
 use reedferry_quay::{Errno, Readiness, Socket};
 use slog::{info, warn};
 use std::net::SocketAddr;
 
-/// How long a watch may wait for news. Long, as each call costs discovery work.
-const HOLD: Nanos = 20 * SECOND;
-/// How long an answer may take beyond that.
-const PATIENCE: Nanos = 2 * SECOND;
 /// What a first try after a lost watch waits where nobody asks, doubled up to the longest.
 const AGAIN: Nanos = SECOND / 4;
 const LONGEST_AGAIN: Nanos = 4 * SECOND;
@@ -37,6 +34,7 @@
     /// The connection has served an earlier call.
     used: bool,
     since: Nanos,
+    hold: Nanos,
     until: Nanos,
 }
 
@@ -45,17 +43,27 @@
     versions: Versions,
     calls: [Call; 2],
     following: bool,
-    /// The watch is kept up without being asked for.
+    hearing: Hearing,
+    /// The watch is kept up without being asked for; it is taken up again without, as time is short.
     unasked: bool,
+    pressed: bool,
     next: Nanos,
     failures: u32,
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr, revision: Option<u64>, unasked: bool) -> Self {
-        let calls = [Call::default(), Call::default()];
-        let (versions, following, next, failures) = (Versions::new(revision), false, 0, 0);
-        Discovery { address, versions, calls, following, unasked, next, failures }
+    pub fn new(address: SocketAddr, revision: Option<u64>, charter: &Charter) -> Self {
+        Discovery {
+            address,
+            versions: Versions::new(revision),
+            calls: [Call::default(), Call::default()],
+            following: false,
+            hearing: Hearing::new(charter),
+            unasked: !charter.roll_on_request,
+            pressed: false,
+            next: 0,
+            failures: 0,
+        }
     }
 
     /// Goes over to the service at another address, at once and from its whole list on: versions are each
@@ -66,15 +74,17 @@
         self.calls = [Call::default(), Call::default()];
         (self.address, self.following, self.failures) = (address, false, 0);
         self.versions = Versions::default();
+        self.hearing.heard();
         self.call(deck, WATCH, 0);
         if asked {
             self.call(deck, ASK, 0);
         }
     }
 
-    /// Changes are to come unasked, or no more.
-    pub fn unasked(&mut self, unasked: bool) {
-        self.unasked = unasked;
+    /// Goes by other settings from the next call on.
+    pub fn retune(&mut self, charter: &Charter) {
+        self.hearing.retune(charter);
+        self.unasked = !charter.roll_on_request;
     }
 
     /// The version reached.
@@ -104,7 +114,7 @@
             self.following = false;
             // What was missed since a version that is known comes at once, by the call that then waits on. Guards:
             // two calls of each of hundreds of nodes where one does, also of those that were refused.
-            self.call(deck, WATCH, if self.versions.may_wait() { HOLD } else { MILLI });
+            self.call(deck, WATCH, if self.versions.may_wait() { self.hearing.hold() } else { MILLI });
         }
     }
 
@@ -118,7 +128,8 @@
         };
         let call = &mut self.calls[which];
         call.request = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address).into_bytes();
-        (call.out, call.since, call.until) = (true, deck.now, deck.now + hold + PATIENCE);
+        (call.out, call.since, call.hold) = (true, deck.now, hold);
+        call.until = self.hearing.silent_at(deck.now, hold);
         call.used = call.line.is_some();
         self.start(deck, which);
     }
@@ -239,8 +250,9 @@
                 info!(deck.log, "watch begun"; "at" => %self.address, "revision" => self.revision());
             }
             (self.following, self.failures) = (true, 0);
+            self.hearing.heard();
             // At once: a watch whose next call comes late is a new one.
-            self.call(deck, WATCH, HOLD);
+            self.call(deck, WATCH, self.hearing.hold());
         }
     }
 
@@ -305,6 +317,14 @@
         warn!(deck.log, "discovery call failed"; "watch" => which == WATCH, "why" => why.to_string());
         if which == WATCH {
             self.following = false;
+            self.pressed = false;
+            if let Some(at) = self.hearing.again(deck.now) {
+                (self.next, self.pressed) = (at, true);
+                if at <= deck.now {
+                    self.follow(deck);
+                }
+                return;
+            }
             self.next = deck.now + (AGAIN << self.failures.min(4)).min(LONGEST_AGAIN);
             self.failures += 1;
         }
@@ -316,11 +336,15 @@
     /// Ends calls that nothing answers, and keeps the watch up where nobody asks for it.
     pub fn sweep(&mut self, deck: &mut Deck) {
         for which in [WATCH, ASK] {
-            if self.calls[which].out && deck.now >= self.calls[which].until {
+            let call = &self.calls[which];
+            if call.out && deck.now >= call.until {
+                if which == WATCH {
+                    self.hearing.silent(deck.now, call.since, call.hold);
+                }
                 self.fail(deck, which, "no answer in time");
             }
         }
-        if self.unasked && !self.calls[WATCH].out && deck.now >= self.next {
+        if (self.unasked || self.pressed) && !self.calls[WATCH].out && deck.now >= self.next {
             self.follow(deck);
         }
     }
--- a/node/src/listing/mod.rs
+++ b/node/src/listing/mod.rs
@@ -2,6 +2,7 @@
 //! It must never judge a host.
 
 pub mod discovery;
+pub mod hearing;
 pub mod hosts;
 pub mod http;
 pub mod list;
--- a/node/src/roles/alone.rs
+++ b/node/src/roles/alone.rs
@@ -90,7 +90,6 @@
     });
     let peers = correspondence.as_ref().filter(|c| c.fleet.is_none());
     let peers = peers.map(|correspondence| Peers::open(&mut deck, correspondence)).transpose()?;
-    let unasked = !papers.charter.roll_on_request;
     let module = Balancer::new(papers.charter.clone(), papers.seed, now, &mut actions);
     let mut revision = deck.known(&papers)?;
     if let Some(Estate { discovery, revision: reached, members, legacy, .. }) = estate {
@@ -111,7 +110,7 @@
         deck,
         module,
         ferries: Ferries::default(),
-        discovery: Discovery::new(papers.discovery, revision, unasked),
+        discovery: Discovery::new(papers.discovery, revision, &papers.charter),
         probes: Probes::default(),
         peers,
         fleet,
@@ -394,7 +393,7 @@
         deck.terms = terms.clone();
         deck.tally.offers(&terms.offerings);
         deck.hosts.renew(terms.zones.clone(), charter.shortest_message_time());
-        self.discovery.unasked(!charter.roll_on_request);
+        self.discovery.retune(charter);
         deck.events.push(Event::Renewed(Box::new(charter.clone()), others));
         if zones {
             // Hosts are known by the places of their zones.
--- a/node/src/roles/plan.rs
+++ b/node/src/roles/plan.rs
@@ -65,12 +65,11 @@
     info!(log, "started"; "listen" => %listen, "role" => "plan", "name" => &plans.name, "hosts" => hosts,
         "revision" => revision);
     deck.poller.remind(deck.now + SWEEP, mark(deck::SWEEP), 0);
-    let unasked = !papers.charter.roll_on_request;
     let AtStart { stop, reread } = start;
     let mut plan = Plan {
         deck,
         core,
-        discovery: Discovery::new(papers.discovery, revision, unasked),
+        discovery: Discovery::new(papers.discovery, revision, &papers.charter),
         probes: Probes::default(),
         wires: Wires::default(),
         door,
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -408,7 +408,7 @@
     discovery.calls(before + 1);
     discovery.restart(0, &[]);
     discovery.calls(before + 3);
-    let held: Vec<bool> = discovery.asked()[before..].iter().map(|a| a.contains("hold_ms=20000")).collect();
+    let held: Vec<bool> = discovery.asked()[before..].iter().map(|a| !a.ends_with("hold_ms=1")).collect();
     assert_eq!(held[..3], [true, false, true]);
 }
 
