--- a/rig/src/discovery.rs
+++ b/rig/src/discovery.rs
@@ -32,8 +32,9 @@
     /// Of ten calls so many are turned away.
     refuses: usize,
     turned_away: Vec<Instant>,
-    /// Grows with each start: what was begun before ends.
+    /// Grows with each start: what was begun before ends. Grows whenever watches fall silent.
     life: u64,
+    mute: u64,
     /// The whole list as it was last written, and of which life and revision.
     whole: Option<((u64, u64), Arc<str>)>,
 }
@@ -80,6 +81,11 @@
         self.kept.0.lock().unwrap().hangs = Some(begins);
     }
 
+    /// Watches that wait now are never answered, and stay open; later calls are.
+    pub fn fall_silent(&self) {
+        self.kept.0.lock().unwrap().mute += 1;
+    }
+
     /// It is well again: what hung ends.
     pub fn stop_hanging(&self) {
         let mut kept = self.kept.0.lock().unwrap();
@@ -199,8 +205,15 @@
             }
             if let Some(from) = from {
                 let wait = Duration::from_millis(hold);
+                let mute = kept.mute;
                 let same = |k: &mut Kept| k.revision <= from && k.life == life;
                 kept = self.kept.1.wait_timeout_while(kept, wait, same).unwrap().0;
+                if kept.mute != mute {
+                    drop(kept);
+                    // Whoever waits here is heard no more; the connection ends when the other side ends it.
+                    _ = reader.read_line(&mut request);
+                    return;
+                }
             }
             if kept.life != life {
                 return;
