Call again at once for what counts as told, and hand nothing off while deaf

Now nothing new goes out from the end of the grace on until the list is heard, for ask_within at the most; a service that is gone, or silent to a new call too, shuts nothing.

--- a/node/src/deck.rs
+++ b/node/src/deck.rs
@@ -12,6 +12,7 @@
 use reedferry_terms::Terms;
 use slog::{info, warn, Logger};
 use std::net::SocketAddr;
+use std::ops::Range;
 
 /// The parts that marks are dealt out to.
 pub const MODULE: u8 = 0;
@@ -75,6 +76,8 @@
     pub tally: Tally,
     /// Whether new work was last held off for want of descriptors or buffers.
     pub scarce: bool,
+    /// From when to when nothing new may go to hosts, unless the list service is heard before.
+    pub deaf: Range<Nanos>,
 }
 
 impl Deck {
@@ -103,6 +106,7 @@
             standby: None,
             tally,
             scarce: false,
+            deaf: Nanos::MAX..Nanos::MAX,
         };
         Ok((deck, backlog))
     }
--- a/node/src/ferry/landing.rs
+++ b/node/src/ferry/landing.rs
@@ -118,6 +118,8 @@
         ferry.hand_offs += 1;
         let index = deck.hosts.index(host);
         let launched = match index {
+            // Guards: new work for hosts that drain, of which this node has not heard in time.
+            Some(_) if deck.deaf.contains(&deck.now) => Err(Ending::NeverSent),
             Some(index) => self.launch(deck, slot, index, until, by),
             None => Err(Ending::Unconnected),
         };
@@ -236,6 +238,7 @@
                 // Guards: a line that starts late to a host that was told to be leaving meanwhile.
                 let left = deck.hosts.berth(landing.host).left_since;
                 let late = left.is_some_and(|t| deck.now > t + deck.terms.drain_grace);
+                let late = late || deck.deaf.contains(&deck.now);
                 if (late || deck.now > landing.by) && ferry.stage == Stage::Held {
                     return self.fell_through(deck, slot, Ending::Unconnected);
                 }
--- a/node/src/listing/discovery.rs
+++ b/node/src/listing/discovery.rs
@@ -4,18 +4,20 @@
 //! when. A call that fails is told and ends alone.
 
 use crate::deck::{Deck, DISCOVERY};
-use crate::listing::hearing::Hearing;
+use crate::listing::hearing::{Failure, Hearing};
 use crate::listing::http::Answer;
 use crate::listing::list::{List, Reader};
 use crate::listing::versions::{Versions, Worth};
 use reedferry::{Charter, Event, Nanos, RollKind, MILLI, SECOND};
+
 use reedferry_quay::{Errno, Readiness, Socket};
 use slog::{info, warn};
 use std::net::SocketAddr;
 
-/// What a first try after a lost watch waits where nobody asks, doubled up to the longest.
-const AGAIN: Nanos = SECOND / 4;
-const LONGEST_AGAIN: Nanos = 4 * SECOND;
+/// How soon a call over a connection that had served before may break for the other side to have closed it in between.
+const CLOSED_BETWEEN: Nanos = SECOND / 4;
+/// Where watches are answered with nothing long before their wait is over, the least that lies between two.
+const IDLE: Nanos = SECOND / 5;
 const MOST_BODY: usize = 32 << 20;
 
 const WATCH: usize = 0;
@@ -31,6 +33,8 @@
     answer: Answer,
     reader: Reader,
     body: usize,
+    /// Something of its answer has come.
+    came: bool,
     /// The connection has served an earlier call.
     used: bool,
     since: Nanos,
@@ -44,25 +48,25 @@
     calls: [Call; 2],
     following: bool,
     hearing: Hearing,
-    /// The watch is kept up without being asked for; it is taken up again without, as time is short.
-    unasked: bool,
-    pressed: bool,
-    next: Nanos,
-    failures: u32,
+    /// When the watch is taken up again without being asked for.
+    next: Option<Nanos>,
+    /// Watches in a row that ended at once with nothing.
+    idle: u32,
+    /// It has been told that the node can't be sure to have heard in time.
+    shut: bool,
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr, revision: Option<u64>, charter: &Charter) -> Self {
+    pub fn new(address: SocketAddr, revision: Option<u64>, charter: &Charter, grace: Nanos) -> Self {
         Discovery {
             address,
             versions: Versions::new(revision),
             calls: [Call::default(), Call::default()],
             following: false,
-            hearing: Hearing::new(charter),
-            unasked: !charter.roll_on_request,
-            pressed: false,
-            next: 0,
-            failures: 0,
+            hearing: Hearing::new(charter, grace),
+            next: Some(0).filter(|_| !charter.roll_on_request),
+            idle: 0,
+            shut: false,
         }
     }
 
@@ -72,9 +76,9 @@
     pub fn go_over(&mut self, deck: &mut Deck, address: SocketAddr) {
         let asked = self.calls[ASK].out;
         self.calls = [Call::default(), Call::default()];
-        (self.address, self.following, self.failures) = (address, false, 0);
+        (self.address, self.following, self.next) = (address, false, None);
         self.versions = Versions::default();
-        self.hearing.heard();
+        self.hearing.moved(deck.now);
         self.call(deck, WATCH, 0);
         if asked {
             self.call(deck, ASK, 0);
@@ -82,9 +86,11 @@
     }
 
     /// Goes by other settings from the next call on.
-    pub fn retune(&mut self, charter: &Charter) {
-        self.hearing.retune(charter);
-        self.unasked = !charter.roll_on_request;
+    pub fn retune(&mut self, charter: &Charter, grace: Nanos) {
+        self.hearing.retune(charter, grace);
+        if self.hearing.unasked() && !self.calls[WATCH].out {
+            self.next.get_or_insert(0);
+        }
     }
 
     /// The version reached.
@@ -129,15 +135,19 @@
         let call = &mut self.calls[which];
         call.request = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address).into_bytes();
         (call.out, call.since, call.hold) = (true, deck.now, hold);
-        call.until = self.hearing.silent_at(deck.now, hold);
-        call.used = call.line.is_some();
+        (call.until, call.used) = (self.hearing.silent_at(deck.now, hold), call.line.is_some());
+        if which == WATCH {
+            self.next = None;
+            self.hearing.out(deck.now, hold);
+            deck.deaf = self.hearing.deaf();
+        }
         self.start(deck, which);
     }
 
     /// Sends the request from its first byte, over a new connection where none is open.
     fn start(&mut self, deck: &mut Deck, which: usize) {
         let call = &mut self.calls[which];
-        (call.written, call.body) = (0, 0);
+        (call.written, call.body, call.came) = (0, 0, false);
         (call.answer, call.reader) = (Answer::default(), Reader::default());
         if call.line.is_none() {
             let opened = deck.budget.connect(&self.address).and_then(|(socket, _)| {
@@ -146,7 +156,11 @@
             });
             match opened {
                 Ok(line) => call.line = Some(line),
-                Err(e) => self.fail(deck, which, &format!("connect: {e}")),
+                // What this machine is short of says nothing of the service.
+                Err(e @ (Errno::MFILE | Errno::NFILE | Errno::ADDRNOTAVAIL | Errno::NOBUFS)) => {
+                    self.ended(deck, which, Failure::Refused, &format!("connect: {e}"));
+                }
+                Err(e) => self.fail(deck, which, Failure::Broken, &format!("connect: {e}")),
             }
         } else {
             self.write(deck, which);
@@ -181,7 +195,8 @@
     }
 
     fn read(&mut self, deck: &mut Deck, which: usize) {
-        let Some(mut buffer) = deck.pool.take() else { return self.fail(deck, which, "no buffer") };
+        // Guards: a list that is lost because clients hold all buffers; it is read when one is free.
+        let Some(mut buffer) = deck.pool.take() else { return };
         loop {
             let call = &mut self.calls[which];
             let Some((socket, _)) = &call.line else { return };
@@ -201,6 +216,10 @@
             if !call.out {
                 return self.broken(deck, which, "bytes that nobody asked for");
             }
+            if !std::mem::replace(&mut call.came, true) {
+                // Guards: an answer that begins and never ends, waited for as long as a watch that is quiet.
+                call.until = call.until.min(self.hearing.stopped_at(deck.now));
+            }
             let (answer, reader, body) = (&mut call.answer, &mut call.reader, &mut call.body);
             let took = answer.feed(buffer.waiting(), |piece| {
                 *body += piece.len();
@@ -211,7 +230,7 @@
             });
             match took {
                 Ok(took) if call.answer.done() && took < count => {
-                    return self.fail(deck, which, "bytes that nobody asked for");
+                    return self.fail(deck, which, Failure::Unread, "bytes that nobody asked for");
                 }
                 Ok(_) if call.answer.done() => {
                     self.answered(deck, which);
@@ -222,7 +241,7 @@
                     return self.refused(deck, which, status);
                 }
                 Ok(_) => {}
-                Err(why) => return self.fail(deck, which, why),
+                Err(why) => return self.fail(deck, which, Failure::Unread, why),
             }
         }
     }
@@ -240,17 +259,25 @@
         call.out = false;
         let list = match std::mem::take(&mut call.reader).finish() {
             Ok(list) => list,
-            Err(why) => return self.fail(deck, which, why),
+            Err(why) => return self.fail(deck, which, Failure::Unread, why),
         };
+        let (since, hold, news) = (call.since, call.hold, !list.members.is_empty());
         if !self.take(deck, which, list) {
-            return self.fail(deck, which, "a revision that runs backwards");
+            return self.fail(deck, which, Failure::Unread, "a revision that runs backwards");
         }
         if which == WATCH {
             if !self.following {
                 info!(deck.log, "watch begun"; "at" => %self.address, "revision" => self.revision());
             }
-            (self.following, self.failures) = (true, 0);
+            self.following = true;
             self.hearing.heard();
+            deck.deaf = self.hearing.deaf();
+            // Guards: a service that ends every watch at once with nothing, called as fast as it answers.
+            self.idle = if news || hold < IDLE || deck.now > since + IDLE { 0 } else { self.idle + 1 };
+            if self.idle > 1 {
+                self.next = Some(deck.now + (IDLE << (self.idle - 2).min(3)));
+                return;
+            }
             // At once: a watch whose next call comes late is a new one.
             self.call(deck, WATCH, self.hearing.hold());
         }
@@ -289,11 +316,11 @@
         if !call.out {
             return;
         }
-        if call.used && !call.answer.begun() && deck.now < call.since + AGAIN {
+        if call.used && !call.answer.begun() && deck.now < call.since + CLOSED_BETWEEN {
             // Without a wait: whoever closed it may have started anew, and wait for a version long passed here.
             return self.call(deck, which, MILLI);
         }
-        self.fail(deck, which, why);
+        self.fail(deck, which, Failure::Broken, why);
     }
 
     /// The service answered, but not with a list: it is the one that it was where it says that it is busy.
@@ -301,51 +328,51 @@
         if !matches!(status, 429 | 503) {
             self.versions.broke();
         }
-        self.ended(deck, which, &format!("status {status}"));
+        self.ended(deck, which, Failure::Refused, &format!("status {status}"));
     }
 
-    fn fail(&mut self, deck: &mut Deck, which: usize, why: &str) {
+    fn fail(&mut self, deck: &mut Deck, which: usize, how: Failure, why: &str) {
         if which == WATCH {
             self.versions.broke();
         }
-        self.ended(deck, which, why);
+        self.ended(deck, which, how, why);
     }
 
-    fn ended(&mut self, deck: &mut Deck, which: usize, why: &str) {
+    fn ended(&mut self, deck: &mut Deck, which: usize, how: Failure, why: &str) {
         let call = &mut self.calls[which];
         (call.line, call.out) = (None, false);
         warn!(deck.log, "discovery call failed"; "watch" => which == WATCH, "why" => why.to_string());
         if which == WATCH {
             self.following = false;
-            self.pressed = false;
-            if let Some(at) = self.hearing.again(deck.now) {
-                (self.next, self.pressed) = (at, true);
-                if at <= deck.now {
-                    self.follow(deck);
-                }
-                return;
+            self.next = self.hearing.failed(deck.now, how);
+            deck.deaf = self.hearing.deaf();
+            if self.next.is_some_and(|at| at <= deck.now) {
+                return self.follow(deck);
             }
-            self.next = deck.now + (AGAIN << self.failures.min(4)).min(LONGEST_AGAIN);
-            self.failures += 1;
         }
-        if !self.unasked {
+        // Nobody else says when to call while it is known here.
+        if which == ASK || self.next.is_none() {
             deck.events.push(Event::Roll { kind: RollKind::Failed, hosts: Vec::new() });
         }
     }
 
-    /// Ends calls that nothing answers, and keeps the watch up where nobody asks for it.
+    /// Ends calls that nothing answers, and takes the watch up again where that is due.
     pub fn sweep(&mut self, deck: &mut Deck) {
         for which in [WATCH, ASK] {
-            let call = &self.calls[which];
-            if call.out && deck.now >= call.until {
-                if which == WATCH {
-                    self.hearing.silent(deck.now, call.since, call.hold);
-                }
-                self.fail(deck, which, "no answer in time");
+            // What came while no buffer was to be had.
+            if self.calls[which].line.is_some() {
+                self.read(deck, which);
+            }
+            if self.calls[which].out && deck.now >= self.calls[which].until {
+                self.fail(deck, which, Failure::Silent, "no answer in time");
             }
         }
-        if (self.unasked || self.pressed) && !self.calls[WATCH].out && deck.now >= self.next {
+        if !self.calls[WATCH].out && self.next.is_some_and(|at| deck.now >= at) {
             self.follow(deck);
         }
+        let shut = deck.deaf.contains(&deck.now);
+        if shut != std::mem::replace(&mut self.shut, shut) {
+            warn!(deck.log, "list not heard in time"; "nothing new to hosts" => shut);
+        }
     }
 }
--- a/node/src/roles/alone.rs
+++ b/node/src/roles/alone.rs
@@ -110,7 +110,7 @@
         deck,
         module,
         ferries: Ferries::default(),
-        discovery: Discovery::new(papers.discovery, revision, &papers.charter),
+        discovery: Discovery::new(papers.discovery, revision, &papers.charter, papers.terms.drain_grace),
         probes: Probes::default(),
         peers,
         fleet,
@@ -148,10 +148,18 @@
         let mut ready = Vec::new();
         let at_once = !self.deck.events.is_empty() || self.ferries.busy();
         self.deck.poller.wait(clock.read(), at_once, &mut ready)?;
-        self.deck.now = clock.read();
+        let before = std::mem::replace(&mut self.deck.now, clock.read());
         self.fleet.iter_mut().for_each(|fleet| fleet.mind(&mut self.deck));
-        // Guards: an operator who waits behind a crowd of clients.
-        ready.sort_by_key(|one| !matches!(one.mark.part, deck::OPS | deck::OPS_DOOR));
+        // Guards: an operator who waits behind a crowd of clients; clients handed to a host that drains, by the word
+        // of a list that came before them, while the process stood still.
+        ready.sort_by_key(|one| match one.mark.part {
+            deck::DISCOVERY => 0,
+            deck::OPS | deck::OPS_DOOR => 1,
+            _ => 2,
+        });
+        if self.deck.now > before + 2 * SWEEP {
+            self.discovery.look(&mut self.deck);
+        }
         for one in ready {
             let deck = &mut self.deck;
             match one.mark.part {
@@ -393,7 +401,7 @@
         deck.terms = terms.clone();
         deck.tally.offers(&terms.offerings);
         deck.hosts.renew(terms.zones.clone(), charter.shortest_message_time());
-        self.discovery.retune(charter);
+        self.discovery.retune(charter, terms.drain_grace);
         deck.events.push(Event::Renewed(Box::new(charter.clone()), others));
         if zones {
             // Hosts are known by the places of their zones.
--- a/node/src/roles/plan.rs
+++ b/node/src/roles/plan.rs
@@ -69,7 +69,7 @@
     let mut plan = Plan {
         deck,
         core,
-        discovery: Discovery::new(papers.discovery, revision, &papers.charter),
+        discovery: Discovery::new(papers.discovery, revision, &papers.charter, papers.terms.drain_grace),
         probes: Probes::default(),
         wires: Wires::default(),
         door,
