Try spoilt lists, a service that is back, a process that stood still and a deaf node

Several processes or one beside the stand-in list service, asked for and pushed, judged by what hosts saw.

--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -1,10 +1,11 @@
 //! Several processes of the program beside a list service whose watches fall silent, break or are spoilt, while hosts
 //! drain under load. Judged by what hosts and the list service saw, against when each node counts as told.
 
-use reedferry_rig::acting::{Clients, Hosts, Referee, GRACE, SOCKETS};
+use reedferry_rig::acting::{Clients, Hosts, Reached, Referee, GRACE, SOCKETS};
 use reedferry_rig::program::papers_of;
-use reedferry_rig::{Discovery, Node};
+use reedferry_rig::{Discovery, Node, Peer};
 use serde_json::json;
+use std::cell::Cell;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -19,32 +20,35 @@
 /// Hosts that drain.
 const DRAIN: usize = 1;
 
-/// A list service, hosts and processes that follow it. Their places are the last of twice as many, as those watch for
-/// shorter times.
+/// A list service, hosts and processes that follow it. Their places are the last of many, as those watch for shorter
+/// times.
 struct Site {
     service: Discovery,
     referee: Referee,
     hosts: Hosts,
     nodes: Vec<Node>,
+    /// Whose clients are whose, by their names.
+    named: Cell<u64>,
 }
 
 impl Site {
-    fn new(mode: &str) -> Self {
+    fn new(mode: &str, nodes: usize, of: usize) -> Self {
         let (service, referee) = (Discovery::start(), Referee::default());
         let hosts = Hosts::start(HOSTS, &referee);
         let start = |node: usize| {
             let mut papers = papers_of(hosts.members(), service.address);
             papers["name"] = json!(format!("n{node}"));
             let settings = &mut papers["settings"];
-            settings["balancers"] = json!(2 * NODES);
-            settings["index"] = json!(NODES + node);
+            settings["balancers"] = json!(of);
+            settings["index"] = json!(of - nodes + node);
             settings["registry_mode"] = json!(mode);
             settings["contract"]["ask_within"] = json!(10_000.0);
             settings["offerings"][0]["name"] = json!("free");
             Node::start(&papers)
         };
-        let nodes = (0..NODES).map(start).collect();
-        Site { service, referee, hosts, nodes }
+        let nodes: Vec<Node> = (0..nodes).map(start).collect();
+        service.calls(nodes.len());
+        Site { service, referee, hosts, nodes, named: Cell::new(0) }
     }
 
     /// By when each node counts as told of what a silence from then on hides, by the wait that it asked for.
@@ -55,30 +59,31 @@
         // Nodes that come later in the fleet wait less.
         let mut out: Vec<(u64, Instant)> = calls.iter().map(|(at, path)| (wait(path), *at)).collect();
         out.sort();
-        let out = &out[out.len() - NODES..];
+        let out = &out[out.len() - self.nodes.len()..];
         out.iter().rev().map(|(wait, at)| (*at + ms(wait + 2000)).max(silent + ms(6000))).collect()
     }
 
-    fn drain(&self) {
-        (0..DRAIN).for_each(|host| self.service.change(self.hosts.member(host, "leaving")));
+    fn drain(&self, host: usize) {
+        self.service.change(self.hosts.member(host, "leaving"));
     }
 
     /// Clients at each node until then; gives what reached hosts that drain, node by node.
     fn load(&self, until: Instant) -> Vec<Vec<Instant>> {
+        let from = self.named.replace(self.named.get() + self.nodes.len() as u64);
         thread::scope(|scope| {
             for (n, node) in self.nodes.iter().enumerate() {
                 let (address, referee) = (node.address, &self.referee);
                 scope.spawn(move || {
-                    let mut clients = Clients::new(vec![address], referee, n as u64 + 1);
+                    let mut clients = Clients::new(vec![address], referee, from + n as u64);
                     clients.load(8.0, until.saturating_duration_since(Instant::now()), &[0], ms(20));
                     clients.end();
                 });
             }
         });
-        let mut reached = vec![Vec::new(); NODES];
+        let mut reached = vec![Vec::new(); self.nodes.len()];
         for one in self.referee.reached().iter().filter(|one| one.host < DRAIN) {
-            let node = one.name.split('-').next().and_then(|n| usize::from_str_radix(n, 16).ok());
-            reached[node.unwrap() - 1].push(one.at);
+            let named = one.name.split('-').next().and_then(|n| usize::from_str_radix(n, 16).ok());
+            reached[named.unwrap() % self.nodes.len()].push(one.at);
         }
         reached
     }
@@ -91,12 +96,11 @@
     thread::scope(|scope| {
         for mode in ["on_request", "pushed"] {
             scope.spawn(move || {
-                let site = Site::new(mode);
-                site.service.calls(NODES);
+                let site = Site::new(mode, NODES, 2 * NODES);
                 site.service.bound(2.0, ms(1000));
                 site.service.fall_silent();
                 let silent = Instant::now();
-                site.drain();
+                (0..DRAIN).for_each(|host| site.drain(host));
                 let told = site.told(silent);
                 let last = *told.iter().max().unwrap();
                 let reached = site.load(last + ms(2000));
@@ -117,3 +121,105 @@
         }
     });
 }
+
+/// Guards: a list that came garbled, or from before what is known, and the drain that follows it heard of seconds later
+/// than it counts as told; one such answer that ends more than its own call.
+#[test]
+fn a_spoilt_list_is_asked_for_again_at_once_whoever_asks_for_it() {
+    let head = |length: usize| format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+    let body = r#"{"revision":9,"complete":true,"members":[{"id":"s-0","phase":"#;
+    let whole = |body: &str| head(body.len()) + body;
+    let spoilt = [
+        whole(&format!("{body}\"resting\"}}]}}")),
+        whole(&format!("{body}\"active\"}}")),
+        whole(&body.replace('{', "\u{1}")),
+        whole(r#"{"revision":0,"complete":false,"members":[]}"#),
+        whole(&format!("{body}\"active\"}}]}}}}}}")),
+        "HTTP/9 what\r\n\r\n".to_string(),
+    ];
+    thread::scope(|scope| {
+        for mode in ["on_request", "pushed"] {
+            let spoilt = &spoilt;
+            scope.spawn(move || {
+                for (n, spoilt) in spoilt.iter().enumerate() {
+                    // The last of a hundred: whoever asks for itself waits longest there.
+                    let site = Site::new(mode, 1, 100);
+                    site.service.answer_instead(&[spoilt]);
+                    site.service.change(site.hosts.member(HOSTS - 1, "active"));
+                    site.service.calls(2);
+                    site.drain(0);
+                    site.referee.drains(0, true);
+                    site.load(Instant::now() + ms(1500));
+                    assert_eq!(site.referee.broken(BUSY), Vec::<String>::new(), "{mode}, answer {n}");
+                    let calls = site.service.seen().0.len();
+                    assert!(calls <= 8, "{mode}, answer {n}: {calls} calls");
+                }
+            });
+        }
+    });
+}
+
+/// Guards: a node that notices seconds late that a service is back, which it is held to from that moment on.
+#[test]
+fn pushed_lists_are_heard_of_as_soon_as_their_service_is_back() {
+    let site = Site::new("pushed", 3, 3);
+    site.service.go_down();
+    let down = Instant::now();
+    site.load(down + ms(4500));
+    site.service.come_up();
+    site.drain(0);
+    site.referee.drains(0, true);
+    site.load(Instant::now() + ms(1500));
+    assert_eq!(site.referee.broken(BUSY), Vec::<String>::new());
+}
+
+/// Guards: clients that came while a process stood still, handed to a host by a list from before.
+#[test]
+fn a_process_that_stood_still_reads_its_list_before_it_serves() {
+    for mode in ["on_request", "pushed"] {
+        let site = Site::new(mode, 1, 1);
+        let node = &site.nodes[0];
+        let mut clients: Vec<Peer> = (0..40).map(|_| Peer::connect(node.address)).collect();
+        clients.iter_mut().for_each(|client| {
+            client.say("PING");
+            client.hears("PONG");
+        });
+        node.stand_still();
+        for (n, client) in clients.iter_mut().enumerate() {
+            client.say(&format!("OPEN {n:x} {n:x} c=free,t=acme,d=2000"));
+        }
+        site.drain(0);
+        site.referee.drains(0, true);
+        let from = Instant::now();
+        while from.elapsed() < GRACE + SOCKETS + BUSY + ms(100) {
+            thread::yield_now();
+        }
+        node.go_on();
+        clients.iter_mut().for_each(|client| client.hears("UP 1"));
+        assert_eq!(site.referee.broken(BUSY), Vec::<String>::new(), "{mode}");
+    }
+}
+
+/// Guards: new work for a host that drains, by a node whose watch fell silent and whose next calls a busy service
+/// turned away until it was held to what it had missed; and one that serves no more when it has heard.
+#[test]
+fn a_node_that_can_not_have_heard_in_time_hands_nothing_off_until_it_has() {
+    let site = Site::new("on_request", 1, 1000);
+    site.service.fall_silent();
+    let silent = Instant::now();
+    site.service.turn_away(10);
+    (0..HOSTS - 1).for_each(|host| site.drain(host));
+    let told = site.told(silent)[0];
+    site.load(told + ms(2000));
+    let late = |one: &&Reached| one.at > told + GRACE + SOCKETS + BUSY;
+    let reached = site.referee.reached();
+    assert!(reached.iter().any(|one| one.host == 0), "too tame");
+    assert_eq!(reached.iter().filter(late).count(), 0, "while it could not know");
+    assert_eq!(site.referee.broken(ms(60_000)), Vec::<String>::new(), "answered all the same");
+    site.service.turn_away(0);
+    site.nodes[0].logs("watch begun");
+    site.load(Instant::now() + ms(1000));
+    let reached = site.referee.reached();
+    let late: Vec<usize> = reached.iter().filter(late).map(|one| one.host).collect();
+    assert!(!late.is_empty() && late.iter().all(|host| *host == HOSTS - 1), "{late:?}");
+}
