--- a/link/src/plan.rs
+++ b/link/src/plan.rs
@@ -7,7 +7,7 @@
 use reedferry::{HostId, Nanos, SECOND};
 
 /// The hosts that a plan names at the most.
-pub const MOST_HOSTS: usize = crate::frames::MOST_NAMED;
+pub const MOST_HOSTS: usize = 1024;
 /// What is left of a share after a second.
 const FADE: f64 = 0.5;
 
--- a/node/src/listing/hearing.rs
+++ b/node/src/listing/hearing.rs
@@ -128,8 +128,11 @@
             }
             // What was to be told counts as told when it was written.
             Failure::Unread if self.tries == 0 => self.press = now + self.grace,
-            // Who does not answer a new call either is down, and tells nothing.
-            Failure::Silent | Failure::Broken => self.held = None,
+            // Who does not answer a new call either is down, and tells nothing; it may not be for long.
+            Failure::Silent | Failure::Broken => {
+                let told = self.held.take().filter(|_| !self.unasked);
+                self.press = told.unwrap_or(if self.unasked { 0 } else { self.press });
+            }
             _ => {}
         }
         // Steps that differ between nodes, and between one node's tries.
@@ -262,12 +265,18 @@
     /// Guards: a node that dismisses all while the list service is down, of which nothing is told.
     #[test]
     fn a_service_that_is_gone_or_says_nothing_to_a_new_call_either_shuts_nothing() {
-        for how in [Failure::Broken, Failure::Silent] {
-            let mut hearing = one(0, 1, false);
-            let now = noticed(&mut hearing);
-            hearing.out(now, MILLI);
-            hearing.failed(now + SECOND, how);
-            assert_eq!(hearing.deaf().start, Nanos::MAX, "{how:?}");
+        for (how, pushed) in
+            [Failure::Broken, Failure::Silent].into_iter().flat_map(|h| [(h, false), (h, true)])
+        {
+            let mut hearing = one(0, 1, pushed);
+            let mut now = noticed(&mut hearing);
+            for _ in 0..5 {
+                hearing.out(now, MILLI);
+                now = hearing.failed(now + SECOND / 4, how).unwrap_or(now + SECOND);
+                assert_eq!(hearing.deaf().start, Nanos::MAX, "{how:?}");
+            }
+            let at = hearing.failed(now, how);
+            assert_eq!(at.is_some_and(|at| at <= now + GRACE), pushed, "{how:?}");
         }
     }
 
--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -3,7 +3,7 @@
 
 use reedferry_rig::acting::{Clients, Hosts, Reached, Referee, GRACE, SOCKETS};
 use reedferry_rig::program::papers_of;
-use reedferry_rig::{Discovery, Node, Peer};
+use reedferry_rig::{eventually, Discovery, Node, Peer};
 use serde_json::json;
 use std::cell::Cell;
 use std::thread;
@@ -162,15 +162,49 @@
 /// Guards: a node that notices seconds late that a service is back, which it is held to from that moment on.
 #[test]
 fn pushed_lists_are_heard_of_as_soon_as_their_service_is_back() {
-    let site = Site::new("pushed", 3, 3);
-    site.service.go_down();
-    let down = Instant::now();
-    site.load(down + ms(4500));
-    site.service.come_up();
-    site.drain(0);
-    site.referee.drains(0, true);
-    site.load(Instant::now() + ms(1500));
-    assert_eq!(site.referee.broken(BUSY), Vec::<String>::new());
+    for hangs in [false, true] {
+        let site = Site::new("pushed", 3, 3);
+        let down = Instant::now();
+        site.service.go_down();
+        if hangs {
+            // It takes calls and says nothing.
+            site.service.come_up();
+            site.service.hang(false);
+        }
+        site.load(down + ms(4500));
+        site.service.come_up();
+        site.service.stop_hanging();
+        site.drain(0);
+        site.referee.drains(0, true);
+        site.load(Instant::now() + ms(1500));
+        assert_eq!(site.referee.broken(BUSY), Vec::<String>::new(), "hangs: {hangs}");
+    }
+}
+
+/// Guards: a service that ends every watch at once with nothing, called as fast as it answers.
+#[test]
+fn watches_that_end_at_once_with_nothing_storm_nobody() {
+    let body = r#"{"revision":3,"complete":false,"members":[]}"#;
+    let nothing = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    for mode in ["on_request", "pushed"] {
+        let site = Site::new(mode, 1, 1);
+        site.service.answer_instead(&vec![&nothing[..]; 100_000]);
+        site.service.change(site.hosts.member(0, "active"));
+        let calls = site.service.seen().0.len();
+        site.load(Instant::now() + ms(2500));
+        let calls = site.service.seen().0.len() - calls;
+        assert!((2..=14).contains(&calls), "{mode}: {calls} calls");
+        // A host goes leaving, active and leaving again, and that is heard of all the same.
+        site.service.answer_instead(&[]);
+        for phase in ["leaving", "active", "leaving"] {
+            site.service.change(site.hosts.member(0, phase));
+        }
+        eventually("the drain is never heard of", || {
+            let before = site.referee.reached().len();
+            site.load(Instant::now() + ms(700));
+            site.referee.reached()[before..].iter().all(|one| one.host != 0)
+        });
+    }
 }
 
 /// Guards: clients that came while a process stood still, handed to a host by a list from before.
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -775,3 +775,34 @@
     let output = program("").env_remove("GW_CONFIG").output().unwrap();
     assert_eq!(String::from_utf8(output.stderr).unwrap(), "reedferry: GW_CONFIG is not set\n");
 }
+
+/// Guards: lists, fleets or lines of the log that are cut off at some bound.
+#[test]
+fn eleven_hundred_hosts_in_a_fleet_of_eleven_hundred_nodes_are_all_known() {
+    const MANY: usize = 1100;
+    let hosts = Hosts::start(2);
+    let named =
+        |n: usize, phase: &str| member(n, &hosts.addresses[usize::from(n + 1 == MANY)].to_string(), phase);
+    let discovery = Discovery::start();
+    (0..MANY).for_each(|n| discovery.change(named(n, "active")));
+    let mut papers = papers(&hosts, discovery.address);
+    papers["known"] = json!({"revision": 0, "complete": true, "members": []});
+    papers["settings"]["balancers"] = json!(MANY);
+    papers["settings"]["index"] = json!(MANY - 1);
+    papers["settings"]["contract"]["ask_within"] = json!(200.0);
+    let node = Node::start(&papers);
+    discovery.calls(2);
+    let mut held = vec![node.served(&hosts)];
+    assert_eq!(held[0].1, 0, "one of eleven hundred is the last");
+    // All but the last go, each by a change of its own.
+    (0..MANY - 1).for_each(|n| discovery.change(named(n, "leaving")));
+    eventually("the last is never found", || {
+        held.push(node.served(&hosts));
+        held.last().is_some_and(|(_, at, _)| *at == 1)
+    });
+    for _ in 0..20 {
+        held.push(node.served(&hosts));
+    }
+    assert!(held.iter().rev().take(20).all(|(_, at, _)| *at == 1));
+    assert!(node.memory() < 32 << 20, "{} bytes", node.memory());
+}
