--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -234,6 +234,25 @@
     }
 }
 
+/// Guards: an answer that begins and never ends, waited for as long as a watch that is quiet.
+#[test]
+fn a_list_that_begins_and_never_ends_is_asked_for_again_in_time() {
+    for mode in ["on_request", "pushed"] {
+        let site = Site::new(mode, 1, 1);
+        site.service.answer_instead(&["HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n{\"revision\":"]);
+        site.service.change(site.hosts.member(HOSTS - 1, "active"));
+        site.service.calls(2);
+        let begun = Instant::now();
+        (0..HOSTS - 1).for_each(|host| site.drain(host));
+        site.load(begun + ms(7500));
+        let reached = site.referee.reached().into_iter().filter(|one| one.host < HOSTS - 1);
+        let (late, before): (Vec<_>, Vec<_>) =
+            reached.partition(|one| one.at > begun + ms(6000) + GRACE + SOCKETS + BUSY);
+        assert_eq!(late.len(), 0, "{mode}");
+        assert!(!before.is_empty(), "{mode}: too tame");
+    }
+}
+
 /// Guards: new work for a host that drains, by a node whose watch fell silent and whose next calls a busy service
 /// turned away until it was held to what it had missed; and one that serves no more when it has heard.
 #[test]
