Try a host connection that comes up late over the moment of the drain

A door without room on loopback; the connection stands a second after it was asked for. Fails with the guard in ferry/landing.rs taken out ("a line came").

--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -3,7 +3,7 @@
 
 use reedferry_rig::acting::{Clients, Hosts, Reached, Referee, GRACE, SOCKETS};
 use reedferry_rig::program::papers_of;
-use reedferry_rig::{eventually, Discovery, Node, Peer};
+use reedferry_rig::{eventually, jammed, member, Discovery, Node, Peer, OPEN};
 use serde_json::json;
 use std::cell::Cell;
 use std::thread;
@@ -253,6 +253,40 @@
     }
 }
 
+/// Guards: a line that starts late to a host that was told to be leaving meanwhile.
+#[test]
+fn a_connection_that_comes_up_late_over_the_drain_is_not_written_to() {
+    let (door, _first) = jammed();
+    let service = Discovery::start();
+    let named = |phase: &str| member(0, &door.local_addr().unwrap().to_string(), phase);
+    let mut papers = papers_of(json!([named("active")]), service.address);
+    let settings = &mut papers["settings"];
+    settings["policy_limits"]["connect_timeout"] = json!(5000.0);
+    settings["offerings"][0]["contract_time"] = json!(5000.0);
+    settings["offerings"][0]["expiry"] = json!(8000.0);
+    let node = Node::start(&papers);
+    service.calls(1);
+    let mut client = node.open(&OPEN.replace("d=2000", "d=8000"));
+    // Whoever answers this has read that.
+    let mut other = Peer::connect(node.address);
+    other.say("PING");
+    other.hears("PONG");
+    service.change(named("leaving"));
+    let told = Instant::now();
+    eventually("no time passes", || told.elapsed() > GRACE + SOCKETS + ms(50));
+    door.set_nonblocking(true).unwrap();
+    let mut up = Vec::new();
+    // The system asks for the connection again a second after the first time.
+    eventually("no connection came up late", || {
+        up.extend(door.accept().ok());
+        up.len() == 2
+    });
+    let late = up.pop().unwrap().0;
+    late.set_nonblocking(false).unwrap();
+    assert!(["end", "reset"].contains(&Peer::new(late).hear().as_str()), "a line came");
+    assert!(client.hear().starts_with("BUSY"));
+}
+
 /// Guards: new work for a host that drains, by a node whose watch fell silent and whose next calls a busy service
 /// turned away until it was held to what it had missed; and one that serves no more when it has heard.
 #[test]
--- a/rig/src/peers.rs
+++ b/rig/src/peers.rs
@@ -121,6 +121,17 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
+/// A host's door with no room: connections to it come up only once the one that is in the way, the first, was accepted.
+pub fn jammed() -> (TcpListener, TcpStream) {
+    use rustix::net::{bind, listen, socket, AddressFamily, SocketType};
+    let door = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+    bind(&door, &SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    listen(&door, 0).unwrap();
+    let door = TcpListener::from(door);
+    let first = TcpStream::connect(door.local_addr().unwrap()).unwrap();
+    (door, first)
+}
+
 pub const OPEN: &str = "OPEN 9b1f 7f3a c=chat,t=acme,d=2000,g=5c0f";
 
 /// Tries until it holds, for what shows itself by nothing that could be read.
