--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -761,6 +761,8 @@
         ("/settings/offerings", json!([])),
         ("/settings/offerings/0/effect", json!("odd")),
         ("/known/members/0/phase", json!("asleep")),
+        // Guards: a list beyond the bound that is cut off in silence.
+        ("/known/members", json!(vec![member(0, "127.0.0.1:9", "active"); 65_537])),
     ] {
         let mut bad = good.clone();
         *bad.pointer_mut(path).unwrap() = value;
