Move the pause between idle watches into the core, and blame no host for a deaf node

Cause, by reading the change anew: discovery.rs, which must not decide when to call, held the pause after watches that end at once with nothing; a line held back because the node can't have heard in time ended as Unconnected, which masks its host (ferry/landing.rs). The pause is Hearing::next now; the line ends as never sent. Nothing new is tried for the second: no trial brings a late connection and a deaf node together.

--- a/node/src/ferry/landing.rs
+++ b/node/src/ferry/landing.rs
@@ -238,7 +238,10 @@
                 // Guards: a line that starts late to a host that was told to be leaving meanwhile.
                 let left = deck.hosts.berth(landing.host).left_since;
                 let late = left.is_some_and(|t| deck.now > t + deck.terms.drain_grace);
-                let late = late || deck.deaf.contains(&deck.now);
+                if ferry.stage == Stage::Held && deck.deaf.contains(&deck.now) {
+                    // Not the host's doing.
+                    return self.fell_through(deck, slot, Ending::NeverSent);
+                }
                 if (late || deck.now > landing.by) && ferry.stage == Stage::Held {
                     return self.fell_through(deck, slot, Ending::Unconnected);
                 }
--- a/node/src/listing/discovery.rs
+++ b/node/src/listing/discovery.rs
@@ -9,15 +9,12 @@
 use crate::listing::list::{List, Reader};
 use crate::listing::versions::{Versions, Worth};
 use reedferry::{Charter, Event, Nanos, RollKind, MILLI, SECOND};
-
 use reedferry_quay::{Errno, Readiness, Socket};
 use slog::{info, warn};
 use std::net::SocketAddr;
 
 /// How soon a call over a connection that had served before may break for the other side to have closed it in between.
 const CLOSED_BETWEEN: Nanos = SECOND / 4;
-/// Where watches are answered with nothing long before their wait is over, the least that lies between two.
-const IDLE: Nanos = SECOND / 5;
 const MOST_BODY: usize = 32 << 20;
 
 const WATCH: usize = 0;
@@ -50,8 +47,6 @@
     hearing: Hearing,
     /// When the watch is taken up again without being asked for.
     next: Option<Nanos>,
-    /// Watches in a row that ended at once with nothing.
-    idle: u32,
     /// It has been told that the node can't be sure to have heard in time.
     shut: bool,
 }
@@ -65,7 +60,6 @@
             following: false,
             hearing: Hearing::new(charter, grace),
             next: Some(0).filter(|_| !charter.roll_on_request),
-            idle: 0,
             shut: false,
         }
     }
@@ -272,13 +266,11 @@
             self.following = true;
             self.hearing.heard();
             deck.deaf = self.hearing.deaf();
-            // Guards: a service that ends every watch at once with nothing, called as fast as it answers.
-            self.idle = if news || hold < IDLE || deck.now > since + IDLE { 0 } else { self.idle + 1 };
-            if self.idle > 1 {
-                self.next = Some(deck.now + (IDLE << (self.idle - 2).min(3)));
+            let next = self.hearing.next(deck.now, since, hold, news);
+            if next > deck.now {
+                self.next = Some(next);
                 return;
             }
-            // At once: a watch whose next call comes late is a new one.
             self.call(deck, WATCH, self.hearing.hold());
         }
     }
--- a/node/src/listing/hearing.rs
+++ b/node/src/listing/hearing.rs
@@ -21,6 +21,9 @@
 const AGAIN: Nanos = SECOND / 4;
 const LONGEST_AGAIN: Nanos = SECOND;
 
+/// Where watches are answered with nothing long before their wait is over, the least that lies between two.
+const IDLE: Nanos = SECOND / 5;
+
 /// How a call came to nothing.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Failure {
@@ -51,14 +54,16 @@
     /// Tries since it pressed, and failures in all, both since it heard.
     tries: u32,
     failures: u32,
+    /// Watches in a row that ended at once with nothing.
+    idle: u32,
 }
 
 impl Hearing {
     pub fn new(charter: &Charter, grace: Nanos) -> Self {
-        let (lease, held, press, tries, failures) = (None, None, 0, 0, 0);
+        let (lease, held, press, tries, failures, idle) = (None, None, 0, 0, 0, 0);
         let (place, spread, ask_within, unasked) = (0.0, 0, 0, false);
         let mut hearing =
-            Hearing { place, spread, ask_within, grace, unasked, lease, held, press, tries, failures };
+            Hearing { place, spread, ask_within, grace, unasked, lease, held, press, tries, failures, idle };
         hearing.retune(charter, grace);
         hearing
     }
@@ -100,6 +105,14 @@
         (self.lease, self.held, self.press, self.tries, self.failures) = (None, None, 0, 0, 0);
     }
 
+    /// When the next watch goes out after one that began at `since`, might wait so long and has been answered: at once,
+    /// as one that comes late is a new one. Guards: a service that ends every watch at once with nothing, called as
+    /// fast as it answers.
+    pub fn next(&mut self, now: Nanos, since: Nanos, hold: Nanos, news: bool) -> Nanos {
+        self.idle = if news || hold < IDLE || now > since + IDLE { 0 } else { self.idle + 1 };
+        now + if self.idle > 1 { IDLE << (self.idle - 2).min(3) } else { 0 }
+    }
+
     /// The node was led to another service. Guards: a call there that is turned away, and made again too late.
     pub fn moved(&mut self, now: Nanos) {
         if self.unasked {
