Hold nobody beyond the moment from which a stopping program may be ended

At fault: passage.rs look_after, which knew an end for standby alone; deck.rs leave.

Mend: one moment by which nobody is held (Deck::empty_by): within a line of the client's it is moved, within one of the host's cut off; a hand-off that is out then ends as out of time, and the module, which takes no expiry beyond the moment by which the node is to be empty, answers it by its effect; whoever has not asked is told BUSY. The wait for the end is capped at the 3 s of the protocol as the rest is.

Ruled out: the module's pace of moves (it had sent the order); the list; resets (the connection stood).

--- a/node/src/deck.rs
+++ b/node/src/deck.rs
@@ -48,6 +48,8 @@
 const LONGEST_GRACE: Nanos = 3 * SECOND;
 /// What the last clients that are moved need to be gone by then.
 const LAST_MOVES: Nanos = 300 * MILLI;
+/// How long before a program that stops may be ended from outside nobody is held any more: two sweeps.
+const LAST_ENDS: Nanos = 200 * MILLI;
 /// How long the end of a line is waited for before a client is moved, where its host stands between two lines.
 pub const LONGEST_MOVE: Nanos = 800 * MILLI;
 /// How long after operators ask for it a node that stands by holds no client any more.
@@ -73,6 +75,8 @@
     pub leaving: Option<Nanos>,
     /// Operators have asked for an empty node: by when it holds nobody any more.
     pub standby: Option<Nanos>,
+    /// The same where the program has been asked to stop.
+    pub stopped_by: Option<Nanos>,
     pub tally: Tally,
     /// Whether new work was last held off for want of descriptors or buffers.
     pub scarce: bool,
@@ -104,6 +108,7 @@
             stamps: 0,
             leaving: None,
             standby: None,
+            stopped_by: None,
             tally,
             scarce: false,
             deaf: Nanos::MAX..Nanos::MAX,
@@ -150,12 +155,15 @@
 
     /// The program is asked to stop: what whoever decides is told.
     pub fn leave(&mut self, beyond: Nanos, connections: usize) -> Event {
-        let (now, expiry) = (self.now, self.terms.longest_expiry);
+        let (now, expiry) = (self.now, self.terms.longest_expiry.min(LONGEST_GRACE));
         self.leaving = Some(now + expiry + beyond);
+        // Guards: clients still held when the program is ended from outside, at hosts that stopped within a line, or
+        // whose turn to be moved came so late that its own wait went beyond that.
+        self.stopped_by = Some(now + (expiry + beyond).saturating_sub(LAST_ENDS));
         warn!(self.log, "asked to stop"; "connections" => connections, "descriptors" => self.budget.taken());
         // Guards: clients sent away while the node that stopped before this one is not back yet, and who
         // find nobody; a client is served here as well as anywhere until it has to go.
-        let span = (expiry.min(LONGEST_GRACE) + beyond).saturating_sub(LAST_MOVES);
+        let span = (expiry + beyond).saturating_sub(LAST_MOVES);
         let from = now + STILL_COME.max(span / 3);
         Event::Leaving { from, by: from.max(now + span) }
     }
@@ -176,6 +184,11 @@
         Event::Staying
     }
 
+    /// By when nobody is held any more, whatever the reason.
+    pub fn empty_by(&self) -> Nanos {
+        self.standby.into_iter().chain(self.stopped_by).min().unwrap_or(Nanos::MAX)
+    }
+
     pub fn stamp(&mut self) -> u32 {
         self.stamps = self.stamps.wrapping_add(1);
         self.stamps
--- a/node/src/ferry/door.rs
+++ b/node/src/ferry/door.rs
@@ -88,6 +88,11 @@
         false
     }
 
+    /// Sends a client away that has not asked.
+    pub(super) fn send_away(&mut self, deck: &mut Deck, slot: usize) {
+        self.answer(deck, slot, b"BUSY\r\n");
+    }
+
     /// Turns a client away that is not to be served.
     pub(super) fn turn_away(&mut self, deck: &mut Deck, slot: usize, why: &'static str) {
         *self.door.turned.entry(why).or_default() += 1;
--- a/node/src/ferry/landing.rs
+++ b/node/src/ferry/landing.rs
@@ -193,8 +193,13 @@
         if !matches!(ferry.stage, Stage::Held | Stage::Returning(_)) || word == CONNECT && landing.connected {
             return;
         }
-        let ending = if landing.written { Ending::TimedOut } else { Ending::Unconnected };
-        self.fell_through(deck, slot, ending);
+        self.out_of_time(deck, slot);
+    }
+
+    /// The hand-off that is out is waited for no longer.
+    pub(super) fn out_of_time(&mut self, deck: &mut Deck, slot: usize) {
+        let written = self.slab[slot].landing.as_ref().is_some_and(|l| l.written);
+        self.fell_through(deck, slot, if written { Ending::TimedOut } else { Ending::Unconnected });
     }
 
     /// A hand-off that came to nothing.
--- a/node/src/ferry/mod.rs
+++ b/node/src/ferry/mod.rs
@@ -209,12 +209,16 @@
     /// Looks over all: what has waited too long, and which lines go unanswered.
     pub fn sweep(&mut self, deck: &mut Deck) {
         let now = deck.now;
+        let stopped = deck.stopped_by.unwrap_or(Nanos::MAX);
         self.more.append(&mut self.starved);
         self.waste = MOST_WASTE;
         let slots: Vec<usize> = self.slab.iter().map(|(slot, _)| slot).collect();
         for slot in slots {
             let Some(ferry) = self.slab.get_mut(slot) else { continue };
             match ferry.stage {
+                // Guards: clients that wait or rest until the program is ended from outside, and never have an answer.
+                Stage::Knocking if now >= stopped => self.send_away(deck, slot),
+                Stage::Held if now >= stopped && ferry.landing.is_some() => self.out_of_time(deck, slot),
                 Stage::Knocking if now >= ferry.came + SILENT_CLIENT => {
                     self.turn_away(deck, slot, "no whole line in time");
                 }
--- a/node/src/ferry/passage.rs
+++ b/node/src/ferry/passage.rs
@@ -142,7 +142,17 @@
                 ferry.ending = if alone { Ending::CalledOff } else { Ending::Broken };
             }
         }
-        let empty = deck.standby.unwrap_or(Nanos::MAX);
+        let empty = deck.empty_by();
+        if now >= empty {
+            // Between two lines, or within one of the client's, it can still be sent away.
+            let moving = ferry.moving.get_or_insert(now);
+            *moving = now.min(*moving);
+            self.move_now(deck, slot);
+            if self.slab.get(slot).is_none_or(|ferry| ferry.stage != Stage::Open) {
+                return;
+            }
+        }
+        let Some(ferry) = self.slab.get_mut(slot) else { return };
         if ferry.moving.is_some_and(|by| now >= (by + LINGER).min(empty)) {
             // The host has stopped in the middle of a line, and the client takes no other there.
             self.over(deck, slot, Ending::Broken);
--- /dev/null
+++ b/node/tests/stopping.rs
@@ -0,0 +1,196 @@
+//! A program that is asked to stop at each point of a connection's life: everyone has one answer that can be read, nothing
+//! is sent after it, and nobody is held any more when the program may be ended from outside.
+
+use reedferry_rig::program::papers_of;
+use reedferry_rig::*;
+use serde_json::{json, Value};
+use std::time::{Duration, Instant};
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn start(hosts: &Hosts, adjust: impl FnOnce(&mut Value)) -> (Node, Discovery) {
+    let discovery = Discovery::start();
+    let mut papers = papers(hosts, discovery.address);
+    papers["settings"]["policy_limits"]["connect_timeout"] = json!(5000.0);
+    adjust(&mut papers);
+    (Node::start(&papers), discovery)
+}
+
+/// When a program with this longest expiry may be ended from outside at the earliest.
+fn ended_outside(expiry: u64) -> Duration {
+    ms(expiry.min(3000) + 700)
+}
+
+fn of_expiry(papers: &mut Value, expiry: u64) {
+    papers["settings"]["offerings"][0]["expiry"] = json!(expiry as f64);
+    papers["settings"]["offerings"][0]["contract_time"] = json!(expiry as f64);
+}
+
+/// Whoever answers this has read all that came before.
+fn has_read(node: &Node) {
+    let mut other = Peer::connect(node.address);
+    other.say("PING");
+    other.hears("PONG");
+}
+
+/// Guards: connections whose host has stopped within a line, held until the program was ended from outside as their turn to
+/// be moved came late: each was lost.
+#[test]
+fn connections_whose_host_stopped_within_a_line_are_ended_before_the_program_is() {
+    let hosts = Hosts::start(1);
+    let (mut node, _discovery) = start(&hosts, |_| {});
+    let mut all: Vec<_> = (0..12).map(|_| node.served(&hosts)).collect();
+    for (client, _, host) in &mut all {
+        host.write("half");
+        assert_eq!(client.bytes(4), b"half");
+    }
+    let began = Instant::now();
+    node.stop();
+    for (mut client, _, _host) in all {
+        let end = client.hear();
+        assert!(["end", "reset"].contains(&end.as_str()), "{end}");
+        assert!(began.elapsed() < ended_outside(2000), "held for {:?}", began.elapsed());
+    }
+    assert!(node.wait().success());
+}
+
+/// Guards: the same where clients stopped within a line of theirs: these can be moved still.
+#[test]
+fn clients_that_stopped_within_a_line_are_moved_before_the_program_ends() {
+    let hosts = Hosts::start(1);
+    let (mut node, _discovery) = start(&hosts, |p| of_expiry(p, 1000));
+    let mut all: Vec<_> = (0..12).map(|_| node.served(&hosts)).collect();
+    for (client, _, host) in &mut all {
+        client.write("half");
+        assert_eq!(host.bytes(4), b"half");
+    }
+    let began = Instant::now();
+    node.stop();
+    for (mut client, _, _host) in all {
+        client.hears("MOVE");
+        assert!(began.elapsed() < ended_outside(1000), "held for {:?}", began.elapsed());
+    }
+    assert!(node.wait().success());
+}
+
+/// Guards: an answer that comes only after the program was ended from outside, where clients may wait for longer than
+/// that leaves; one that may have run dismissed as though it had not.
+#[test]
+fn what_hosts_do_not_answer_is_answered_before_the_program_ends_however_long_it_may_wait() {
+    for (effect, answer) in [("free", "BUSY"), ("single_shot", "ERR")] {
+        let hosts = Hosts::start(1);
+        let (mut node, _discovery) = start(&hosts, |p| {
+            of_expiry(p, 9000);
+            p["settings"]["offerings"][0]["effect"] = json!(effect);
+        });
+        let mut client = node.open(&OPEN.replace("d=2000", "d=9000"));
+        let (_, mut host) = hosts.accept();
+        host.hear();
+        let began = Instant::now();
+        node.stop();
+        let said = client.hear();
+        assert!(said.starts_with(answer), "{effect}: {said}");
+        assert!(began.elapsed() < ended_outside(9000), "{effect}: {:?}", began.elapsed());
+        client.hears("end");
+        host.hears("end");
+        assert!(node.wait().success());
+        assert!(hosts.accept_soon().is_none(), "{effect}: sent on again");
+    }
+}
+
+/// Guards: clients that rest or have sent half of their line, and are held when the program ends.
+#[test]
+fn clients_that_have_not_asked_are_sent_away_before_the_program_ends() {
+    let hosts = Hosts::start(1);
+    let (mut node, _discovery) = start(&hosts, |p| of_expiry(p, 900));
+    let mut clients = [Peer::connect(node.address), Peer::connect(node.address)];
+    clients[1].write("OPEN 77 88 c=chat");
+    has_read(&node);
+    let began = Instant::now();
+    node.stop();
+    node.logs("asked to stop");
+    // One that comes after the signal, and asks only when it is told to go, is not sent on.
+    let mut late = Peer::connect(node.address);
+    late.hears("BUSY");
+    late.say("OPEN 99 88 c=chat,t=acme,d=900");
+    late.hears("end");
+    for mut client in clients {
+        client.hears("BUSY");
+        client.hears("end");
+    }
+    assert!(began.elapsed() < ended_outside(900), "held for {:?}", began.elapsed());
+    assert!(node.wait().success());
+    assert!(hosts.accept_soon().is_none(), "sent on after the shutdown");
+}
+
+/// A host's listener that a test takes connections from when it likes, and the list that names it.
+fn slow_host() -> (std::net::TcpListener, std::net::TcpStream, Value) {
+    let (door, first) = jammed();
+    let members = json!([member(0, &door.local_addr().unwrap().to_string(), "active")]);
+    (door, first, members)
+}
+
+/// Guards: an attachment lost, or sent on after its answer, where the signal comes while its host's connection comes up.
+#[test]
+fn a_stop_while_the_connection_to_the_host_comes_up() {
+    let (door, first, members) = slow_host();
+    let discovery = Discovery::start();
+    let mut papers = papers_of(members, discovery.address);
+    papers["settings"]["policy_limits"]["connect_timeout"] = json!(5000.0);
+    of_expiry(&mut papers, 1500);
+    let mut node = Node::start(&papers);
+    let mut client = node.open(&OPEN.replace("d=2000", "d=1500"));
+    has_read(&node);
+    let began = Instant::now();
+    node.stop();
+    assert!(client.hear().starts_with("BUSY"));
+    client.hears("end");
+    assert!(began.elapsed() < ended_outside(1500));
+    assert!(node.wait().success());
+    // What came up at all was ended without a byte; first in the way was the test's own.
+    drop(first);
+    door.set_nonblocking(true).unwrap();
+    while let Ok((late, _)) = door.accept() {
+        late.set_nonblocking(false).unwrap();
+        let end = Peer::new(late).hear();
+        assert!(["end", "reset"].contains(&end.as_str()), "{end}");
+    }
+}
+
+/// Guards: an answer on its way from the host dropped by a stop, a second signal or new papers in the middle that
+/// cut what is under way, and answers lost in a reset as clients go on sending.
+#[test]
+fn an_answer_on_its_way_is_passed_on_over_two_signals_and_new_papers() {
+    let hosts = Hosts::start(1);
+    let (mut node, discovery) = start(&hosts, |_| {});
+    let mut waiting = node.open(OPEN);
+    let (_, mut host) = hosts.accept();
+    host.hear();
+    host.write("UP 7");
+    let (mut open, _, mut other) = node.served(&hosts);
+    let began = Instant::now();
+    node.stop();
+    node.logs("asked to stop");
+    let mut fresh = papers(&hosts, discovery.address);
+    fresh["settings"]["offerings"][0]["payoff"] = json!(2.0);
+    node.reread(&fresh.to_string());
+    node.logs("papers read again");
+    node.stop();
+    host.write("7aa\r\n");
+    waiting.hears("UP 77aa");
+    waiting.say("still here");
+    host.hears("still here");
+    host.say("so am I");
+    waiting.hears("so am I");
+    for (client, host) in [(&mut waiting, &mut host), (&mut open, &mut other)] {
+        client.hears("MOVE");
+        // What it sends into the closing connection takes nothing back, and reaches no host.
+        client.say("too late");
+        client.hears("end");
+        host.hears("end");
+    }
+    assert!(began.elapsed() < ended_outside(2000), "{:?}", began.elapsed());
+    assert!(node.wait().success());
+}
--- a/rig/src/program.rs
+++ b/rig/src/program.rs
@@ -310,6 +310,8 @@
     let mut length = None;
     loop {
         let line = caller.hear();
+        // Guards: a test that never ends, as the answer was lost with its connection.
+        assert!(!["end", "reset"].contains(&line.as_str()), "{line} in the middle of an answer: {status}");
         if line.is_empty() {
             break;
         }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -970,7 +970,9 @@
         let Some(attachment) = self.desk.slots[slot].as_ref() else { return };
         let offering = &self.charter.offerings[attachment.arrival.offering];
         let ran = attachment.may_have_run;
-        let last = attachment.expiry.saturating_sub(2 * self.charter.round);
+        // Guards: one that has its answer only after the node that stops was ended from outside.
+        let last = attachment.expiry.min(self.desk.leaving.unwrap_or(Nanos::MAX));
+        let last = last.saturating_sub(2 * self.charter.round);
         // Guards: a store that fails at once, asked five times over for each attachment.
         let most = if self.desk.common() { 1 } else { attachment.most };
         // Guards: what no host will have, as bad clients send it, offered to host after host.
