Look at a client's own socket before an attempt for it begins

Found by reading and forced on sockets: the poller tells 512 events a turn, so an attempt's end in one turn and its client's end in the next (a process that stood still, 700 other events between) let a further attempt begin for who had gone. node/tests/gone.rs, a_client_whose_end_waits_behind_hundreds_of_others_is_not_sent_on, fails without the check in hand_off.

Also: an end is seen behind a first line that fills its buffer; a connection that comes up for a client that has gone is given up at once. Thrown out, each pinned by a test that passed before: gone while the host's connection comes up where no cancel is allowed (the line is dropped with the client); gone between two attempts in one turn; gone before it was taken in; gone behind the longest line. One system call more an attempt.

--- a/node/src/ferry/door.rs
+++ b/node/src/ferry/door.rs
@@ -7,7 +7,7 @@
 use crate::deck::{Deck, CLIENT};
 use crate::ferry::lane::Side;
 use crate::ferry::lines::{self, Opening, Request};
-use reedferry::{Arrival, AttachmentId, Event, HostId, Nanos, MILLI, SECOND};
+use reedferry::{Arrival, AttachmentId, Ending, Event, HostId, Nanos, MILLI, SECOND};
 use reedferry_quay::{Errno, Mark, Socket};
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -196,11 +196,9 @@
     /// Notices a client that leaves while it waits, or that goes on talking.
     pub(super) fn listen(&mut self, deck: &mut Deck, slot: usize) {
         let ferry = &mut self.slab[slot];
-        let (Some(client), Some(letter)) = (ferry.client.as_mut(), ferry.letter.as_mut()) else { return };
-        if !client.readable || letter.spare().is_empty() {
-            return;
-        }
-        let talks = match client.socket.receive(letter.spare()) {
+        let Some(client) = ferry.client.as_mut().filter(|client| client.readable) else { return };
+        // Guards: an end that is never seen behind a first line which fills its buffer.
+        let talks = match client.socket.receive(&mut [0; 64]) {
             Err(Errno::AGAIN) => {
                 client.readable = false;
                 return;
@@ -222,6 +220,10 @@
         }
         if !held || ferry.landing.is_none() {
             self.remove(slot, false);
+        } else if ferry.landing.as_ref().is_some_and(|landing| !landing.written) {
+            // Guards: a line that begins for a client which had gone while its host's connection came up, where the
+            // settings allow none to be called off: this one has not begun, or never ends.
+            self.fell_through(deck, slot, Ending::NeverSent);
         }
         let Some(mut client) = client.filter(|_| talks) else { return };
         // Guards: a client that sends hundreds of lines at once, served by its first one: it is parted from
@@ -235,6 +237,15 @@
         }
     }
 
+    /// Whether the client still waits, as its socket has it now, whatever the poller has said so far. Guards: an attempt
+    /// that begins for one which has gone, and whose end waits behind many events or a process that stood still.
+    pub(super) fn waits(&mut self, deck: &mut Deck, slot: usize) -> bool {
+        let id = self.slab[slot].arrival.id;
+        self.slab[slot].client.iter_mut().for_each(|client| client.readable = true);
+        self.listen(deck, slot);
+        self.slab.get(slot).is_some_and(|ferry| ferry.arrival.id == id && ferry.client.is_some())
+    }
+
     /// The id of what is answered or gone is no longer in use, unless hosts would not have it.
     pub(super) fn free_name(&mut self, slot: usize) {
         let ferry = &mut self.slab[slot];
--- a/node/src/ferry/landing.rs
+++ b/node/src/ferry/landing.rs
@@ -107,7 +107,8 @@
     /// Carries out a hand-off whose line is to start by `by`, and whose host is waited for until `until`.
     pub fn hand_off(&mut self, deck: &mut Deck, id: AttachmentId, host: HostId, until: Nanos, by: Nanos) {
         let held = |f: &Ferry| f.stage == Stage::Held && f.landing.is_none() && f.client.is_some();
-        let Some(slot) = self.find(id).filter(|&slot| held(&self.slab[slot])) else {
+        let slot = self.find(id).filter(|&slot| held(&self.slab[slot]));
+        let Some(slot) = slot.filter(|&slot| self.waits(deck, slot)) else {
             // Guards: a record kept for ever of a client that left while the module chose.
             let (ending, gauges) = (Ending::NeverSent, Vec::new());
             deck.events.push(Event::Ended { id, hand_off: 0, host, over: true, ending, gauges });
@@ -238,6 +239,12 @@
             }
             landing.connected = true;
         }
+        let begins = ferry.stage == Stage::Held && !landing.written && ferry.up.buffer.is_none();
+        if begins && !self.waits(deck, slot) {
+            return;
+        }
+        let Some(ferry) = self.slab.get_mut(slot) else { return };
+        let Some(landing) = ferry.landing.as_mut() else { return };
         if !landing.written {
             if ferry.up.buffer.is_none() {
                 // Guards: a line that starts late to a host that was told to be leaving meanwhile.
