Hold a cold host's lots for less time where clients come faster than they are there

Terms: beyond N calls only 2 x root of N + 2 are chance, over the sum of all processes.

Cause: drawn() deals half of the budget a second over all clients, but a lot holds for 2 s, so where as many come in a second as are there the lots of two seconds are taken in one: the mean is N, and chance goes beyond. Now a lot holds as long as no more come in its time than are there (Desk::lot).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -121,7 +121,7 @@
     fn cold_room(&self, now: Nanos, key: Option<u64>, view: &Survey, charter: &Charter) -> bool {
         !self.cold(now, charter)
             || match by_lot(charter) {
-                true => self.drawn(now, key, LOT, view, charter),
+                true => self.drawn(now, key, view.lot, view, charter),
                 false => self.credit_at(now, view.count, charter).0 >= 1.0,
             }
     }
@@ -805,6 +805,7 @@
             count: conns / f64::max(size, f64::MIN_POSITIVE)
                 * (BEARS - (BEARS - 1.0) * full / f64::max(warm, 1.0)),
             size: all,
+            lot: self.desk.lot(now, LOT),
             near_size: f64::max(zone, f64::MIN_POSITIVE),
         }
     }
@@ -839,6 +840,7 @@
     fn attend(&mut self, now: Nanos, note: Note, out: &mut Vec<Action>) {
         match note {
             Note::Arrived(arrival) => {
+                self.desk.came(now);
                 let slot = self.desk.admit(now, arrival, &self.charter);
                 self.place(now, slot, out);
             }
--- a/src/records.rs
+++ b/src/records.rs
@@ -353,6 +353,8 @@
     pub parts: Nanos,
     /// Another process has its legacy.
     pub heir: bool,
+    /// Attachments that came within about the last second, as of when the last did.
+    pub coming: (f64, Nanos),
 }
 
 impl Desk {
@@ -371,6 +373,23 @@
         slot
     }
 
+    /// How many came within about the last second.
+    fn came_of_late(&self, now: Nanos) -> f64 {
+        self.coming.0 * (-(now.saturating_sub(self.coming.1) as f64) / SECOND as f64).exp()
+    }
+
+    /// One has come.
+    pub fn came(&mut self, now: Nanos) {
+        self.coming = (self.came_of_late(now) + 1.0, now);
+    }
+
+    /// How long a client's lot holds: as long as `longest` where in that time no more come than are there. Guards: a cold
+    /// host pushed over as clients come so fast that the lots of two seconds are used up in one.
+    pub fn lot(&self, now: Nanos, longest: Nanos) -> Nanos {
+        let come = self.came_of_late(now) * longest as f64 / SECOND as f64;
+        (longest as f64 * (self.names.len() as f64 / come.max(f64::MIN_POSITIVE)).min(1.0)) as Nanos
+    }
+
     pub fn forget(&mut self, slot: usize) {
         if let Some(attachment) = self.slots[slot].take() {
             self.names.remove(&attachment.id);
@@ -481,6 +500,8 @@
     pub ready: f64,
     pub size: f64,
     pub near_size: f64,
+    /// How long a client's lot at a cold host holds.
+    pub lot: Nanos,
 }
 
 /// Mixes two words; the same at every node, so that nodes agree without talking.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,6 +1,8 @@
 //! Many nodes of the module under one list of events, their sums asserted: what is harmless at one node may
 //! not be when a hundred do it. It must never model a host or a network beyond what a test says of them.
 
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use reedferry::*;
 use std::collections::{HashMap, VecDeque};
 
@@ -499,3 +501,76 @@
     fleet.list(RollKind::Changes, &[Listing { started: Some(fleet.now), ..host(9) }]);
     fleet.pass(SECOND);
 }
+
+/// Rule 4 over the sum of all processes, also of those that were killed and started again. What the settings allow in a window
+/// is N; beyond that only two roots of N and two are chance.
+///
+/// Guards: a cold host pushed over by twenty or thirty nodes, each of which keeps to its own part; on both sides of the
+/// border between turns and lots.
+#[test]
+fn the_sum_of_all_processes_stays_within_a_cold_hosts_budget_and_chance() {
+    let mut worst: Vec<String> = Vec::new();
+    let mut windows = 0;
+    for seed in 0..140_u64 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let nodes: u32 = [12, 19, 20, 21, 30, 48, 120][seed as usize % 7];
+        // Of hosts that bear little, and much.
+        let held = if seed % 2 == 0 { rng.random_range(1..4) } else { rng.random_range(4..20) };
+        let held = (held * nodes as usize).min(600);
+        let mut fleet = Fleet::new(nodes as usize, |node| charter(node, nodes));
+        let warm: Vec<Listing> = (1..=4).map(host).collect();
+        fleet.list(RollKind::Cached, &warm);
+        (0..held).for_each(|n| _ = fleet.client(n % nodes as usize));
+        fleet.pass(10 * SECOND);
+        let back = Listing { started: Some(fleet.now), ..host(9) };
+        fleet.list(RollKind::Changes, &[back]);
+        let start = fleet.now;
+        let busy = rng.random_range(0.05..1.0);
+        for _ in 0..120 {
+            // Clients come and go; some nodes get several times the mean.
+            let come = (held as f64 * busy * 0.05).max(1.0) as usize;
+            for _ in 0..rng.random_range(0..=2 * come) {
+                let node = rng.random_range(0..nodes as usize);
+                let node = if rng.random_range(0..3) == 0 { node % 5 } else { node };
+                if let Some(host) = fleet.client(node) {
+                    let (id, ending, gauges) = (AttachmentId(fleet.next - 1), Ending::Done, Vec::new());
+                    fleet.tell(node, Event::Ended { id, hand_off: 0, host, over: true, ending, gauges });
+                }
+            }
+            // One is killed and started again, with nothing learned but the list.
+            if rng.random_range(0..8) == 0 {
+                let node = rng.random_range(0..nodes as usize);
+                fleet.wakes.retain(|(_, of, _)| *of != node);
+                let mut out = Vec::new();
+                fleet.nodes[node] =
+                    Balancer::new(charter(node as u32, nodes), rng.random(), fleet.now, &mut out);
+                fleet.note(node, out);
+                let mut all = warm.clone();
+                all.push(back);
+                fleet.tell(node, Event::Roll { kind: RollKind::Cached, hosts: all });
+                (0..held / nodes as usize).for_each(|_| _ = fleet.client(node));
+            }
+            fleet.pass(50 * MILLI);
+        }
+        let times: Vec<Nanos> = fleet.asked.iter().filter(|a| to(9)(&a.action)).map(|a| a.at).collect();
+        for (n, first) in times.iter().enumerate() {
+            let came = times[n..].iter().take_while(|&&t| t < first + SECOND).count() as f64;
+            let age = (first + SECOND - start) as f64 / SECOND as f64;
+            // What the fleet held on four hosts of size 2 is taken for a quarter of what they bear.
+            let allowed = 3.0 * (0.1 + 0.9 * age / 20.0) * (4.0 * held as f64 / 8.0) * 2.0 / 20.0;
+            windows += 1;
+            if came > allowed + 2.0 * allowed.sqrt() + 2.0 {
+                worst.push(format!(
+                    "seed {seed}, {nodes} nodes, {held} held: {came} of {allowed:.1} at {age:.1} s"
+                ));
+            }
+        }
+    }
+    assert!(windows > 1000, "too tame: {windows}");
+    assert!(
+        worst.is_empty(),
+        "{} windows of {windows} over, such as {:#?}",
+        worst.len(),
+        &worst[..worst.len().min(20)]
+    );
+}
