Put the caller out that came first where several came in one turn

An operators' call in a crowd of unfinished ones ended without an answer, twice in three runs of all tests at once on a busy machine (a_call_is_answered_within_its_second_whatever_other_callers_do). Read, not proven to be its cause: of callers that came in one turn make_room put out whoever stands in the lowest slot, which is the last to come.

--- a/node/src/operators/ops.rs
+++ b/node/src/operators/ops.rs
@@ -200,7 +200,8 @@
     /// Puts the one out that has its answer, or else the one that has taken longest over its call.
     fn make_room(&mut self) {
         let answered = |line: &Line| matches!(line.stage, Stage::Ending);
-        let first = self.lines.iter().min_by_key(|(_, line)| (!answered(line), line.since));
+        // Guards: of those that came in one turn the last put out, as it stands in the first place that was free.
+        let first = self.lines.iter().min_by_key(|(_, line)| (!answered(line), line.since, line.stamp));
         if let Some(slot) = first.map(|(slot, _)| slot) {
             self.lines.remove(slot);
         }
