Count from when a node may have missed a change in one place, however its call failed

At fault: hearing.rs failed() left nothing that a node is held to for a watch that was reset or refused, dropped it at a second silence or break, and left the pace to src/calls.rs, which waits up to a quarter of ask_within, or 8 s. On sockets (ask_within of a minute, the last of 300 places): new work 7.75 s after the drain for a watch that was reset, refused or garbled, where 6.3 s are allowed; 40 processes that start with the service down the same.

Now Hearing keeps one moment, fed by silence, reset, refusal, garbled lists, SIGHUP, standing still and the start, and says when every failed call is made again; the module is asked for the first call alone. A silent watch is kept until the call in its place is answered. From that moment and the grace on nothing new goes out until a list is heard, ask_within at most.

The module's tests moved to a test file. New: 400 drawn orders of what a service may do; four ends of a watch, both modes, on sockets; starts with the service down for 1, 6 and 40 processes. The last two fail on the build before.

--- a/node/src/listing/discovery.rs
+++ b/node/src/listing/discovery.rs
@@ -1,7 +1,7 @@
 //! Calls to discovery: the watch on the roll, and the whole roll where that is asked for. It owns the
-//! connections to discovery. It must never decide which list is believed, nor when to call: the module asks, or where
-//! changes are to come unasked the watch is kept up by itself, and where a watch has fallen silent `Hearing` says
-//! when. A call that fails is told and ends alone.
+//! connections to discovery. It must never decide which list is believed, nor when to call: the module asks first, or where
+//! changes are to come unasked the watch is kept up by itself, and once a watch has failed `Hearing` says when. A
+//! call that fails ends alone.
 
 use crate::deck::{Deck, DISCOVERY};
 use crate::listing::hearing::{Failure, Hearing};
@@ -9,7 +9,7 @@
 use crate::listing::list::{List, Reader};
 use crate::listing::versions::{Versions, Worth};
 use reedferry::{Charter, Event, Nanos, RollKind, MILLI, SECOND};
-use reedferry_quay::{Errno, Readiness, Socket};
+use reedferry_quay::{Errno, Mark, Readiness, Socket};
 use slog::{info, warn};
 use std::net::SocketAddr;
 
@@ -19,6 +19,10 @@
 
 const WATCH: usize = 0;
 const ASK: usize = 1;
+/// A watch that has been silent beyond its wait, until the call in its place has been answered. Guards: what it was
+/// about to say counts as told when it is written, or earlier once it is given up.
+const SILENT: usize = 2;
+const ALL: [usize; 3] = [WATCH, ASK, SILENT];
 
 #[derive(Default)]
 struct Call {
@@ -42,7 +46,7 @@
 pub struct Discovery {
     address: SocketAddr,
     versions: Versions,
-    calls: [Call; 2],
+    calls: [Call; 3],
     following: bool,
     hearing: Hearing,
     /// When the watch is taken up again without being asked for.
@@ -52,13 +56,19 @@
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr, revision: Option<u64>, charter: &Charter, grace: Nanos) -> Self {
+    pub fn new(
+        address: SocketAddr,
+        revision: Option<u64>,
+        charter: &Charter,
+        grace: Nanos,
+        now: Nanos,
+    ) -> Self {
         Discovery {
             address,
             versions: Versions::new(revision),
-            calls: [Call::default(), Call::default()],
+            calls: Default::default(),
             following: false,
-            hearing: Hearing::new(charter, grace),
+            hearing: Hearing::new(charter, grace, now),
             next: Some(0).filter(|_| !charter.roll_on_request),
             shut: false,
         }
@@ -69,7 +79,7 @@
     /// the new one to pass a version of the old.
     pub fn go_over(&mut self, deck: &mut Deck, address: SocketAddr) {
         let asked = self.calls[ASK].out;
-        self.calls = [Call::default(), Call::default()];
+        self.calls = Default::default();
         (self.address, self.following, self.next) = (address, false, None);
         self.versions = Versions::default();
         self.hearing.moved(deck.now);
@@ -94,7 +104,7 @@
 
     /// Reads what has come, whether or not the poller has said so yet.
     pub fn look(&mut self, deck: &mut Deck) {
-        for which in [WATCH, ASK] {
+        for which in ALL {
             if self.calls[which].line.is_some() {
                 self.read(deck, which);
             }
@@ -110,7 +120,7 @@
 
     /// The module wants to be told of changes from now on.
     pub fn follow(&mut self, deck: &mut Deck) {
-        if !self.calls[WATCH].out {
+        if !self.calls[WATCH].out && self.next.is_none_or(|at| deck.now >= at) {
             self.following = false;
             // What was missed since a version that is known comes at once, by the call that then waits on. Guards:
             // two calls of each of hundreds of nodes where one does, also of those that were refused.
@@ -264,7 +274,8 @@
                 info!(deck.log, "watch begun"; "at" => %self.address, "revision" => self.revision());
             }
             self.following = true;
-            self.hearing.heard();
+            self.calls[SILENT] = Call::default();
+            self.hearing.heard(deck.now);
             deck.deaf = self.hearing.deaf();
             let next = self.hearing.next(deck.now, since, hold, news);
             if next > deck.now {
@@ -336,29 +347,48 @@
         warn!(deck.log, "discovery call failed"; "watch" => which == WATCH, "why" => why.to_string());
         if which == WATCH {
             self.following = false;
-            self.next = self.hearing.failed(deck.now, how);
+            let next = self.hearing.failed(deck.now, how);
+            self.next = Some(next);
             deck.deaf = self.hearing.deaf();
-            if self.next.is_some_and(|at| at <= deck.now) {
-                return self.follow(deck);
+            if next <= deck.now {
+                self.follow(deck);
             }
         }
-        // Nobody else says when to call while it is known here.
-        if which == ASK || self.next.is_none() {
+        // Nobody else says when the watch is taken up again.
+        if which == ASK {
             deck.events.push(Event::Roll { kind: RollKind::Failed, hosts: Vec::new() });
         }
     }
 
+    /// The watch has said nothing beyond its wait: it is kept until the call in its place is answered.
+    fn fell_silent(&mut self, deck: &mut Deck) {
+        let mut silent = std::mem::take(&mut self.calls[WATCH]);
+        if let Some((socket, stamp)) = &mut silent.line {
+            let mark = Mark { part: DISCOVERY, slot: SILENT as u32, stamp: deck.stamp() };
+            if deck.poller.rewatch(socket, mark).is_ok() {
+                *stamp = mark.stamp;
+                silent.until = Nanos::MAX;
+                self.calls[SILENT] = silent;
+            }
+        }
+        self.fail(deck, WATCH, Failure::Silent, "no answer in time");
+    }
+
     /// Ends calls that nothing answers, and takes the watch up again where that is due.
     pub fn sweep(&mut self, deck: &mut Deck) {
-        for which in [WATCH, ASK] {
+        for which in ALL {
             // What came while no buffer was to be had.
             if self.calls[which].line.is_some() {
                 self.read(deck, which);
             }
-            if self.calls[which].out && deck.now >= self.calls[which].until {
-                self.fail(deck, which, Failure::Silent, "no answer in time");
+            let call = &self.calls[which];
+            match call.out && deck.now >= call.until {
+                true if which == WATCH && !call.came => self.fell_silent(deck),
+                true => self.fail(deck, which, Failure::Silent, "no answer in time"),
+                false => {}
             }
         }
+        self.hearing.runs(deck.now);
         if !self.calls[WATCH].out && self.next.is_some_and(|at| deck.now >= at) {
             self.follow(deck);
         }
--- a/node/src/listing/hearing.rs
+++ b/node/src/listing/hearing.rs
@@ -1,6 +1,18 @@
 //! By when a node has to have heard of what the list service has to tell: a plain value with the caller's clock. It
-//! owns how long a watch waits, when it counts as silent, when a call is made again without being asked for, and
-//! from when on nothing new may go out. It must never know a connection, nor what a list says.
+//! owns how long a watch waits, when it counts as silent, when a call that failed is made again, and from when on nothing
+//! new may go out. It must never know a connection, nor what a list says.
+//!
+//! One rule for every way in which a node may have missed something. `held` is the moment from which it is held to that:
+//!
+//! | what happened | held from |
+//! | --- | --- |
+//! | a watch that waits is silent | 6 s after it went out, or 2 s after its wait is over, if that is later |
+//! | any call was refused, given up or broke | 6 s after the last moment of which all is known to have been heard |
+//! | the service is not there at all | 6 s after the try before the last, as it may have been back since; while that is all that is seen |
+//! | what came could not be read | at once: it counts as told when it was written |
+//! | the node was led to another service | 4 s after that |
+//!
+//! Of two that hold the earlier counts: the 6 s after a call that failed go before what a wait would leave.
 
 use reedferry::{Charter, Nanos, MILLI, SECOND};
 use std::ops::Range;
@@ -8,20 +20,28 @@
 /// The longest that a watch may wait for news, as each call costs the service work.
 const HOLD: Nanos = 20 * SECOND;
 /// By the protocol, what a service has to tell counts as told so long after it fell silent, and for a call that
-/// may wait so long after that wait is over, if that is later; whether or not it came.
+/// may wait so long after that wait is over, if that is later; whether or not it came. The first also after any call
+/// that failed, from when the service had it and could be reached.
 const TOLD: Nanos = 6 * SECOND;
 const TOLD_AFTER_WAIT: Nanos = 2 * SECOND;
-/// The same where lists are pushed, after a node was led to another service.
+/// The same after a node was led to another service.
 const TOLD_AFTER_MOVE: Nanos = 4 * SECOND;
 /// When an answer is taken not to come: of a call that has waited, so early that three quarters of that time are left
 /// to call again; of one that does not wait, so late that it keeps its turn at a busy service.
 const SILENT_AFTER_WAIT: Nanos = TOLD_AFTER_WAIT / 4;
 const SILENT: Nanos = TOLD / 3;
-/// What a try waits after one that came to nothing, where nobody asks and time is not short.
+/// Within how long at the most the nodes whose watches ended in the same moment call again, in turn.
+const TURNS: Nanos = TOLD / 2;
+/// What a try waits after one that came to nothing, where lists are pushed and time is not short, and the least that it
+/// waits where they are asked for, for each node of the fleet and in all; where nothing more can be missed by waiting;
+/// and where the service may be down for long.
 const AGAIN: Nanos = SECOND / 4;
+const EACH: Nanos = 10 * MILLI;
 const LONGEST_AGAIN: Nanos = SECOND;
+const DOWN_AGAIN: Nanos = 5 * SECOND / 2;
 
-/// Where watches are answered with nothing long before their wait is over, the least that lies between two.
+/// Where watches are answered with nothing long before their wait is over, the least that lies between two; and by the
+/// protocol how late the next call may come for the watch to go on.
 const IDLE: Nanos = SECOND / 5;
 
 /// How a call came to nothing.
@@ -44,41 +64,72 @@
     spread: Nanos,
     ask_within: Nanos,
     grace: Nanos,
+    /// The least that lies between two tries of one node, so that those of all stay about a hundred a second.
+    pause: Nanos,
     /// The watch is kept up without being asked for.
     unasked: bool,
-    /// By when what the watch now out may miss counts as told.
+    /// Up to when all that the service had to tell has been heard, as far as calls have ended.
+    sure: Nanos,
+    /// When the node was last seen awake, with nothing amiss.
+    awake: Nanos,
+    /// When the call now out went, and by when what it may miss counts as told.
+    since: Nanos,
     lease: Option<Nanos>,
-    /// From when on the node is held to what a silent watch missed, and until when it presses to hear of it.
+    /// From when on the node is held to what it may have missed, and whether the service has been there since.
     held: Option<Nanos>,
-    press: Nanos,
-    /// Tries since it pressed, and failures in all, both since it heard.
-    tries: u32,
+    reached: bool,
+    /// When it was last tried and was not there.
+    gone: Nanos,
+    /// Calls that failed since it heard.
     failures: u32,
     /// Watches in a row that ended at once with nothing.
     idle: u32,
 }
 
 impl Hearing {
-    pub fn new(charter: &Charter, grace: Nanos) -> Self {
-        let (lease, held, press, tries, failures, idle) = (None, None, 0, 0, 0, 0);
-        let (place, spread, ask_within, unasked) = (0.0, 0, 0, false);
-        let mut hearing =
-            Hearing { place, spread, ask_within, grace, unasked, lease, held, press, tries, failures, idle };
+    pub fn new(charter: &Charter, grace: Nanos, now: Nanos) -> Self {
+        let (lease, held, reached, failures, idle) = (None, None, false, 0, 0);
+        let (sure, awake, since, gone) = (now, now, now, now);
+        let (place, spread, ask_within, pause, unasked) = (0.0, 0, 0, 0, false);
+        let mut hearing = Hearing {
+            place,
+            spread,
+            ask_within,
+            grace,
+            pause,
+            unasked,
+            sure,
+            awake,
+            since,
+            lease,
+            held,
+            reached,
+            gone,
+            failures,
+            idle,
+        };
         hearing.retune(charter, grace);
         hearing
     }
 
-    /// Goes by other settings from here on; what presses goes on pressing.
+    /// Goes by other settings from here on; what the node is held to stays.
     pub fn retune(&mut self, charter: &Charter, grace: Nanos) {
         let place = (f64::from(charter.node) + 0.5) / f64::from(charter.nodes.max(1));
         (self.place, self.spread) = (place.min(1.0), charter.ask_within.min(HOLD / 2));
         (self.ask_within, self.grace, self.unasked) = (charter.ask_within, grace, !charter.roll_on_request);
+        self.pause = (EACH * u64::from(charter.nodes)).min(charter.ask_within / 8).min(TOLD / 5).max(AGAIN);
     }
 
     pub fn unasked(&self) -> bool {
         self.unasked
     }
 
+    /// The node runs, and has read what had come up to now. Guards: a node that stood still, and counts what it missed from
+    /// when it went on.
+    pub fn runs(&mut self, now: Nanos) {
+        self.awake = now;
+    }
+
     /// How long a watch waits: less by the node's place, so that watches which began together and fall silent
     /// together are taken up in turn. Guards: hundreds that call a service in the same second, when time is short.
     pub fn hold(&self) -> Nanos {
@@ -87,7 +138,7 @@
 
     /// A watch goes out that waits so long.
     pub fn out(&mut self, now: Nanos, hold: Nanos) {
-        self.lease = Some(now + TOLD.max(hold + TOLD_AFTER_WAIT));
+        (self.since, self.lease) = (now, Some(now + TOLD.max(hold + TOLD_AFTER_WAIT)));
     }
 
     /// When a call that began at `since` and may wait so long counts as silent.
@@ -101,8 +152,9 @@
     }
 
     /// An answer has come, and could be read.
-    pub fn heard(&mut self) {
-        (self.lease, self.held, self.press, self.tries, self.failures) = (None, None, 0, 0, 0);
+    pub fn heard(&mut self, now: Nanos) {
+        (self.sure, self.awake) = (now, now);
+        (self.lease, self.held, self.reached, self.failures) = (None, None, false, 0);
     }
 
     /// When the next watch goes out after one that began at `since`, might wait so long and has been answered: at once,
@@ -115,219 +167,74 @@
 
     /// The node was led to another service. Guards: a call there that is turned away, and made again too late.
     pub fn moved(&mut self, now: Nanos) {
-        if self.unasked {
-            (self.press, self.tries) = (self.press.max(now + TOLD_AFTER_MOVE), 1);
-        }
+        let told = now + TOLD_AFTER_MOVE;
+        (self.held, self.lease) = (Some(self.held.map_or(told, |held| held.min(told))), None);
     }
 
     /// From when to when nothing new may go out, as the node may be held to a drain that it has not heard of: from the
-    /// end of the grace on, and until it can as well be that the service is down, of which nothing is told. Guards:
-    /// new work for hosts that drain, by a node that stood still, or whose renewed call a busy service turned away.
+    /// end of the grace on, and for as long as it may not ask by the settings, as the service is down for long then.
+    /// Guards: new work for hosts that drain, by a node that stood still, or whose calls a busy service turned away.
     pub fn deaf(&self) -> Range<Nanos> {
         let from = self.held.or(self.lease).map_or(Nanos::MAX, |told| told.saturating_add(self.grace));
         from..from.saturating_add(self.ask_within)
     }
 
-    /// The watch failed. Says when to call again, unless others say that.
-    pub fn failed(&mut self, now: Nanos, how: Failure) -> Option<Nanos> {
+    /// From when on the node is held to what it may have missed by a call that fails now. Guards: a change that counts as
+    /// told 6 s after the service had it, heard of later, as what failed was no silence.
+    fn told(&mut self, now: Nanos, how: Failure, lease: Option<Nanos>) -> Nanos {
+        // A watch that goes on has told all until it ended, but for one that was silent; between two, nothing was out.
+        let goes_on = self.held.is_none() && how != Failure::Silent && self.since <= self.sure + IDLE;
+        if goes_on {
+            self.sure = self.awake.max(self.since).min(now);
+        }
+        match (how, self.held) {
+            (Failure::Unread, held) => held.map_or(now, |held| held.min(self.sure + TOLD).min(now)),
+            (Failure::Silent, None) => lease.unwrap_or(self.sure + TOLD),
+            (Failure::Silent | Failure::Refused, Some(held)) => held.min(self.sure + TOLD),
+            (Failure::Broken, Some(held)) if self.reached => held,
+            // It was not there when it was tried before this, and may have been since.
+            (Failure::Broken, Some(_)) => self.gone + TOLD,
+            (Failure::Broken | Failure::Refused, None) => self.sure + TOLD,
+        }
+    }
+
+    /// The watch failed. Says when to call again.
+    pub fn failed(&mut self, now: Nanos, how: Failure) -> Nanos {
         let lease = self.lease.take();
+        let told = self.told(now, how, lease);
+        self.gone = if how == Failure::Broken { self.since.max(self.sure) } else { self.gone };
+        let first = self.failures == 0 && self.held.is_none();
+        (self.held, self.reached) = (Some(told), self.reached || how != Failure::Broken);
         self.failures += 1;
-        match how {
-            // Guards: a watch given up at the very moment from which the node is held to what it missed, and
-            // taken up again seconds after.
-            Failure::Silent if self.tries == 0 => {
-                self.held = lease;
-                self.press = lease.map_or(0, |_| self.deaf().end);
-            }
-            // What was to be told counts as told when it was written.
-            Failure::Unread if self.tries == 0 => self.press = now + self.grace,
-            // Who does not answer a new call either is down, and tells nothing; it may not be for long.
-            Failure::Silent | Failure::Broken => {
-                let told = self.held.take().filter(|_| !self.unasked);
-                self.press = told.unwrap_or(if self.unasked { 0 } else { self.press });
-            }
-            _ => {}
-        }
         // Steps that differ between nodes, and between one node's tries.
-        let chance = 0.5 + (self.place * 7.0 + f64::from(self.tries) * 0.618).fract();
+        let chance = 0.5 + (self.place * 7.0 + f64::from(self.failures) * 0.618).fract();
         let step = |span: Nanos| now + (span as f64 * chance) as Nanos + MILLI;
-        if now < self.press {
-            self.tries += 1;
+        let deaf = self.deaf();
+        let pressed = match how {
+            // Guards: a watch given up at the very moment from which the node is held to what it missed, and
+            // taken up again seconds after; a list that came garbled, and a drain in it.
+            Failure::Silent | Failure::Unread if first => now,
+            // Guards: a service that starts anew and is called by all at once.
+            _ if first => now + (self.place * TURNS.min(self.ask_within / 4) as f64) as Nanos,
             // Ever shorter ones while there is time, then even ones.
-            let left = self.held.unwrap_or(self.press).checked_sub(now).filter(|&left| left > 0);
-            return Some(if self.tries == 1 { now } else { step(left.map_or(LONGEST_AGAIN / 2, |l| l / 4)) });
-        }
-        self.held = None;
+            Failure::Unread if now < deaf.start => step(((deaf.start - now) / 4).max(self.grace / 8)),
+            _ if now < deaf.start => step(((deaf.start - now) / 4).max(self.pause)),
+            _ if now < deaf.end => step(LONGEST_AGAIN.max(self.pause)),
+            _ => step(DOWN_AGAIN.min(self.ask_within / 4).max(self.pause)),
+        };
         // Where lists are pushed, what the service has counts whether or not it is watched. Guards: a node that
         // notices seconds late that the service is back.
         let soon = AGAIN.min(self.grace / 2);
-        self.unasked.then(|| match how {
+        match how {
+            _ if !self.unasked => pressed,
+            Failure::Silent | Failure::Broken | Failure::Refused if first => now,
             Failure::Silent => now,
-            _ if self.failures == 1 => now,
             Failure::Broken => step(soon),
-            _ => step((soon << self.failures.min(8)).min(LONGEST_AGAIN)),
-        })
+            _ => pressed.min(step((soon << self.failures.min(8)).min(LONGEST_AGAIN))),
+        }
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use rand::{Rng, SeedableRng};
-    use rand_chacha::ChaCha8Rng;
-    use std::cmp::Reverse;
-    use std::collections::BinaryHeap;
-
-    const LOOK: Nanos = 100 * MILLI;
-    const GRACE: Nanos = 50 * MILLI;
-
-    fn one(node: u32, nodes: u32, pushed: bool) -> Hearing {
-        Hearing::new(&Charter { node, nodes, roll_on_request: !pushed, ..Charter::default() }, GRACE)
-    }
-
-    /// So many nodes whose watches begin at one moment, as after a change, and fall silent at drawn ones, beside a
-    /// service that does `rate` calls a second in turn and turns away beyond a queue of one second. Gives the
-    /// latest that one heard beyond the moment from which it was held to what it missed, in milliseconds, and the calls.
-    fn silence(seed: u64, nodes: u32, rate: f64, pushed: bool) -> (i64, usize) {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let (mut free, mut latest, mut calls) = (0, i64::MIN, 0);
-        let mut next = BinaryHeap::new();
-        let mut all = Vec::new();
-        for node in 0..nodes {
-            let mut hearing = one(node, nodes, pushed);
-            let since = rng.random_range(0..200 * MILLI);
-            let (hold, fell) = (hearing.hold(), since + rng.random_range(0..2 * SECOND));
-            hearing.out(since, hold);
-            let noticed = hearing.silent_at(since, hold) + rng.random_range(0..LOOK);
-            next.push(Reverse((noticed, node as usize, 0)));
-            all.push((hearing, (fell + TOLD).max(since + hold + TOLD_AFTER_WAIT)));
-        }
-        while let Some(Reverse((now, node, what))) = next.pop() {
-            let (hearing, told) = &mut all[node];
-            if what == 1 {
-                latest = latest.max(now as i64 - *told as i64);
-                assert!(hearing.deaf().start == *told + GRACE);
-                hearing.heard();
-                continue;
-            }
-            let mut how = Failure::Silent;
-            if what == 2 {
-                calls += 1;
-                free = now.max(free);
-                if free <= now + SECOND {
-                    free += (SECOND as f64 / rate) as Nanos;
-                    next.push(Reverse((free, node, 1)));
-                    continue;
-                }
-                how = Failure::Refused;
-            }
-            let at = hearing.failed(now, how).expect("time is short");
-            let late = if at > now { rng.random_range(0..LOOK) } else { 0 };
-            next.push(Reverse((at + late, node, 2)));
-        }
-        (latest / MILLI as i64, calls)
-    }
-
-    /// Guards: watches given up at the very moment from which a node is held to what they missed, and all at once.
-    #[test]
-    fn watches_that_fall_silent_together_are_taken_up_before_what_they_missed_counts_as_told() {
-        for (seed, pushed) in (0..20).flat_map(|seed| [(seed, false), (seed, true)]) {
-            for nodes in [1, 6, 40, 350, 1100] {
-                // Little more than the terms ask of a service: a call of each within ten seconds, and two a second.
-                let (latest, calls) = silence(seed, nodes, f64::from(nodes.max(20)) / 10.0, pushed);
-                assert!(latest < 0, "seed {seed}, {nodes} nodes: {latest} ms too late");
-                assert!(
-                    calls as f64 <= 1.2 * f64::from(nodes) + 1.0,
-                    "seed {seed}, {nodes} nodes: {calls} calls"
-                );
-            }
-        }
-    }
-
-    /// One whose watch fell silent and was noticed; gives when that was.
-    fn noticed(hearing: &mut Hearing) -> Nanos {
-        hearing.out(10 * SECOND, hearing.hold());
-        let at = hearing.silent_at(10 * SECOND, hearing.hold());
-        assert_eq!(hearing.failed(at, Failure::Silent), Some(at), "at once");
-        at
-    }
-
-    #[test]
-    fn what_presses_is_tried_until_its_time_is_up_and_ends_when_it_is_heard() {
-        let mut hearing = one(0, 1, false);
-        assert_eq!(hearing.failed(SECOND, Failure::Refused), None, "nothing presses");
-        hearing.heard();
-        let first = noticed(&mut hearing);
-        let held = first - SILENT_AFTER_WAIT + TOLD_AFTER_WAIT;
-        assert_eq!(hearing.deaf(), held + GRACE..held + GRACE + 10 * SECOND);
-        let (mut now, mut before, mut after) = (first, 0, 0);
-        while let Some(at) = hearing.failed(now, Failure::Refused) {
-            assert!(at > now && at <= now + SECOND);
-            (before, after) = (before + u32::from(at < held), after + u32::from(at >= held));
-            now = at;
-        }
-        assert!((3..40).contains(&before) && (8..30).contains(&after), "{before} and {after} tries");
-        assert_eq!(hearing.deaf().start, Nanos::MAX, "shut for ever");
-        hearing.heard();
-        noticed(&mut hearing);
-        hearing.heard();
-        assert_eq!(hearing.deaf().start, Nanos::MAX);
-        assert_eq!(hearing.failed(40 * SECOND, Failure::Refused), None);
-    }
-
-    /// Guards: a node that dismisses all while the list service is down, of which nothing is told.
-    #[test]
-    fn a_service_that_is_gone_or_says_nothing_to_a_new_call_either_shuts_nothing() {
-        for (how, pushed) in
-            [Failure::Broken, Failure::Silent].into_iter().flat_map(|h| [(h, false), (h, true)])
-        {
-            let mut hearing = one(0, 1, pushed);
-            let mut now = noticed(&mut hearing);
-            for _ in 0..5 {
-                hearing.out(now, MILLI);
-                now = hearing.failed(now + SECOND / 4, how).unwrap_or(now + SECOND);
-                assert_eq!(hearing.deaf().start, Nanos::MAX, "{how:?}");
-            }
-            let at = hearing.failed(now, how);
-            assert_eq!(at.is_some_and(|at| at <= now + GRACE), pushed, "{how:?}");
-        }
-    }
-
-    /// Guards: an answer that came garbled, and the drain in it heard of seconds after it counts as told.
-    #[test]
-    fn what_cannot_be_read_is_asked_for_again_at_once_but_not_for_ever() {
-        let mut hearing = one(3, 4, false);
-        assert_eq!(hearing.failed(SECOND, Failure::Unread), Some(SECOND));
-        let again = hearing.failed(SECOND + MILLI, Failure::Unread).unwrap();
-        assert!(again > SECOND + MILLI && again < SECOND + GRACE);
-        assert_eq!(
-            hearing.failed(SECOND + GRACE, Failure::Unread),
-            None,
-            "a service that gives nothing else"
-        );
-    }
-
-    /// Guards: a node that hears seconds late that a service is back, whose lists are pushed.
-    #[test]
-    fn a_pushed_service_that_is_gone_is_looked_for_within_the_grace_and_a_busy_one_less_often() {
-        for (how, most) in [(Failure::Broken, GRACE), (Failure::Refused, 2 * SECOND), (Failure::Silent, 0)] {
-            let mut hearing = one(5, 9, true);
-            assert_eq!(hearing.failed(0, how), Some(0));
-            let mut now = 0;
-            for _ in 0..30 {
-                let at = hearing.failed(now, how).unwrap();
-                assert!(at <= now + most && (at > now || how == Failure::Silent), "{how:?}");
-                now = at;
-            }
-            assert!(how != Failure::Refused || now > 10 * SECOND, "a storm at a busy service");
-        }
-        let mut hearing = one(5, 9, true);
-        hearing.moved(0);
-        let (mut now, mut tries) = (MILLI, 0);
-        while now < TOLD_AFTER_MOVE {
-            now = hearing.failed(now, Failure::Refused).unwrap();
-            tries += 1;
-        }
-        assert!((4..30).contains(&tries), "{tries}");
-    }
-}
+#[path = "hearing_tests.rs"]
+mod tests;
--- /dev/null
+++ b/node/src/listing/hearing_tests.rs
@@ -0,0 +1,303 @@
+//! Tests of by when a node has to have heard.
+
+use super::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+const LOOK: Nanos = 100 * MILLI;
+const GRACE: Nanos = 50 * MILLI;
+
+fn one(node: u32, nodes: u32, pushed: bool) -> Hearing {
+    Hearing::new(&Charter { node, nodes, roll_on_request: !pushed, ..Charter::default() }, GRACE, 0)
+}
+
+/// So many nodes whose watches begin at one moment, as after a change, and fall silent at drawn ones, beside a
+/// service that does `rate` calls a second in turn and turns away beyond a queue of one second. Gives the
+/// latest that one heard beyond the moment from which it was held to what it missed, in milliseconds, and the calls.
+fn silence(seed: u64, nodes: u32, rate: f64, pushed: bool) -> (i64, usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let (mut free, mut latest, mut calls) = (0, i64::MIN, 0);
+    let mut next = BinaryHeap::new();
+    let mut all = Vec::new();
+    for node in 0..nodes {
+        let mut hearing = one(node, nodes, pushed);
+        let since = rng.random_range(0..200 * MILLI);
+        let (hold, fell) = (hearing.hold(), since + rng.random_range(0..2 * SECOND));
+        hearing.out(since, hold);
+        let noticed = hearing.silent_at(since, hold) + rng.random_range(0..LOOK);
+        next.push(Reverse((noticed, node as usize, 0)));
+        all.push((hearing, (fell + TOLD).max(since + hold + TOLD_AFTER_WAIT)));
+    }
+    while let Some(Reverse((now, node, what))) = next.pop() {
+        let (hearing, told) = &mut all[node];
+        if what == 1 {
+            latest = latest.max(now as i64 - *told as i64);
+            assert!(hearing.deaf().start == *told + GRACE);
+            hearing.heard(now);
+            continue;
+        }
+        let mut how = Failure::Silent;
+        if what == 2 {
+            calls += 1;
+            free = now.max(free);
+            if free <= now + SECOND {
+                free += (SECOND as f64 / rate) as Nanos;
+                next.push(Reverse((free, node, 1)));
+                continue;
+            }
+            how = Failure::Refused;
+        }
+        let at = hearing.failed(now, how);
+        let late = if at > now { rng.random_range(0..LOOK) } else { 0 };
+        next.push(Reverse((at + late, node, 2)));
+    }
+    (latest / MILLI as i64, calls)
+}
+
+/// Guards: watches given up at the very moment from which a node is held to what they missed, and all at once.
+#[test]
+fn watches_that_fall_silent_together_are_taken_up_before_what_they_missed_counts_as_told() {
+    for (seed, pushed) in (0..20).flat_map(|seed| [(seed, false), (seed, true)]) {
+        for nodes in [1, 6, 40, 350, 1100] {
+            // Little more than the terms ask of a service: a call of each within ten seconds, and two a second.
+            let (latest, calls) = silence(seed, nodes, f64::from(nodes.max(20)) / 10.0, pushed);
+            assert!(latest < 0, "seed {seed}, {nodes} nodes: {latest} ms too late");
+            assert!(
+                calls as f64 <= 1.2 * f64::from(nodes) + 1.0,
+                "seed {seed}, {nodes} nodes: {calls} calls"
+            );
+        }
+    }
+}
+
+/// One whose watch fell silent and was noticed; gives when that was.
+fn noticed(hearing: &mut Hearing) -> Nanos {
+    hearing.heard(10 * SECOND);
+    hearing.out(10 * SECOND, hearing.hold());
+    let at = hearing.silent_at(10 * SECOND, hearing.hold());
+    assert_eq!(hearing.failed(at, Failure::Silent), at, "at once");
+    at
+}
+
+/// Guards: the 6 s after a call that failed, which go before what the wait of a silent watch would leave.
+#[test]
+fn what_presses_is_tried_until_it_is_heard_and_shuts_the_node_from_the_moment_it_is_held() {
+    let mut hearing = one(0, 1, false);
+    let first = noticed(&mut hearing);
+    let held = first - SILENT_AFTER_WAIT + TOLD_AFTER_WAIT;
+    assert_eq!(hearing.deaf(), held + GRACE..held + GRACE + 10 * SECOND, "the call in its place is out");
+    let (mut now, mut tries) = (first, 0);
+    let told = 10 * SECOND + TOLD + GRACE;
+    while now < told + 10 * SECOND {
+        hearing.out(now, MILLI);
+        let at = hearing.failed(now, Failure::Refused);
+        assert_eq!(hearing.deaf(), told..told + 10 * SECOND, "it was refused");
+        assert!(at > now && at <= now + 2 * SECOND);
+        (now, tries) = (at, tries + 1);
+    }
+    assert!((1..30).contains(&tries), "{tries} tries");
+    assert!(hearing.failed(now, Failure::Refused) <= now + 4 * SECOND, "it goes on for ever");
+    hearing.heard(now);
+    assert_eq!(hearing.deaf().start, Nanos::MAX, "shut for ever");
+}
+
+/// Guards: a node that calls again only after what it may have missed counts as told.
+#[test]
+fn a_watch_that_was_refused_or_broke_is_called_again_several_times_within_six_seconds() {
+    for (how, node) in [Failure::Refused, Failure::Broken].into_iter().flat_map(|h| [(h, 0), (h, 349)]) {
+        let mut hearing = one(node, 350, false);
+        hearing.heard(10 * SECOND);
+        hearing.out(10 * SECOND, hearing.hold());
+        hearing.runs(15 * SECOND);
+        let (mut now, mut tries) = (hearing.failed(15 * SECOND, how), 0);
+        assert!(now <= 15 * SECOND + TURNS, "{how:?}");
+        while now < 15 * SECOND + TOLD {
+            hearing.out(now, hearing.hold());
+            (now, tries) = (hearing.failed(now, how), tries + 1);
+        }
+        assert!((2..12).contains(&tries), "{how:?}, node {node}: {tries} tries");
+        let deaf = hearing.deaf().start;
+        assert!(if how == Failure::Refused { deaf == 21 * SECOND + GRACE } else { deaf > now }, "{how:?}");
+    }
+}
+
+/// Guards: a node that dismisses all while the list service is not there, of which nothing is told; and one that takes what
+/// a silent watch missed for never told, as the service is gone by then.
+#[test]
+fn a_service_that_is_not_there_shuts_nothing_but_what_was_missed_before() {
+    for pushed in [false, true] {
+        let mut hearing = one(0, 1, pushed);
+        let mut now = SECOND;
+        hearing.heard(now);
+        for _ in 0..50 {
+            hearing.out(now, MILLI);
+            hearing.runs(now);
+            now = hearing.failed(now + MILLI, Failure::Broken);
+            assert!(hearing.deaf().start >= now.min(hearing.since + TOLD), "pushed {pushed}");
+            assert!(!hearing.deaf().contains(&now), "pushed {pushed}");
+        }
+        let mut hearing = one(0, 1, pushed);
+        let mut now = noticed(&mut hearing);
+        let held = now - SILENT_AFTER_WAIT + TOLD_AFTER_WAIT + GRACE;
+        for _ in 0..5 {
+            hearing.out(now, MILLI);
+            now = hearing.failed(now + MILLI, Failure::Broken);
+            assert_eq!(hearing.deaf().start, held, "pushed {pushed}");
+        }
+    }
+}
+
+/// Guards: an answer that came garbled, and the drain in it heard of seconds after it counts as told; such a
+/// service stormed.
+#[test]
+fn what_cannot_be_read_is_asked_for_again_at_once_but_not_for_ever() {
+    let mut hearing = one(3, 4, false);
+    assert_eq!(hearing.failed(SECOND, Failure::Unread), SECOND);
+    let again = hearing.failed(SECOND + MILLI, Failure::Unread);
+    assert!(again > SECOND + MILLI && again < SECOND + GRACE);
+    assert_eq!(hearing.deaf(), SECOND + GRACE..SECOND + GRACE + 10 * SECOND, "told when it was written");
+    let (mut now, mut tries) = (again, 0);
+    while now < 20 * SECOND {
+        (now, tries) = (hearing.failed(now, Failure::Unread), tries + 1);
+    }
+    assert!(tries < 40, "{tries} tries");
+}
+
+/// Guards: a process that stood still while its watch ended, and counts what it missed from when it went on.
+#[test]
+fn what_a_process_missed_while_it_stood_still_counts_from_before_that() {
+    let mut hearing = one(0, 1, false);
+    hearing.heard(10 * SECOND);
+    hearing.out(10 * SECOND, hearing.hold());
+    hearing.runs(11 * SECOND);
+    hearing.failed(25 * SECOND, Failure::Broken);
+    assert!(hearing.deaf().contains(&(25 * SECOND)));
+}
+
+/// How a list service stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Service {
+    Well,
+    Gone,
+    Busy,
+    Mute,
+    Garbled,
+}
+
+/// Guards: any order of silence, reset, refusal and garbled lists in which a node hands something to a host that drains, as
+/// it does not know by when it had to have heard. A change may come in any moment in which the service is there.
+#[test]
+fn whatever_the_service_does_a_node_is_shut_wherever_it_may_have_missed_a_change_that_counts_as_told() {
+    let mut shut = 0;
+    for seed in 0..400 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let nodes = [1, 6, 40, 350][seed as usize % 4];
+        let mut hearing = one(rng.random_range(0..nodes), nodes, false);
+        let (mut service, mut until) = (Service::Well, rng.random_range(0..5 * SECOND));
+        // The call that is out: since when, how long it may wait, and whether it is heard.
+        let mut call: Option<(Nanos, Nanos, bool)> = None;
+        let (mut next, mut missed, mut refused) = (0, None, false);
+        // A silent watch is kept until the call in its place has come to something.
+        let (mut kept, mut seen) = (false, true);
+        for now in (0..120 * SECOND).step_by(10 * MILLI as usize) {
+            if now >= until {
+                let all = [Service::Well, Service::Gone, Service::Busy, Service::Mute, Service::Garbled];
+                (service, until) = (all[rng.random_range(0..5)], now + rng.random_range(0..9 * SECOND));
+                // Nobody can know that it was there between two tries.
+                missed = missed.filter(|_| service != Service::Gone || seen);
+                seen &= service != Service::Gone;
+                if let Some((_, _, heard)) = &mut call {
+                    *heard &= service != Service::Mute;
+                }
+            }
+            let failed = match (&call, service) {
+                (None, _) if now < next => None,
+                (None, Service::Busy) => Some(Failure::Refused),
+                (None, Service::Gone) | (Some(_), Service::Gone) => Some(Failure::Broken),
+                (None, Service::Garbled) => Some(Failure::Unread),
+                (None, Service::Well | Service::Mute) => {
+                    let hold = if refused { MILLI } else { hearing.hold() };
+                    hearing.out(now, hold);
+                    if service == Service::Well {
+                        // What was missed comes at once.
+                        hearing.heard(now);
+                        hearing.out(now, hearing.hold());
+                        (missed, kept) = (None, false);
+                    }
+                    call = Some((now, hold, service == Service::Well));
+                    None
+                }
+                (Some((since, hold, heard)), _) if now >= hearing.silent_at(*since, *hold) => {
+                    // A watch that is well is answered before that, with nothing.
+                    if *heard {
+                        None
+                    } else {
+                        Some(Failure::Silent)
+                    }
+                }
+                _ => None,
+            };
+            seen |= service != Service::Gone && (failed.is_some() || call.is_some());
+            if let Some(how) = failed {
+                if call.is_none() {
+                    hearing.out(now, if how == Failure::Unread { hearing.hold() } else { MILLI });
+                }
+                if how == Failure::Unread {
+                    missed = missed.or(Some(now)).map(|at: Nanos| at.min(now.saturating_sub(TOLD)));
+                }
+                if how == Failure::Broken && call.is_some() {
+                    // A watch that was silent and then broke can't be told from one that was well until then.
+                    missed = None;
+                }
+                kept = how == Failure::Silent && call.is_some_and(|(_, hold, _)| hold > SILENT);
+                (call, refused) = (None, how != Failure::Silent || refused);
+                next = hearing.failed(now, how);
+            }
+            if let Some((since, hold, true)) = call {
+                if now >= since + hold {
+                    hearing.heard(now);
+                    hearing.out(now, hearing.hold());
+                    call = Some((now, hearing.hold(), true));
+                }
+                refused = false;
+            }
+            hearing.runs(now);
+            // What it does not hear from now on.
+            if !call.is_some_and(|(_, _, heard)| heard) && service != Service::Gone {
+                missed = missed.or(Some(now));
+            }
+            let waits = kept || call.is_some_and(|(_, hold, _)| hold > SILENT);
+            let told = missed.filter(|_| !waits).is_some_and(|at| now > at + TOLD + GRACE + 20 * MILLI);
+            let deaf = hearing.deaf();
+            shut += u64::from(deaf.contains(&now));
+            assert!(!told || now >= deaf.start, "seed {seed}, at {} ms: {service:?}, {deaf:?}", now / MILLI);
+        }
+    }
+    assert!(shut > 0, "too tame");
+}
+
+/// Guards: a node that hears seconds late that a service is back, whose lists are pushed.
+#[test]
+fn a_pushed_service_that_is_gone_is_looked_for_within_the_grace_and_a_busy_one_less_often() {
+    for (how, most) in [(Failure::Broken, GRACE), (Failure::Refused, 2 * SECOND), (Failure::Silent, 0)] {
+        let mut hearing = one(5, 9, true);
+        assert_eq!(hearing.failed(0, how), 0);
+        let mut now = 0;
+        for _ in 0..30 {
+            let at = hearing.failed(now, how);
+            assert!(at <= now + most && (at > now || how == Failure::Silent), "{how:?}");
+            now = at;
+        }
+        assert!(how != Failure::Refused || now > 10 * SECOND, "a storm at a busy service");
+    }
+    let mut hearing = one(5, 9, true);
+    hearing.moved(0);
+    let (mut now, mut tries) = (MILLI, 0);
+    while now < TOLD_AFTER_MOVE {
+        now = hearing.failed(now, Failure::Refused);
+        tries += 1;
+    }
+    assert!((4..30).contains(&tries), "{tries}");
+}
--- a/node/src/roles/alone.rs
+++ b/node/src/roles/alone.rs
@@ -110,7 +110,7 @@
         deck,
         module,
         ferries: Ferries::default(),
-        discovery: Discovery::new(papers.discovery, revision, &papers.charter, papers.terms.drain_grace),
+        discovery: Discovery::new(papers.discovery, revision, &papers.charter, papers.terms.drain_grace, now),
         probes: Probes::default(),
         peers,
         fleet,
--- a/node/src/roles/plan.rs
+++ b/node/src/roles/plan.rs
@@ -8,6 +8,7 @@
 use crate::ferry::wire::{Wire, Wires};
 use crate::listing::discovery::Discovery;
 use crate::operators::articles::{Articles, Plans, Role};
+use crate::operators::papers::Papers;
 use crate::{AtStart, SWEEP};
 use reedferry::{Event, Listing, Nanos, MILLI};
 use reedferry_link::{HostLine, Order, Planner, Remit};
@@ -66,10 +67,12 @@
         "revision" => revision);
     deck.poller.remind(deck.now + SWEEP, mark(deck::SWEEP), 0);
     let AtStart { stop, reread } = start;
+    let Papers { charter, terms, .. } = &papers;
+    let discovery = Discovery::new(papers.discovery, revision, charter, terms.drain_grace, deck.now);
     let mut plan = Plan {
         deck,
         core,
-        discovery: Discovery::new(papers.discovery, revision, &papers.charter, papers.terms.drain_grace),
+        discovery,
         probes: Probes::default(),
         wires: Wires::default(),
         door,
--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -33,7 +33,14 @@
 
 impl Site {
     fn new(mode: &str, nodes: usize, of: usize) -> Self {
-        let (service, referee) = (Discovery::start(), Referee::default());
+        let site = Site::with(Discovery::start(), mode, nodes, of, 10_000.0);
+        site.service.calls(nodes);
+        site
+    }
+
+    /// One whose settings have nodes ask within so many milliseconds.
+    fn with(service: Discovery, mode: &str, nodes: usize, of: usize, ask_within: f64) -> Self {
+        let referee = Referee::default();
         let hosts = Hosts::start(HOSTS, &referee);
         let start = |node: usize| {
             let mut papers = papers_of(hosts.members(), service.address);
@@ -42,12 +49,11 @@
             settings["balancers"] = json!(of);
             settings["index"] = json!(of - nodes + node);
             settings["registry_mode"] = json!(mode);
-            settings["contract"]["ask_within"] = json!(10_000.0);
+            settings["contract"]["ask_within"] = json!(ask_within);
             settings["offerings"][0]["name"] = json!("free");
             Node::start(&papers)
         };
         let nodes: Vec<Node> = (0..nodes).map(start).collect();
-        service.calls(nodes.len());
         Site { service, referee, hosts, nodes, named: Cell::new(0) }
     }
 
@@ -310,3 +316,83 @@
     let late: Vec<usize> = reached.iter().filter(late).map(|one| one.host).collect();
     assert!(!late.is_empty() && late.iter().all(|host| *host == HOSTS - 1), "{late:?}");
 }
+
+/// The term that goes before all others: what the service had and could be reached for counts as told so long after.
+const TOLD: Duration = Duration::from_secs(6);
+
+/// What a watch comes to while a host drains, and how long the service goes on failing after it.
+const ENDS: [&str; 4] = ["reset", "reset, then busy", "busy", "garbled, then busy"];
+
+/// Guards: a node whose watch was reset or refused and not silent, and that calls again by the pace of settings that leave
+/// it a minute; new work for a host that drained meanwhile.
+#[test]
+fn however_a_watch_ends_nothing_new_goes_out_six_seconds_after_a_drain() {
+    thread::scope(|scope| {
+        for (mode, ends) in ["on_request", "pushed"].into_iter().flat_map(|m| ENDS.map(|e| (m, e))) {
+            scope.spawn(move || {
+                // The last of hundreds, which call in turn.
+                let site = Site::with(Discovery::start(), mode, 3, 300, 60_000.0);
+                site.service.calls(3);
+                let busy = ends.contains("busy");
+                if busy {
+                    site.service.turn_away(10);
+                }
+                match ends {
+                    "busy" => site.service.change(site.hosts.member(HOSTS - 1, "active")),
+                    "garbled, then busy" => {
+                        site.service.answer_instead(&["HTTP/9 what\r\n\r\n", "what", "HTTP/9 what\r\n\r\n"]);
+                        site.service.change(site.hosts.member(HOSTS - 1, "active"));
+                    }
+                    _ => {
+                        let members: Vec<_> = (0..HOSTS).map(|h| site.hosts.member(h, "active")).collect();
+                        site.service.restart(1, &members);
+                    }
+                }
+                let ended = Instant::now();
+                (0..DRAIN).for_each(|host| site.drain(host));
+                if busy {
+                    site.load(ended + ms(4500));
+                    site.service.turn_away(0);
+                }
+                let reached = site.load(ended + TOLD + GRACE + BUSY + ms(2000));
+                let late = |at: &&Instant| **at > ended + TOLD + GRACE + SOCKETS + BUSY;
+                let last = reached.iter().flatten().max().map(|at| at.saturating_duration_since(ended));
+                assert_eq!(reached.iter().flatten().filter(late).count(), 0, "{mode}, {ends}: {last:?}");
+                assert_eq!(site.referee.broken(ms(60_000)), Vec::<String>::new(), "{mode}, {ends}");
+                let calls = site.service.seen().0.len();
+                assert!(calls <= 3 * 20, "{mode}, {ends}: {calls} calls");
+                // It serves on once it has heard.
+                eventually("shut for ever", || {
+                    let before = site.referee.reached().len();
+                    site.load(Instant::now() + ms(300));
+                    site.referee.reached().len() > before
+                });
+            });
+        }
+    });
+}
+
+/// Guards: processes that start while the list service is down and is back with a host that drains; and while it is down, a
+/// tier that serves nobody, or storms the service at its return.
+#[test]
+fn processes_that_start_with_the_service_down_hear_of_a_drain_at_its_return() {
+    for (mode, nodes) in [("on_request", 1), ("pushed", 6), ("on_request", 40)] {
+        let service = Discovery::start();
+        service.go_down();
+        let site = Site::with(service, mode, nodes, nodes, 60_000.0);
+        let started = Instant::now();
+        site.load(started + ms(3000));
+        assert!(!site.referee.reached().is_empty(), "{mode}, {nodes}: nobody is served");
+        site.service.bound(10.0, ms(2000));
+        let before = site.service.seen().0.len();
+        site.drain(0);
+        site.service.come_up();
+        let back = Instant::now();
+        let reached = site.load(back + TOLD + GRACE + BUSY + ms(1500));
+        let late = |at: &&Instant| **at > back + TOLD + GRACE + SOCKETS + BUSY;
+        assert_eq!(reached.iter().flatten().filter(late).count(), 0, "{mode}, {nodes} nodes");
+        assert_eq!(site.referee.broken(ms(60_000)), Vec::<String>::new(), "{mode}, {nodes} nodes");
+        let calls = site.service.seen().0.len() - before;
+        assert!(calls <= 8 * nodes + 8, "{mode}, {nodes} nodes: {calls} calls");
+    }
+}
