--- a/node/src/listing/hearing.rs
+++ b/node/src/listing/hearing.rs
@@ -117,7 +117,8 @@
         let place = (f64::from(charter.node) + 0.5) / f64::from(charter.nodes.max(1));
         (self.place, self.spread) = (place.min(1.0), charter.ask_within.min(HOLD / 2));
         (self.ask_within, self.grace, self.unasked) = (charter.ask_within, grace, !charter.roll_on_request);
-        self.pause = (EACH * u64::from(charter.nodes)).min(charter.ask_within / 8).min(TOLD / 5).max(AGAIN);
+        let pause = (EACH * u64::from(charter.nodes)).min(charter.ask_within / 8);
+        self.pause = pause.clamp(AGAIN, TOLD / 5);
     }
 
     pub fn unasked(&self) -> bool {
