Pass a connection on with what its class means, and never by another's

One customer's connection went by another's terms: passing.rs adopt() took the first offering where the name of a passed connection's was unknown to the next process (unwrap_or_default), and one of the same name whatever it had come to mean.

The elder's estate now names what its connections go by, with its meaning; the next process keeps what it does not offer so beside, closed to new ones. What it has no place for all the same (the elder took new settings up since) it turns down, and the elder moves that client; before, one that was turned down was given again in each turn, and never moved. Both processes speak version 2 of the channel. Thrown out by reading: a SIGHUP alone, which never uses a held index for another (renewal.rs), and tenants, which stand in no index.

--- a/node/src/deck.rs
+++ b/node/src/deck.rs
@@ -6,7 +6,7 @@
 use crate::operators::papers::Papers;
 use crate::operators::tally::Tally;
 use crate::AtStart;
-use reedferry::{Event, Nanos, MILLI, SECOND};
+use reedferry::{Event, Nanos, Offering, MILLI, SECOND};
 use reedferry_quay::log::Backlog;
 use reedferry_quay::{log, pool, Budget, Clock, Errno, Mark, Poller, Pool, Socket};
 use reedferry_terms::Terms;
@@ -68,6 +68,8 @@
     pub pool: Pool,
     pub hosts: Hosts,
     pub terms: Terms,
+    /// What the names of the offerings mean, in their order.
+    pub offerings: Vec<Offering>,
     pub events: Vec<Event>,
     pub log: Logger,
     pub stamps: u32,
@@ -103,6 +105,7 @@
             pool: Pool::new((papers.memory / 4 / pool::SIZE).max(64)),
             hosts: Hosts::new(papers.terms.zones.clone(), papers.charter.shortest_message_time()),
             terms: papers.terms.clone(),
+            offerings: papers.charter.offerings.clone(),
             events: Vec::new(),
             log,
             stamps: 0,
--- a/node/src/ferry/mod.rs
+++ b/node/src/ferry/mod.rs
@@ -21,7 +21,7 @@
 use endings::MOST_WASTE;
 use landing::Landing;
 pub use passing::Passenger;
-use reedferry::{Action, Arrival, AttachmentId, Ending, HostId, Nanos, SECOND};
+use reedferry::{Action, Arrival, AttachmentId, Ending, HostId, Nanos, Offering, SECOND};
 use reedferry_quay::{Buffer, Readiness, Socket};
 use slab::Slab;
 use slog::info;
@@ -74,6 +74,8 @@
     moving: Option<Nanos>,
     ending: Ending,
     client_ended: Option<Nanos>,
+    /// The next process would not have it.
+    turned_down: bool,
 }
 
 impl Ferry {
@@ -102,6 +104,7 @@
             moving: None,
             ending: Ending::CalledOff,
             client_ended: None,
+            turned_down: false,
         }
     }
 
@@ -138,6 +141,13 @@
         self.slab.iter().any(|(_, ferry)| !ferry.idles() && ferry.arrival.offering == offering)
     }
 
+    /// The offerings that any attachment goes by, by their names, and what they mean.
+    pub fn held(&self, deck: &Deck) -> Vec<(String, Offering)> {
+        let all = deck.terms.offerings.iter().zip(&deck.offerings).enumerate();
+        let held = all.filter(|(n, _)| self.holds(*n));
+        held.map(|(_, (name, offering))| (name.clone(), offering.clone())).collect()
+    }
+
     /// The clients whose attachment is held or open.
     pub fn in_flight(&self) -> usize {
         self.slab
--- a/node/src/ferry/passing.rs
+++ b/node/src/ferry/passing.rs
@@ -7,8 +7,9 @@
 use crate::deck::{Deck, CLIENT, HOST};
 use crate::ferry::lane::{Lane, Side};
 use crate::ferry::lines::Scanner;
-use reedferry::{AttachmentId, Ending, Event, HostId, Nanos};
+use reedferry::{AttachmentId, Ending, Event, HostId, Nanos, Offering};
 use reedferry_quay::Socket;
+use reedferry_terms::renewal;
 use serde::{Deserialize, Serialize};
 use std::os::fd::{AsFd, BorrowedFd};
 
@@ -46,7 +47,8 @@
     pings: u32,
     letter: Vec<u8>,
     name: Option<String>,
-    offering: String,
+    /// What it goes by, and what that means.
+    offering: Option<(String, Offering)>,
     key: Option<u64>,
     group: Option<u64>,
     usual_load: Option<f64>,
@@ -79,7 +81,8 @@
             Stage::Knocking => true,
             _ => false,
         };
-        let all = self.slab.iter().filter(|(_, ferry)| ferry.client.is_some() && fits(ferry));
+        let fits = |ferry: &Ferry| ferry.client.is_some() && !ferry.turned_down && fits(ferry);
+        let all = self.slab.iter().filter(|(_, ferry)| fits(ferry));
         all.map(|(slot, _)| slot).collect()
     }
 
@@ -104,14 +107,18 @@
             bye: landing.said.bye,
             moved: landing.said.moved,
         });
-        let offering = open.as_ref().and_then(|_| deck.terms.offerings.get(arrival.offering));
+        let offering = open.as_ref().and_then(|_| {
+            let (name, means) =
+                (deck.terms.offerings.get(arrival.offering), deck.offerings.get(arrival.offering));
+            Some((name?.clone(), means?.clone()))
+        });
         let passenger = Passenger {
             came: ferry.came,
             since: ferry.since,
             pings: ferry.pings,
             letter: ferry.letter.as_ref().map_or(Vec::new(), |l| l.waiting().to_vec()),
             name: ferry.name.as_deref().map(str::to_string),
-            offering: offering.cloned().unwrap_or_default(),
+            offering,
             key: arrival.key,
             group: arrival.group,
             usual_load: arrival.usual_load,
@@ -175,8 +182,26 @@
         self.more.push(slot);
     }
 
+    /// The next process would not have it: this one goes on with it, and has it moved. Guards: one that is given and turned down
+    /// again and again until the program is ended.
+    pub fn turned_down(&mut self, deck: &mut Deck, id: AttachmentId) {
+        self.keep(deck, id);
+        if let Some(slot) = self.find(id) {
+            self.slab[slot].turned_down = true;
+            self.move_on(deck, id);
+        }
+    }
+
     /// Goes on with one that the process before this one has let go of; false where that cannot be.
     pub fn adopt(&mut self, deck: &mut Deck, passenger: Passenger, sockets: Vec<Socket>) -> bool {
+        // Guards: one customer's connection that goes by another's terms, as its own are offered no more.
+        let goes_by = passenger
+            .offering
+            .as_ref()
+            .and_then(|(name, means)| renewal::place((&deck.offerings, &deck.terms.offerings), name, means));
+        if passenger.open.is_some() && goes_by.is_none() {
+            return false;
+        }
         let slot = self.slab.vacant_key();
         let mut sockets = sockets.into_iter();
         let Some(client) = sockets.next() else { return false };
@@ -199,8 +224,7 @@
                     (open.asked.into(), open.moving, open.client_ended);
                 ferry.ending = if open.broken { Ending::Broken } else { Ending::CalledOff };
                 ferry.stage = Stage::Open;
-                // One that is offered no more goes by the first: it has its answer, and only what it pays tells.
-                ferry.arrival.offering = deck.terms.offering(&passenger.offering).unwrap_or_default();
+                ferry.arrival.offering = goes_by.unwrap_or_default();
                 (ferry.arrival.key, ferry.arrival.group) = (passenger.key, passenger.group);
                 ferry.arrival.usual_load = passenger.usual_load;
                 if let Some(name) = passenger.name {
--- a/node/src/roles/alone.rs
+++ b/node/src/roles/alone.rs
@@ -73,11 +73,16 @@
 }
 
 pub fn run(told: Told, start: AtStart) -> Result<(), String> {
-    let (papers, correspondence) = told.papers()?;
+    let (mut papers, correspondence) = told.papers()?;
     let clock = Clock::start();
     let (mut deck, backlog) = Deck::open(&papers, &clock, &start)?;
     let mut succession = Succession::open(&mut deck, &papers)?;
-    let estate = succession.begin(&mut deck, &clock).map(|e| e.in_terms_of(&papers.terms.offerings));
+    let mut estate = succession.begin(&mut deck, &clock);
+    if let Some(estate) = &mut estate {
+        renewal::keep((&mut papers.charter, &mut papers.terms), std::mem::take(&mut estate.held));
+        (deck.terms, deck.offerings) = (papers.terms.clone(), papers.charter.offerings.clone());
+    }
+    let estate = estate.map(|e| e.in_terms_of(&papers.terms.offerings));
     let ops = papers.ops.map(|at| Ops::open(&mut deck, &at)).transpose()?;
     let (now, log) = (deck.now, deck.log.clone());
     let mut actions = Vec::new();
@@ -215,6 +220,7 @@
                 revision: self.discovery.revision(),
                 members: deck.hosts.members(),
                 offerings: deck.terms.offerings.clone(),
+                held: self.ferries.held(deck),
                 legacy: self.module.leave(),
             };
             self.succession.leave(deck, &mut self.ferries, &estate);
@@ -398,7 +404,7 @@
         let others = renewal::renew((charter, terms), told, |n| self.ferries.holds(n));
         (fresh.charter, fresh.terms) = (charter.clone(), terms.clone());
         let deck = &mut self.deck;
-        deck.terms = terms.clone();
+        (deck.terms, deck.offerings) = (terms.clone(), charter.offerings.clone());
         deck.tally.offers(&terms.offerings);
         deck.hosts.renew(terms.zones.clone(), charter.shortest_message_time());
         self.discovery.retune(charter, terms.drain_grace);
--- a/node/src/roles/succession.rs
+++ b/node/src/roles/succession.rs
@@ -7,7 +7,7 @@
 use crate::ferry::{Ferries, Passenger};
 use crate::listing::list::Member;
 use crate::operators::papers::Papers;
-use reedferry::{AttachmentId, Event, Legacy, Nanos, MILLI};
+use reedferry::{AttachmentId, Event, Legacy, Nanos, Offering, MILLI};
 use reedferry_quay::{channel, Clock, Errno, Mark, Readiness, Socket};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
@@ -16,7 +16,7 @@
 use std::path::PathBuf;
 
 /// Both speak the same version, or the heir starts without.
-const VERSION: u16 = 1;
+const VERSION: u16 = 2;
 const FILE: &str = "reedferry.next";
 /// How long an heir waits for what its elder knows.
 const ESTATE_WITHIN: Nanos = 1500 * MILLI;
@@ -54,6 +54,8 @@
     pub members: Vec<Member>,
     /// The names of the offerings, in the order in which the rest speaks of them.
     pub offerings: Vec<String>,
+    /// Those of them that connections go by, and what they mean.
+    pub held: Vec<(String, Offering)>,
     pub legacy: Legacy,
 }
 
@@ -257,7 +259,7 @@
                     if let Some((id, _)) = heir.going.pop_front() {
                         match goes_on {
                             true => ferries.passed(id),
-                            false => ferries.keep(deck, id),
+                            false => ferries.turned_down(deck, id),
                         }
                     }
                 }
--- a/node/tests/succession.rs
+++ b/node/tests/succession.rs
@@ -277,3 +277,63 @@
     assert!(broken.is_empty(), "{broken:#?}");
     assert_eq!(referee.lived().len(), clients.started(), "some were lost at the door");
 }
+
+/// A class of the settings.
+fn class(name: &str, effect: &str) -> Value {
+    json!({"name": name, "contract_time": 500.0, "expiry": 2000.0, "effect": effect, "group": "all", "payoff": 1.0,
+        "repeat_window": 900.0})
+}
+
+/// Guards: one customer's connection that goes by another's terms, or is cut, where one process takes the place of another
+/// whose settings name the classes in another order, without one of them, with one that means something else and with a new one.
+#[test]
+fn connections_keep_their_own_terms_in_a_next_process_with_other_settings() {
+    let mut site = Site::new(2);
+    std::env::set_var("REEDFERRY_TRACE", "1");
+    site.papers["settings"]["offerings"] =
+        json!([class("chat", "free"), class("till", "single_shot"), class("seat", "guarded")]);
+    site.papers["settings"]["tenants"] = json!([{"name": "acme"}, {"name": "zeta"}]);
+    let mut elder = site.start();
+    let mut open = Vec::new();
+    for (name, tenant) in [("chat", "acme"), ("till", "zeta"), ("seat", "acme"), ("seat", "zeta")] {
+        let mut client = elder.open(&OPEN.replace("c=chat,t=acme", &format!("c={name},t={tenant}")));
+        let (_, mut host) = site.hosts.accept();
+        host.hear();
+        host.say("UP 77aa");
+        client.hears("UP 77aa");
+        open.push((client, host));
+    }
+    // `chat` is gone, `seat` means something else, `late` is new and stands first.
+    site.papers["settings"]["offerings"] =
+        json!([class("late", "single_shot"), class("seat", "free"), class("till", "single_shot")]);
+    let mut heir = site.start();
+    elder.stop();
+    ended(&mut elder);
+    let mut places = Vec::new();
+    for _ in 0..open.len() {
+        let line = heir.logs("event PassedOn");
+        let place =
+            line.split("offering: ").nth(1).and_then(|rest| rest.split(',').next()?.parse::<usize>().ok());
+        places.push(place.unwrap());
+    }
+    places.sort_unstable();
+    // `till` as it stands there; of what is not offered so any more, each its own place.
+    assert!(places[0] == 2 && places[1] > 2, "{places:?}");
+    places.dedup();
+    assert_eq!(places.len(), 3, "{places:?}");
+    for (client, host) in &mut open {
+        speaks(client, host);
+    }
+    // No more comes of what is gone, and what is new is served.
+    assert_eq!(heir.open(OPEN).hear(), "ERR");
+    let mut client = heir.open(&OPEN.replace("c=chat", "c=late"));
+    let (_, mut host) = site.hosts.accept();
+    host.hear();
+    host.say("UP 1");
+    client.hears("UP 1");
+    heir.stop();
+    for (client, _) in &mut open {
+        client.hears("MOVE");
+    }
+    ended(&mut heir);
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct AttachmentId(pub u64);
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Effect {
     #[default]
     Redoable,
@@ -24,7 +24,7 @@
 }
 
 /// Which hosts drop each other's repeats of a labelled attachment.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Circle {
     #[default]
     All,
@@ -32,7 +32,7 @@
     Cell,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Offering {
     pub effect: Effect,
     pub circle: Circle,
--- a/terms/src/renewal.rs
+++ b/terms/src/renewal.rs
@@ -4,7 +4,7 @@
 //! decide what new terms mean for what is held.
 
 use crate::Terms;
-use reedferry::Charter;
+use reedferry::{Charter, Offering};
 use serde_json::Value;
 
 /// The key that stands in what is in force and is missing in what is to follow it, with its place.
@@ -62,6 +62,23 @@
     changed
 }
 
+/// Makes room for what another process holds and may pass on, by its own terms: what is not offered here under the same name
+/// and terms is kept beside, and no more of it may come. Guards: one customer's connection that goes by another's terms.
+pub fn keep((charter, terms): (&mut Charter, &mut Terms), held: Vec<(String, Offering)>) {
+    for (name, offering) in held {
+        if place((&charter.offerings, &terms.offerings), &name, &offering).is_none() {
+            charter.offerings.push(Offering { offered: false, ..offering });
+            terms.offerings.push(name);
+            terms.offered.push(false);
+        }
+    }
+}
+
+/// The place of an offering of this name that means the same, offered or not.
+pub fn place((offerings, names): (&[Offering], &[String]), name: &str, of: &Offering) -> Option<usize> {
+    (0..offerings.len()).find(|&n| names[n] == name && offerings[n].same_terms(of))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
