Read what a resting client has sent before it is ended to make room

It got BUSY and a close over unread bytes, that is a reset. Forced on sockets (a process that stood still, 40 new connections before six requests of the oldest): reset before, served or refused in a line now. At fault: door.rs make_room, which ended whoever was oldest unread.

Pinned, and thrown out as faults: the list service is heard though resting clients hold all descriptors while it is down (its connection is of the common budget, but clients are taken in only down to half of the reserve); answers to clients that go on sending; a host's last words in pieces before its end or reset. node/tests/closing.rs

--- a/node/src/ferry/door.rs
+++ b/node/src/ferry/door.rs
@@ -68,22 +68,42 @@
     }
 
     /// Whether the connection that has held a descriptor longest without an attachment gave it up; one that
-    /// has just come is not asked to.
+    /// has just come is not asked to, nor one whose attachment has come meanwhile.
     pub(super) fn make_room(&mut self, deck: &mut Deck, safe: Nanos) -> bool {
         while let Some(&(slot, stamp)) = self.door.idle.front() {
             let same = |f: &&Ferry| f.idles() && f.client.as_ref().is_some_and(|c| c.stamp == stamp);
-            match self.slab.get(slot).filter(same) {
-                Some(ferry) if deck.now < ferry.since + safe => return false,
-                Some(ferry) => {
-                    if let (Stage::Knocking, Some(client)) = (ferry.stage, &ferry.client) {
-                        _ = client.socket.send(b"BUSY\r\n");
-                        *self.door.turned.entry("no descriptors for the silent").or_default() += 1;
+            let Some(ferry) = self.slab.get(slot).filter(same) else {
+                self.door.idle.pop_front();
+                continue;
+            };
+            if deck.now < ferry.since + safe {
+                return false;
+            }
+            // Guards: a request that lies unread in its socket, lost in the reset that closing over it brings.
+            if ferry.stage == Stage::Knocking {
+                self.slab[slot].client.iter_mut().for_each(|client| client.readable = true);
+                self.knock(deck, slot);
+                let Some(ferry) = self.slab.get(slot).filter(same) else {
+                    // Its attachment has come, or it was gone.
+                    if self.slab.get(slot).is_none_or(|f| f.client.as_ref().is_none_or(|c| c.stamp != stamp))
+                    {
+                        return true;
                     }
-                    self.remove(slot, false);
-                    return true;
+                    continue;
+                };
+                if ferry.stage != Stage::Knocking {
+                    // It is turned away, and heard out as long as others are.
+                    self.door.idle.pop_front();
+                    continue;
                 }
-                None => _ = self.door.idle.pop_front(),
             }
+            let ferry = &mut self.slab[slot];
+            if let (Stage::Knocking, Some(client)) = (ferry.stage, &ferry.client) {
+                _ = client.socket.send(b"BUSY\r\n");
+                *self.door.turned.entry("no descriptors for the silent").or_default() += 1;
+            }
+            self.remove(slot, false);
+            return true;
         }
         false
     }
--- /dev/null
+++ b/node/tests/closing.rs
@@ -0,0 +1,165 @@
+//! Connections that are closed while bytes lie unread on one side, or while descriptors are short: what was asked has its
+//! answer, and what was answered can be read.
+
+use reedferry_rig::*;
+use serde_json::{json, Value};
+use std::time::{Duration, Instant};
+
+fn start(hosts: &Hosts, discovery: &Discovery, adjust: impl FnOnce(&mut Value)) -> Node {
+    let mut papers = papers(hosts, discovery.address);
+    adjust(&mut papers);
+    Node::start(&papers)
+}
+
+fn line(n: usize) -> String {
+    format!("OPEN {n:x} 7f3a c=chat,t=acme,d=2000,g=5c0f")
+}
+
+/// So many clients that rest, all taken in and past the time in which one that has just come is spared.
+fn resting(node: &Node, count: usize) -> Vec<Peer> {
+    let mut all: Vec<Peer> = (0..count).map(|_| Peer::connect(node.address)).collect();
+    for client in &mut all {
+        client.say("PING");
+        client.hears("PONG");
+    }
+    let since = Instant::now();
+    eventually("no time passes", || since.elapsed() > Duration::from_millis(100));
+    all
+}
+
+/// Guards: a client ended to make room for another that had just sent its request: lost in the reset that closing over
+/// unread bytes brings.
+#[test]
+fn a_client_that_has_just_asked_is_not_ended_to_make_room() {
+    let hosts = Hosts::start(2);
+    let discovery = Discovery::start();
+    let node = start(&hosts, &discovery, |p| p["limits"]["sockets"] = json!(64));
+    // All that new work may have, less a little for what comes after.
+    let mut all = resting(&node, 30);
+    node.stand_still();
+    // They come first, and whoever is oldest asks behind them.
+    let _crowd: Vec<Peer> = (0..40).map(|_| Peer::connect(node.address)).collect();
+    for (n, client) in all.iter_mut().take(6).enumerate() {
+        client.say(&line(n));
+    }
+    node.go_on();
+    for client in all.iter_mut().take(6) {
+        let answer = match hosts.accept_soon() {
+            Some((_, mut host)) => {
+                host.hear();
+                host.say("UP 1");
+                client.hear()
+            }
+            // There was no descriptor for a host: refused, in a line that it can read.
+            None => client.hear(),
+        };
+        assert!(answer.starts_with("UP") || answer.starts_with("BUSY"), "{answer}");
+    }
+    let asked = all.drain(..6);
+    for mut client in asked {
+        // Each is still there, or was ended in order behind its answer; none was reset.
+        client.stream.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+        let mut byte = [0];
+        let read = std::io::Read::read(&mut client.stream, &mut byte);
+        assert!(!matches!(read, Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset), "reset");
+    }
+}
+
+/// Guards: a node that can't follow the list service, since clients that rest have filled its descriptors while that was
+/// down; it is back with a host that drains.
+#[test]
+fn the_list_service_is_heard_though_resting_clients_hold_all_descriptors() {
+    for mode in ["on_request", "pushed"] {
+        let hosts = Hosts::start(2);
+        let discovery = Discovery::start();
+        let node = start(&hosts, &discovery, |p| {
+            p["limits"]["sockets"] = json!(64);
+            p["settings"]["registry_mode"] = json!(mode);
+        });
+        discovery.calls(1);
+        discovery.go_down();
+        node.logs("discovery call failed");
+        // They come again whenever they are ended.
+        let mut crowd: Vec<Peer> = (0..200).map(|_| Peer::connect(node.address)).collect();
+        let mut last = Peer::connect(node.address);
+        last.say("PING");
+        assert!(["PONG", "BUSY", "end", "reset"].contains(&last.hear().as_str()));
+        discovery.change(member(0, &hosts.addresses[0].to_string(), "leaving"));
+        discovery.come_up();
+        let back = Instant::now();
+        let told = Duration::from_secs(6);
+        while back.elapsed() < told {
+            crowd.push(Peer::connect(node.address));
+            if crowd.len() > 260 {
+                crowd.drain(..60);
+            }
+            if node.logged().iter().any(|l| l.contains("watch begun")) {
+                break;
+            }
+        }
+        assert!(back.elapsed() < told, "{mode}: not heard in time");
+        drop(crowd);
+        let before = Instant::now();
+        eventually("nobody is served", || {
+            let mut client = node.open(OPEN);
+            match hosts.accept_soon() {
+                Some((at, mut host)) => {
+                    assert_eq!(at, 1, "{mode}: sent to a host that drains {:?} after", before.elapsed());
+                    host.say("UP 1");
+                    client.hear().starts_with("UP")
+                }
+                None => false,
+            }
+        });
+    }
+}
+
+/// Guards: an answer lost in a reset, as its client goes on sending while it is closed.
+#[test]
+fn answers_are_read_by_clients_that_go_on_sending() {
+    for n in 0..8 {
+        // A host that turned one away is left alone for a while.
+        let hosts = Hosts::start(1);
+        let discovery = Discovery::start();
+        let node = start(&hosts, &discovery, |_| {});
+        let mut client = Peer::connect(node.address);
+        client.say(&line(n));
+        let (_, mut host) = hosts.accept();
+        host.hear();
+        // The answer and more of the client's bytes are there in one turn.
+        node.stand_still();
+        client.say("more than was asked for");
+        host.say("BUSY");
+        host.end_sending();
+        node.go_on();
+        let answer = client.hear();
+        assert!(answer.starts_with("BUSY") || answer == "ERR", "{answer}");
+        client.hears("end");
+    }
+}
+
+/// Guards: the last line of a host, in pieces right before its end, lost or cut short on its way to a client that sends.
+#[test]
+fn a_hosts_last_words_arrive_over_its_end_and_the_clients_own_lines() {
+    let hosts = Hosts::start(1);
+    let discovery = Discovery::start();
+    let node = start(&hosts, &discovery, |_| {});
+    for end in ["end", "reset"] {
+        let (mut client, _, mut host) = node.served(&hosts);
+        node.stand_still();
+        client.say("one more");
+        host.write("last");
+        host.write(" words\r\nBY");
+        host.write("E\r\n");
+        if end == "end" {
+            host.end_sending();
+        }
+        node.go_on();
+        client.hears("last words");
+        client.hears("BYE");
+        if end == "reset" {
+            host.reset();
+        }
+        assert!(["end", "reset"].contains(&client.hear().as_str()));
+    }
+}
