Send a labelled repeat by the end of its window, however late its connection comes up

A repeat chosen inside the window in which its group drops it went out when the connection to its host came up, up to the connect timeout later and past the window: on sockets 1.3 s after the first with a window of 0.8 s. At fault: the module checked the window when it chose (place), the single node gave a line all the time there is (carry_out, by MAX).

Now a hand-off says by when its line may go out, and the ferry, which knew such a time for planners, keeps it. A forwarder is told the earlier of both times. node/tests/repeats.rs, four effects and windows; fails before with 'guarded, 800 ms'. Past its window a labelled one is dismissed as before, where all hosts are its group.

--- a/adapter/src/frames.rs
+++ b/adapter/src/frames.rs
@@ -222,7 +222,7 @@
         let name = |id: &AttachmentId| (id.0 as u32).to_be_bytes();
         let address = |host: &HostId| host.0.to_be_bytes();
         match action {
-            Action::HandOff { id, host, until } => {
+            Action::HandOff { id, host, until, .. } => {
                 open(5);
                 r.extend(name(id));
                 r.extend(&address(host)[2..]);
@@ -359,7 +359,7 @@
     fn encodes_the_worked_reply() {
         let mut reply = Reply::new(12);
         let (id, host) = (AttachmentId(0x5d3a91c4), HostId(0x0a12_4a07_1f43));
-        reply.push(3, &Action::HandOff { id, host, until: 8_492_250_000 });
+        reply.push(3, &Action::HandOff { id, host, until: 8_492_250_000, by: u64::MAX });
         reply.push(3, &Action::WakeAt { time: 8_912_250_000, mark: 77 });
         reply.push(5, &Action::Log("two servers known".into()));
         let mut wanted = hex("0000000c 00000003 00000059");
--- a/link/src/planner.rs
+++ b/link/src/planner.rs
@@ -527,7 +527,10 @@
         while !self.zones[zone].actions.is_empty() {
             for action in std::mem::take(&mut self.zones[zone].actions) {
                 match action {
-                    Action::HandOff { id, host, until } => self.hand_off(now, zone, id, host, until),
+                    // A forwarder is told one time: nothing of it is out after either.
+                    Action::HandOff { id, host, until, by } => {
+                        self.hand_off(now, zone, id, host, until.min(by));
+                    }
                     Action::Dismiss { id, wait } => {
                         self.answer(id, |id, step| Down::Dismiss { id, step, wait });
                     }
--- a/node/src/ferry/mod.rs
+++ b/node/src/ferry/mod.rs
@@ -206,7 +206,7 @@
     /// Carries out what is for an attachment, whoever decided it, and gives back what is not.
     pub fn carry_out(&mut self, deck: &mut Deck, action: Action) -> Option<Action> {
         match action {
-            Action::HandOff { id, host, until } => self.hand_off(deck, id, host, until, Nanos::MAX),
+            Action::HandOff { id, host, until, by } => self.hand_off(deck, id, host, until, by),
             Action::Dismiss { id, wait } => self.dismiss(deck, id, wait),
             Action::GiveUp { id } => self.give_up(deck, id),
             Action::Move { id } => self.move_on(deck, id),
--- /dev/null
+++ b/node/tests/repeats.rs
@@ -0,0 +1,60 @@
+//! Repeats: a further attempt at the last instant at which its effect allows one, and past it.
+
+use reedferry_rig::program::papers_of;
+use reedferry_rig::*;
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+/// Guards: a repeat that was chosen inside the window in which others drop it, and whose line went out after it, as the
+/// connection came up late.
+#[test]
+fn a_repeat_whose_connection_comes_up_past_its_window_is_not_sent() {
+    for (effect, window, sent, answer) in [
+        ("free", 0, true, "UP 2"),
+        ("guarded", 6000, true, "UP 2"),
+        ("guarded", 800, false, "BUSY"),
+        ("single_shot", 0, false, "ERR"),
+    ] {
+        let hosts = Hosts::start(1);
+        let (door, first) = jammed();
+        let discovery = Discovery::start();
+        let mut papers = papers_of(hosts.members(), discovery.address);
+        let settings = &mut papers["settings"];
+        settings["policy_limits"]["connect_timeout"] = json!(5000.0);
+        settings["offerings"][0] = json!({"name": "chat", "contract_time": 300.0, "expiry": 6000.0,
+            "effect": effect, "group": "all", "payoff": 1.0, "repeat_window": f64::from(window)});
+        let node = Node::start(&papers);
+        discovery.calls(1);
+        let mut client = node.open(&OPEN.replace("d=2000", "d=6000"));
+        let asked = Instant::now();
+        let (_, mut host) = hosts.accept();
+        host.hear();
+        // The only other host is one whose connections come up late.
+        discovery.change(member(5, &door.local_addr().unwrap().to_string(), "active"));
+        // The first is given up; what is sent again goes there.
+        host.hears("end");
+        // Whoever answers this has asked for that connection.
+        let mut other = Peer::connect(node.address);
+        other.say("PING");
+        other.hears("PONG");
+        drop(first);
+        drop(door.accept().unwrap());
+        door.set_nonblocking(true).unwrap();
+        let mut lines = Vec::new();
+        // The system asks for a connection again a second after the first time.
+        while asked.elapsed() < Duration::from_millis(2500) && lines.is_empty() {
+            let Ok((late, _)) = door.accept() else { continue };
+            late.set_nonblocking(false).unwrap();
+            let mut late = Peer::new(late);
+            let line = late.hear();
+            if line.starts_with("OPEN") {
+                assert!(asked.elapsed() > Duration::from_millis(900), "too tame: {:?}", asked.elapsed());
+                late.say("UP 2");
+                lines.push((line, late));
+            }
+        }
+        assert_eq!(!lines.is_empty(), sent, "{effect}, {window} ms");
+        let said = client.hear();
+        assert!(said.starts_with(answer), "{effect}, {window} ms: {said}");
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -979,10 +979,10 @@
         let most = if self.desk.common() { 1 } else { attachment.most };
         // Guards: what no host will have, as bad clients send it, offered to host after host.
         let late = now >= last || attachment.hand_offs >= most || attachment.errors >= UNWANTED;
-        let again = match (offering.effect, ran) {
-            (Effect::Irreversible, Some(_)) => false,
-            (Effect::Labelled, Some((_, sent))) => now < sent + offering.window,
-            _ => true,
+        let by = match (offering.effect, ran) {
+            (Effect::Irreversible, Some(_)) => 0,
+            (Effect::Labelled, Some((_, sent))) => sent.saturating_add(offering.window),
+            _ => Nanos::MAX,
         };
         let vector = self.helm.next;
         // Guards: hosts that many nodes fill up again as fast as each cuts its one connection there. The
@@ -1001,7 +1001,7 @@
                     let blind = blind * (least / pays(attachment.arrival.offering)).sqrt();
                     draw(tie, 0) < SHED * blind * (self.desk.late - MANY) / (1.0 - MANY)
                 });
-        let chosen = if late || !again || shed { None } else { self.choose(now, attachment, vector, tie) };
+        let chosen = if late || now >= by || shed { None } else { self.choose(now, attachment, vector, tie) };
         let Some(host) = chosen else { return self.answer(slot, out) };
         // Guards: a store that all set-ups share, whose answers come when the node has asked anew already.
         let patience = (offering.contract_time as f64).max(6.0 * self.ledger.set_up);
@@ -1009,7 +1009,7 @@
         let only = attachment.hand_offs + 1 >= attachment.most || offering.effect == Effect::Irreversible;
         let until = if only { last } else { last.min(now + patience) };
         self.helm.next = (vector + 1) % self.helm.vectors.len();
-        out.push(Action::HandOff { id: attachment.id, host: self.hosts[host].id, until });
+        out.push(Action::HandOff { id: attachment.id, host: self.hosts[host].id, until, by });
         let conn = Conn::new(now, slot, &attachment.arrival, &self.ledger, &self.charter);
         let conn = Conn { vector: Some(vector), ..conn };
         self.post.push_back((To::Host(host), Note::Sent(conn)));
--- a/src/types.rs
+++ b/src/types.rs
@@ -392,10 +392,12 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
+    /// `until` is how long its answer is waited for, `by` the latest moment in which its line may go out.
     HandOff {
         id: AttachmentId,
         host: HostId,
         until: Nanos,
+        by: Nanos,
     },
     /// Final: a retry is harmless; come back after the wait (0: no advice).
     Dismiss {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -115,7 +115,7 @@
     /// The rules that hold in every scenario.
     fn hold(&mut self, action: &Action) {
         match action {
-            Action::HandOff { id, host, until } => {
+            Action::HandOff { id, host, until, .. } => {
                 let taken = self.taken.get_mut(&id.0).expect("a hand-off of what was never taken");
                 assert!(!taken.answered, "hand-off of {} after its answer", id.0);
                 assert!(taken.out.is_none(), "two hand-offs of {} at once", id.0);
