Let no call wait while a node may have missed something

Its log, node n1: first call 'status 503' at 0.076 s, the next a watch that waits, which fell silent with all others before it was ever answered; 'list not heard in time' from 6.355 s to 16.407 s, when ask_within had passed; the line to the leaving host at 21.989 s. So the fault was of 'Count from when a node may have missed a change in one place': a watch out is no proof that it is heard, and after a refusal none had been given.

Mend: while held, the call does not wait (Hearing::pressed); its answer is the proof. One call more for a node that was refused where nothing changed meanwhile; where something did, as many as before.

--- a/node/src/listing/discovery.rs
+++ b/node/src/listing/discovery.rs
@@ -122,9 +122,10 @@
     pub fn follow(&mut self, deck: &mut Deck) {
         if !self.calls[WATCH].out && self.next.is_none_or(|at| deck.now >= at) {
             self.following = false;
-            // What was missed since a version that is known comes at once, by the call that then waits on. Guards:
-            // two calls of each of hundreds of nodes where one does, also of those that were refused.
-            self.call(deck, WATCH, if self.versions.may_wait() { self.hearing.hold() } else { MILLI });
+            // What was missed since a version that is known comes at once, by the call that then waits on, unless the
+            // node may have missed something: whoever waits is not heard.
+            let waits = self.versions.may_wait() && !self.hearing.pressed();
+            self.call(deck, WATCH, if waits { self.hearing.hold() } else { MILLI });
         }
     }
 
--- a/node/src/listing/hearing.rs
+++ b/node/src/listing/hearing.rs
@@ -131,6 +131,13 @@
         self.awake = now;
     }
 
+    /// Whether the node may have missed something, so that the next call may not wait: its answer tells that it hears.
+    /// Guards: a watch that falls silent before anything was heard on it, and a node that is shut, or worse is not, for as
+    /// long as that might have waited.
+    pub fn pressed(&self) -> bool {
+        self.held.is_some()
+    }
+
     /// How long a watch waits: less by the node's place, so that watches which began together and fall silent
     /// together are taken up in turn. Guards: hundreds that call a service in the same second, when time is short.
     pub fn hold(&self) -> Nanos {
