--- /dev/null
+++ b/node/tests/cold.rs
@@ -0,0 +1,84 @@
+//! Twenty processes of the program before one cold host: it is sent no more than its budget and chance by the sum of all,
+//! with some of them killed and started again meanwhile.
+
+use reedferry_rig::acting::{Clients, Hosts, Referee};
+use reedferry_rig::program::papers_of;
+use reedferry_rig::{Discovery, Node};
+use serde_json::{json, Value};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const NODES: usize = 20;
+const WARM: usize = 3;
+/// Connections that stand at each node, and the seconds in which a host that has started gets warm.
+const HELD: usize = 4;
+const COLD: f64 = 10.0;
+const FROM: f64 = 0.2;
+
+fn papers(service: &Discovery, members: Value, node: usize) -> Value {
+    let mut papers = papers_of(members, service.address);
+    papers["name"] = json!(format!("n{node}"));
+    let settings = &mut papers["settings"];
+    settings["balancers"] = json!(NODES);
+    settings["index"] = json!(node);
+    settings["offerings"][0]["name"] = json!("free");
+    settings["contract"]["cold"] = json!(1000.0 * COLD);
+    settings["contract"]["cold_from"] = json!(FROM);
+    papers
+}
+
+/// Guards: a cold host pushed over by the sum of twenty processes, each of which keeps to its own part.
+#[test]
+fn twenty_processes_keep_to_the_budget_of_one_cold_host() {
+    let (service, referee) = (Discovery::start(), Referee::default());
+    let hosts = Hosts::start(WARM + 1, &referee);
+    let warm: Value = (0..WARM).map(|host| hosts.member(host, "active")).collect();
+    let mut nodes: Vec<Node> = (0..NODES).map(|n| Node::start(&papers(&service, warm.clone(), n))).collect();
+    let mut standing: Vec<Clients> = Vec::new();
+    for (n, node) in nodes.iter().enumerate() {
+        let mut clients = Clients::new(vec![node.address], &referee, n as u64);
+        clients.load(100.0, Duration::from_millis(10 * HELD as u64), &[0], Duration::from_secs(60));
+        standing.push(clients);
+    }
+    reedferry_rig::eventually("they do not stand", || {
+        hosts.standing().iter().sum::<u32>() as usize >= NODES * HELD * 9 / 10
+    });
+    let mut new = hosts.member(WARM, "active");
+    let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    new["up_since_ms"] = json!(started.as_millis() as u64);
+    let start = Instant::now();
+    service.change(new.clone());
+    // Short ones come all the time, more at some nodes than at others; each second two nodes are killed and started anew.
+    let mut listed: Vec<Value> = warm.as_array().unwrap().clone();
+    listed.push(new);
+    for round in 0..6 {
+        thread::scope(|scope| {
+            for (n, node) in nodes.iter().enumerate() {
+                let (address, referee) = (node.address, &referee);
+                let rate = if n % 5 == round % 5 { 8.0 } else { 2.0 };
+                scope.spawn(move || {
+                    let mut clients = Clients::new(vec![address], referee, (1000 + round * NODES + n) as u64);
+                    clients.load(rate, Duration::from_secs(1), &[0], Duration::from_millis(100));
+                    clients.end();
+                });
+            }
+        });
+        for n in [2 * round, 2 * round + 1] {
+            nodes[n].kill();
+            nodes[n] = Node::start(&papers(&service, json!(listed), n));
+        }
+    }
+    let mut times: Vec<Instant> =
+        referee.reached().iter().filter(|one| one.host == WARM).map(|one| one.at).collect();
+    times.sort();
+    assert!(times.len() >= 5, "left idle: {}", times.len());
+    for (n, first) in times.iter().enumerate() {
+        let came = times[n..].iter().take_while(|at| **at < *first + Duration::from_secs(1)).count() as f64;
+        let age = (first.saturating_duration_since(start).as_secs_f64() + 1.0).min(COLD);
+        // What the fleet holds at warm hosts of its size is taken for a quarter of what one bears.
+        let bears = 4.0 * (NODES * HELD) as f64 / WARM as f64;
+        let budget = 3.0 * (FROM + (1.0 - FROM) * age / COLD) * bears / COLD;
+        let most = budget + 2.0 * budget.sqrt() + 2.0;
+        assert!(came <= most, "{came} of {budget:.1} in a second, {age:.1} s after the start");
+    }
+}
