--- a/node/tests/gone.rs
+++ b/node/tests/gone.rs
@@ -27,6 +27,7 @@
 
 fn start(members: Value, discovery: &Discovery, cancel: bool) -> Node {
     let mut papers = papers_of(members, discovery.address);
+    papers["limits"]["sockets"] = json!(2048);
     let settings = &mut papers["settings"];
     settings["policy_limits"]["cancel"] = json!(cancel);
     settings["policy_limits"]["connect_timeout"] = json!(6000.0);
@@ -40,6 +41,15 @@
     format!("OPEN {n:x} 7f3a c=chat,t=acme,d=8000,g=5c0f")
 }
 
+/// A client whose first attempt is out.
+fn attempt(node: &Node, hosts: &Hosts) -> (Peer, Peer) {
+    let mut client = Peer::connect(node.address);
+    client.say(&line(1));
+    let (_, mut host) = hosts.accept();
+    host.hear();
+    (client, host)
+}
+
 /// Whoever answers this has read all that came before.
 fn has_read(node: &Node) {
     let mut other = Peer::connect(node.address);
@@ -86,10 +96,7 @@
         let hosts = Hosts::start(3);
         let discovery = Discovery::start();
         let node = start(hosts.members(), &discovery, cancel);
-        let mut client = Peer::connect(node.address);
-        client.say(&line(1));
-        let (_, mut host) = hosts.accept();
-        host.hear();
+        let (client, mut host) = attempt(&node, &hosts);
         // Both wait for the node when it goes on: the end of the attempt, and of the client.
         node.stand_still();
         host.say("BUSY");
@@ -153,18 +160,10 @@
     for (cancel, way) in [true, false].into_iter().flat_map(|c| WAYS.map(|way| (c, way))) {
         let hosts = Hosts::start(3);
         let discovery = Discovery::start();
-        let mut papers = papers_of(hosts.members(), discovery.address);
-        papers["limits"]["sockets"] = json!(2048);
-        papers["settings"]["policy_limits"]["cancel"] = json!(cancel);
-        papers["settings"]["offerings"][0]["contract_time"] = json!(5000.0);
-        papers["settings"]["offerings"][0]["expiry"] = json!(8000.0);
-        let node = Node::start(&papers);
+        let node = start(hosts.members(), &discovery, cancel);
         let mut crowd: Vec<Peer> = (0..700).map(|_| Peer::connect(node.address)).collect();
         has_read(&node);
-        let mut client = Peer::connect(node.address);
-        client.say(&line(1));
-        let (_, mut host) = hosts.accept();
-        host.hear();
+        let (client, mut host) = attempt(&node, &hosts);
         node.stand_still();
         host.say("BUSY");
         host.end_sending();
