Spread the calls after a break over half of the time to ask, as each node makes up to three

Cause, by the core alone: after a break each node calls for what changed, is told a revision that runs backwards, calls for the whole list and then watches. Ruled out: a slow main thread alone, though the trial now takes the moment from the service.

--- a/node/src/listing/hearing.rs
+++ b/node/src/listing/hearing.rs
@@ -222,8 +222,9 @@
             // Guards: a watch given up at the very moment from which the node is held to what it missed, and
             // taken up again seconds after; a list that came garbled, and a drain in it.
             Failure::Silent | Failure::Unread if first => now,
-            // Guards: a service that starts anew and is called by all at once.
-            _ if first => now + (self.place * TURNS.min(self.ask_within / 4) as f64) as Nanos,
+            // Guards: a service that starts anew and is called by all at once, up to three times by each: what changed,
+            // the whole list, the next watch.
+            _ if first => now + (self.place * TURNS.min(self.ask_within / 2) as f64) as Nanos,
             // Ever shorter ones while there is time, then even ones.
             Failure::Unread if now < deaf.start => step(((deaf.start - now) / 4).max(self.grace / 8)),
             _ if now < deaf.start => step(((deaf.start - now) / 4).max(self.pause)),
--- a/node/src/listing/hearing_tests.rs
+++ b/node/src/listing/hearing_tests.rs
@@ -123,6 +123,37 @@
     }
 }
 
+/// Guards: a service that starts anew and is called by all at once, three times by each: for what changed since a version
+/// that it never had, for the whole list, and for the next watch.
+#[test]
+fn a_service_that_starts_anew_is_called_by_the_nodes_in_turn() {
+    for (nodes, most) in [(6, 6), (16, 10), (40, 24), (350, 180)] {
+        let mut calls = Vec::new();
+        for node in 0..nodes {
+            let charter =
+                Charter { node, nodes, roll_on_request: true, ask_within: 4 * SECOND, ..Charter::default() };
+            let mut hearing = Hearing::new(&charter, 300 * MILLI, 0);
+            hearing.heard(SECOND);
+            hearing.out(SECOND, hearing.hold());
+            hearing.runs(2 * SECOND);
+            let first = hearing.failed(2 * SECOND, Failure::Broken);
+            hearing.out(first, MILLI);
+            let second = hearing.failed(first, Failure::Unread);
+            hearing.out(second, 0);
+            hearing.heard(second);
+            calls.extend([first, second, second]);
+        }
+        calls.sort_unstable();
+        let within =
+            |from: &Nanos| calls.iter().filter(|at| *at >= from && **at < from + 300 * MILLI).count();
+        let soon = calls.iter().filter(|at| **at < 2 * SECOND + 300 * MILLI).count();
+        let at_once = calls.iter().map(within).max().unwrap_or(0);
+        assert!(soon <= most, "{nodes} nodes: {soon} calls in the first moment");
+        assert!(at_once <= most + 3, "{nodes} nodes: {at_once} calls in one moment");
+        assert!(calls.iter().all(|at| *at < 5 * SECOND), "{nodes} nodes: late");
+    }
+}
+
 /// Guards: a node that dismisses all while the list service is not there, of which nothing is told; and one that takes what
 /// a silent watch missed for never told, as the service is gone by then.
 #[test]
--- a/node/tests/fleet.rs
+++ b/node/tests/fleet.rs
@@ -229,8 +229,7 @@
     eventually("the hosts that drain are empty", || site.hosts.standing(0..2) == 0);
     // It knows of 0 to 2 alone, and not that two of them drain.
     let before = site.calls();
-    site.service.restart(3, &site.list[..3]);
-    site.from = Instant::now();
+    site.from = site.service.restart(3, &site.list[..3]);
     for node in site.fleet.nodes.iter().flatten() {
         assert!(node.logs("an older list").contains("drains kept: 2"));
     }
--- a/rig/src/discovery.rs
+++ b/rig/src/discovery.rs
@@ -103,12 +103,13 @@
         self.kept.0.lock().unwrap().refuses = of_ten;
     }
 
-    /// It starts anew with this list at this revision: all watches end at one moment.
-    pub fn restart(&self, revision: u64, members: &[Value]) {
+    /// It starts anew with this list at this revision: all watches end at one moment, which it gives.
+    pub fn restart(&self, revision: u64, members: &[Value]) -> Instant {
         let mut kept = self.kept.0.lock().unwrap();
         (kept.life, kept.revision) = (kept.life + 1, revision);
         kept.members = members.iter().map(|member| (revision, member.clone())).collect();
         self.kept.1.notify_all();
+        Instant::now()
     }
 
     /// When each call came, and when one was turned away.
--- a/rig/src/schedule.rs
+++ b/rig/src/schedule.rs
@@ -273,7 +273,7 @@
             Fault::Sluggish if begins => service.bound(5.0, Duration::from_secs(1)),
             Fault::Sluggish => service.unbound(),
             Fault::Refuse(of_ten) => service.turn_away(if begins { *of_ten } else { 0 }),
-            Fault::Older if begins => service.restart(3, &list[..3]),
+            Fault::Older if begins => drop(service.restart(3, &list[..3])),
             Fault::Older => list.iter().for_each(|member| service.change(member.clone())),
             Fault::Part(_) | Fault::Deaf(..) | Fault::Lossy(_) => {
                 let now: Vec<&Fault> = schedule
