--- a/link/src/forwarder.rs
+++ b/link/src/forwarder.rs
@@ -1,4 +1,4 @@
-//! The forwarder's end of the link. It owns a duty for each attachment that its ferry holds, the lines to
+//! The forwarder's end of the link. It owns a duty for each attachment that its connection holds, the lines to
 //! all planners, and which of them it follows. What is to be decided goes to the planner it follows; what
 //! that one cannot decide in time it settles by the plan it holds, or by a final answer at once. It must
 //! never carry out an order whose lease is over or that answers an earlier step, nor have two hand-offs
@@ -56,7 +56,7 @@
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Deed {
-    /// For the ferry: final answers, moves, hand-offs called off.
+    /// For the connection: final answers, moves, hand-offs called off.
     Act(Action),
     /// A hand-off whose line is to start by `by`, or not at all.
     HandOff {
@@ -442,7 +442,7 @@
         Some(duty)
     }
 
-    /// What the ferry tells.
+    /// What the connection tells.
     pub fn event(&mut self, now: Nanos, event: Event, out: &mut Vec<Deed>) {
         self.wake(now);
         // Guards: what comes in the turn in which a planner is lost, answered as if there were no other.
--- a/link/tests/tiers.rs
+++ b/link/tests/tiers.rs
@@ -412,7 +412,7 @@
             front.events.push(ended(id.0, number, at, false, ending));
         }
         for (&id, client) in &mut front.clients {
-            // A hand-off's time is over, as the ferry would tell.
+            // A hand-off's time is over, as the connection would tell.
             if let Some((host, _, number)) = client.out.filter(|o| now >= o.1) {
                 client.out = None;
                 client.sent.last_mut().unwrap().2 = Some(true);
--- /dev/null
+++ b/node/src/connections/endings.rs
@@ -0,0 +1,121 @@
+//! Endings: the final answer where no host gave one, and the end of a client's connection. It owns what is
+//! thrown away of those that go on sending. It must never answer twice, nor lose an answer in the reset
+//! that closing over unread input brings.
+
+use super::{Connections, Stage};
+use crate::connections::lane::{Flow, Lane};
+use crate::context::Context;
+use crate::operators::tally::Outcome;
+use reedferry::{AttachmentId, Ending, Nanos, MILLI};
+use reedferry_quay::Errno;
+
+/// How long the other side of an ended connection is waited for, and one that still sends, since it came.
+pub(super) const LINGER: Nanos = 900 * MILLI;
+const LONGEST_LINGER: Nanos = 5500 * MILLI;
+/// What is thrown away of it between two sweeps: of one connection, and of all.
+const WASTE: usize = 2 << 20;
+pub(super) const MOST_WASTE: usize = 8 << 20;
+
+impl Connections {
+    /// The module's final answer, where no host gave one.
+    pub fn dismiss(&mut self, context: &mut Context, id: AttachmentId, wait: Nanos) {
+        let Some(slot) = self.find(id) else { return };
+        if wait >= MILLI {
+            self.answer(context, slot, format!("BUSY {}\r\n", wait / MILLI).as_bytes());
+        } else {
+            self.answer(context, slot, b"BUSY\r\n");
+        }
+    }
+
+    pub fn give_up(&mut self, context: &mut Context, id: AttachmentId) {
+        if let Some(slot) = self.find(id) {
+            self.answer(context, slot, b"ERR\r\n");
+        }
+    }
+
+    pub fn call_off(&mut self, context: &mut Context, id: AttachmentId, hand_off: u32) {
+        let Some(slot) = self.find(id) else { return };
+        let connection = &self.slab[slot];
+        if connection.stage == Stage::Held
+            && connection.landing.as_ref().is_some_and(|l| l.number == hand_off)
+        {
+            self.fell_through(context, slot, Ending::CalledOff);
+        }
+    }
+
+    /// Writes a last line to the client and ends its connection.
+    pub(super) fn answer(&mut self, context: &mut Context, slot: usize, line: &[u8]) {
+        let connection = &mut self.slab[slot];
+        if connection.owed() && connection.client.is_some() {
+            let outcome = if line.starts_with(b"BUSY") { Outcome::Refused } else { Outcome::Failed };
+            context.tally.came_to(&context.terms.offerings[connection.arrival.offering], outcome);
+        }
+        connection.letter = None;
+        connection.landing = None;
+        if connection.client.is_none() {
+            return self.remove(slot, false);
+        }
+        connection.down = Lane::default();
+        if let Some(mut buffer) = context.pool.take() {
+            buffer.put(line);
+            connection.down.buffer = Some(buffer);
+        } else if let Some(client) = &connection.client {
+            _ = client.socket.send(line);
+        }
+        self.close(context, slot);
+    }
+
+    /// Ends the client's connection in order, once all that waits is through.
+    pub(super) fn close(&mut self, context: &mut Context, slot: usize) {
+        self.free_name(slot);
+        let connection = &mut self.slab[slot];
+        (connection.stage, connection.since) = (Stage::Closing(context.now + LINGER), context.now);
+        connection.up = Lane::default();
+        connection.down.ended = false;
+        if let Some(client) = &connection.client {
+            self.listener.idle.push_back((slot, client.stamp));
+        }
+        self.see_off(context, slot);
+    }
+
+    pub(super) fn see_off(&mut self, context: &mut Context, slot: usize) {
+        let connection = &mut self.slab[slot];
+        let Some(client) = connection.client.as_mut() else { return self.remove(slot, false) };
+        if !connection.down.ended {
+            match connection.down.flush(client) {
+                Flow::Ended => client.socket.end_sending(),
+                Flow::Idle => return,
+                _ => return self.remove(slot, true),
+            }
+            connection.down.ended = true;
+        }
+        // Guards: an answer lost in the reset that closing over unread input brings, and a loop or a share of
+        // the processor taken up by who sends without end: so much between two sweeps, and so long.
+        let Some(mut space) = context.pool.take() else { return };
+        while client.readable && connection.wasted < WASTE && self.waste > 0 {
+            match client.socket.discard(space.spare()) {
+                Ok(0) => return self.remove(slot, false),
+                Ok(count) => {
+                    connection.wasted += count;
+                    self.waste = self.waste.saturating_sub(count);
+                    let by = (context.now + LINGER).min(connection.came + LONGEST_LINGER);
+                    connection.stage = Stage::Closing(by);
+                }
+                Err(Errno::AGAIN) => client.readable = false,
+                Err(_) => return self.remove(slot, false),
+            }
+        }
+        if context.budget.tight() {
+            self.remove(slot, false);
+        }
+    }
+
+    /// The one place where a connection's sockets and buffers are given back.
+    pub(super) fn remove(&mut self, slot: usize, reset: bool) {
+        self.free_name(slot);
+        let connection = self.slab.remove(slot);
+        if let Some(client) = connection.client.filter(|_| reset) {
+            client.socket.reset();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/connections/landing.rs
@@ -0,0 +1,341 @@
+//! A hand-off, from the call to a host to the host's word. It owns the connection to the host, the line on
+//! its way there and the times by which it must stand and be up. It must never send a line later than it
+//! may, nor tell more than one ending of a hand-off.
+
+use super::{Connection, Connections, Stage};
+use crate::connections::lane::{Flow, Lane, Side};
+use crate::connections::lines::{self, Word};
+use crate::context::{Context, HOST};
+use crate::listing::hosts::Hosts;
+use crate::operators::tally::Outcome;
+use reedferry::{AttachmentId, Ending, Event, HostId, Nanos, SECOND};
+use reedferry_quay::{Buffer, Errno, Mark};
+use slog::warn;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+/// How long a connection that stood before is asked for, and the pause between two tries.
+pub(super) const STANDING_WITHIN: Nanos = 40 * SECOND;
+const STANDING_PAUSE: Nanos = SECOND / 4;
+
+const CONNECT: u64 = 0;
+const UNTIL: u64 = 1;
+
+/// A hand-off, or the connection that came of it.
+pub(super) struct Landing {
+    pub(super) side: Side,
+    pub(super) host: usize,
+    /// Keeps the host's record from serving another host.
+    pub(super) _lease: Rc<()>,
+    pub(super) number: u32,
+    pub(super) since: Nanos,
+    /// By when its line's first byte must go out.
+    by: Nanos,
+    /// Whether the connection stands, and the line's last byte is written.
+    pub(super) connected: bool,
+    pub(super) written: bool,
+    pub(super) said: Said,
+}
+
+/// What a host has said of the end.
+#[derive(Default)]
+pub(super) struct Said {
+    pub(super) bye: bool,
+    pub(super) moved: bool,
+    /// The load that it told last.
+    pub(super) load: Option<f64>,
+}
+
+impl Landing {
+    /// One that stands and has its answer since then.
+    pub(super) fn stood(side: Side, host: usize, lease: Rc<()>, since: Nanos, said: Said) -> Self {
+        Landing {
+            side,
+            host,
+            _lease: lease,
+            number: 0,
+            since,
+            by: since,
+            connected: true,
+            written: true,
+            said,
+        }
+    }
+}
+
+impl Said {
+    /// Takes in a line that a host sent on an open connection.
+    pub(super) fn heard(
+        &mut self,
+        word: Word,
+        (id, host): (AttachmentId, usize),
+        now: Nanos,
+        asked: &mut VecDeque<Nanos>,
+        (events, hosts): (&mut Vec<Event>, &mut Hosts),
+    ) {
+        match word {
+            Word::Load(load) => {
+                self.load = Some(load);
+                events.push(Event::LoadNow { id, load });
+            }
+            Word::Bye => self.bye = true,
+            Word::Move => self.moved = true,
+            _ => {
+                if let Some(then) = asked.pop_front() {
+                    hosts.answered(host, then, now);
+                }
+            }
+        }
+    }
+}
+
+impl Connections {
+    /// Tries a connection that stood before the run at its host again.
+    pub(super) fn go_back(&mut self, context: &mut Context, slot: usize) {
+        let connection = &mut self.slab[slot];
+        let until = connection.since + connection.waits.min(STANDING_WITHIN);
+        if context.now >= until || context.leaving.is_some() {
+            return self.answer(context, slot, b"ERR\r\n");
+        }
+        connection.stage = Stage::Returning(context.now + STANDING_PAUSE);
+        // Guards: connections lost whose host joined after the list that this node was started with.
+        if let Some(host) = connection.home.and_then(|home| context.hosts.index(home)) {
+            _ = self.launch(context, slot, host, until, Nanos::MAX);
+        }
+    }
+
+    /// Carries out a hand-off whose line is to start by `by`, and whose host is waited for until `until`.
+    pub fn hand_off(
+        &mut self,
+        context: &mut Context,
+        id: AttachmentId,
+        host: HostId,
+        until: Nanos,
+        by: Nanos,
+    ) {
+        let held = |f: &Connection| f.stage == Stage::Held && f.landing.is_none() && f.client.is_some();
+        let slot = self.find(id).filter(|&slot| held(&self.slab[slot]));
+        let Some(slot) = slot.filter(|&slot| self.waits(context, slot)) else {
+            // Guards: a record kept for ever of a client that left while the module chose.
+            let (ending, gauges) = (Ending::NeverSent, Vec::new());
+            context.events.push(Event::Ended { id, hand_off: 0, host, over: true, ending, gauges });
+            return;
+        };
+        let connection = &mut self.slab[slot];
+        let number = connection.hand_offs;
+        connection.hand_offs += 1;
+        let index = context.hosts.index(host);
+        let launched = match index {
+            // Guards: new work for hosts that drain, of which this node has not heard in time.
+            Some(_) if context.deaf.contains(&context.now) => Err(Ending::NeverSent),
+            Some(index) => self.launch(context, slot, index, until, by),
+            None => Err(Ending::Unconnected),
+        };
+        if let Err(ending) = launched {
+            let gauges = Vec::new();
+            context.events.push(Event::Ended { id, hand_off: number, host, over: false, ending, gauges });
+        }
+    }
+
+    /// Opens the connection to a host and sets the times by which it must stand and be up.
+    pub(super) fn launch(
+        &mut self,
+        context: &mut Context,
+        slot: usize,
+        host: usize,
+        until: Nanos,
+        by: Nanos,
+    ) -> Result<(), Ending> {
+        let address = context.hosts.record(host).address.ok_or(Ending::Unconnected)?;
+        // Who has asked goes before whoever has not.
+        while !context.budget.room(1) && self.make_room(context, 0) {}
+        let connection = &mut self.slab[slot];
+        // Guards: new work that eats up what the machine's accepted clients are to be answered from.
+        if !context.budget.room(1) || context.pool.left() < 16 {
+            if !context.scarce {
+                context.scarce = true;
+                let (taken, buffers) = (context.budget.taken(), context.pool.left());
+                warn!(context.log, "out of descriptors or buffers"; "taken" => taken, "buffers" => buffers);
+            }
+            return Err(Ending::NeverSent);
+        }
+        let (socket, connected) = match context.budget.connect(&address) {
+            Ok(opened) => opened,
+            Err(Errno::MFILE | Errno::NFILE | Errno::ADDRNOTAVAIL | Errno::NOBUFS) => {
+                return Err(Ending::NeverSent)
+            }
+            Err(_) => return Err(Ending::Unconnected),
+        };
+        let mark = context.watch(&socket, HOST, slot).map_err(|_| Ending::NeverSent)?;
+        let side = Side { socket, stamp: mark.stamp, readable: false, writable: connected };
+        connection.landing = Some(Landing {
+            side,
+            host,
+            _lease: context.hosts.record(host).lease.clone(),
+            number: connection.hand_offs.saturating_sub(1),
+            since: context.now,
+            by,
+            connected,
+            written: false,
+            said: Said::default(),
+        });
+        connection.down = Lane::default();
+        connection.up = Lane::default();
+        connection.given = until.saturating_sub(context.now);
+        let stands = by.min(context.now + context.terms.connect_within);
+        if stands < until {
+            context.poller.remind(stands, mark, CONNECT);
+        }
+        context.poller.remind(until, mark, UNTIL);
+        if connected {
+            self.more.push(slot);
+        }
+        Ok(())
+    }
+
+    /// A time that was set for a hand-off has come.
+    pub fn due(&mut self, context: &mut Context, mark: Mark, word: u64) {
+        let slot = mark.slot as usize;
+        let Some(connection) = self.slab.get(slot) else { return };
+        let Some(landing) = connection.landing.as_ref().filter(|l| l.side.stamp == mark.stamp) else {
+            return;
+        };
+        if !matches!(connection.stage, Stage::Held | Stage::Returning(_))
+            || word == CONNECT && landing.connected
+        {
+            return;
+        }
+        self.out_of_time(context, slot);
+    }
+
+    /// The hand-off that is out is waited for no longer.
+    pub(super) fn out_of_time(&mut self, context: &mut Context, slot: usize) {
+        let written = self.slab[slot].landing.as_ref().is_some_and(|l| l.written);
+        self.fell_through(context, slot, if written { Ending::TimedOut } else { Ending::Unconnected });
+    }
+
+    /// A hand-off that came to nothing.
+    pub(super) fn fell_through(&mut self, context: &mut Context, slot: usize, ending: Ending) {
+        let connection = &mut self.slab[slot];
+        let Some(landing) = connection.landing.take() else { return };
+        (connection.up, connection.down) = (Lane::default(), Lane::default());
+        connection.errors += u32::from(ending == Ending::Error);
+        if connection.stage == Stage::Held {
+            context.events.push(Event::Ended {
+                id: connection.arrival.id,
+                hand_off: landing.number,
+                host: context.hosts.record(landing.host).id,
+                over: connection.client.is_none(),
+                ending,
+                gauges: Vec::new(),
+            });
+            if connection.client.is_none() {
+                self.remove(slot, false);
+            }
+        } else if !ending.never_ran() {
+            self.answer(context, slot, b"ERR\r\n");
+        }
+    }
+
+    /// Brings a hand-off on: the connection, the line, the host's first word.
+    pub(super) fn land_on(&mut self, context: &mut Context, slot: usize) {
+        let Some(connection) = self.slab.get_mut(slot) else { return };
+        let Some(landing) = connection.landing.as_mut() else { return };
+        if !landing.connected {
+            if !landing.side.writable {
+                return;
+            }
+            if landing.side.socket.connected().is_err() {
+                return self.fell_through(context, slot, Ending::Unconnected);
+            }
+            landing.connected = true;
+        }
+        let begins = connection.stage == Stage::Held && !landing.written && connection.up.buffer.is_none();
+        if begins && !self.waits(context, slot) {
+            return;
+        }
+        let Some(connection) = self.slab.get_mut(slot) else { return };
+        let Some(landing) = connection.landing.as_mut() else { return };
+        if !landing.written {
+            if connection.up.buffer.is_none() {
+                // Guards: a line that starts late to a host that was told to be leaving meanwhile.
+                let left = context.hosts.record(landing.host).left_since;
+                let late = left.is_some_and(|t| context.now > t + context.terms.drain_grace);
+                if connection.stage == Stage::Held && context.deaf.contains(&context.now) {
+                    // Not the host's doing.
+                    return self.fell_through(context, slot, Ending::NeverSent);
+                }
+                if (late || context.now > landing.by) && connection.stage == Stage::Held {
+                    return self.fell_through(context, slot, Ending::Unconnected);
+                }
+                let (Some(letter), Some(mut out)) = (connection.letter.as_ref(), context.pool.take()) else {
+                    return self.fell_through(context, slot, Ending::NeverSent);
+                };
+                let wait = (landing.since + connection.given).saturating_sub(context.now);
+                let mut digits = String::new();
+                let line = &letter.waiting()[..connection.letter_length];
+                lines::onward(line, wait, &mut digits).iter().for_each(|piece| _ = out.put(piece));
+                connection.up.buffer = Some(out);
+            }
+            match connection.up.flush(&mut landing.side) {
+                Flow::Ended => {
+                    landing.written = true;
+                    context.tally.attempted();
+                }
+                Flow::Idle => return,
+                _ => return self.fell_through(context, slot, Ending::Unconnected),
+            }
+        }
+        let mut said = Vec::new();
+        while landing.side.readable && said.is_empty() {
+            match connection.down.fill(&context.pool, &mut landing.side, &mut |word| said.push(word)) {
+                Flow::Idle if connection.down.ended && said.is_empty() => {
+                    return self.fell_through(context, slot, Ending::Broken);
+                }
+                Flow::Idle => {}
+                Flow::Starved => return self.starved.push(slot),
+                Flow::Malformed => return self.fell_through(context, slot, Ending::Error),
+                _ => return self.fell_through(context, slot, Ending::Broken),
+            }
+        }
+        match said.first() {
+            None if connection.down.buffer.as_ref().is_some_and(Buffer::is_empty) => {
+                connection.down.buffer = None
+            }
+            None => {}
+            Some(Word::Up) => self.begin(context, slot, &said[1..]),
+            Some(Word::Busy) => self.fell_through(context, slot, Ending::Refused),
+            Some(Word::Move) => self.fell_through(context, slot, Ending::CalledOff),
+            Some(_) => self.fell_through(context, slot, Ending::Error),
+        }
+    }
+
+    /// The host has taken it: from here on lines pass both ways.
+    pub(super) fn begin(&mut self, context: &mut Context, slot: usize, behind: &[Word]) {
+        let connection = &mut self.slab[slot];
+        let Some(landing) = connection.landing.as_mut() else { return };
+        if connection.client.is_none() {
+            return self.fell_through(context, slot, Ending::CalledOff);
+        }
+        let (id, host) = (connection.arrival.id, context.hosts.record(landing.host).id);
+        if connection.stage == Stage::Held {
+            context.events.push(Event::Begun { id, took: context.now - landing.since });
+        } else {
+            context.events.push(Event::Standing(connection.arrival, host));
+        }
+        connection.stage = Stage::Open;
+        context.tally.came_to(&context.terms.offerings[connection.arrival.offering], Outcome::Served);
+        // Guards: a first load told in one piece with the answer, and lost to the module.
+        behind.iter().for_each(|word| {
+            landing.said.heard(
+                *word,
+                (id, landing.host),
+                context.now,
+                &mut connection.asked,
+                (&mut context.events, &mut context.hosts),
+            )
+        });
+        connection.letter = None;
+        self.pass(context, slot);
+    }
+}
--- a/node/src/ferry/lane.rs
+++ b/node/src/connections/lane.rs
@@ -2,7 +2,7 @@
 //! way and how far its lines have been read. It must never read more than it can pass on, so that a slow
 //! receiver holds up its sender alone, nor keep a buffer while nothing flows.
 
-use crate::ferry::lines::{Scanner, Word};
+use crate::connections::lines::{Scanner, Word};
 use reedferry_quay::{Buffer, Errno, Pool, Socket};
 
 /// Buffers moved for one connection before the others have their turn.
--- a/node/src/ferry/door.rs
+++ b/node/src/connections/listener.rs
@@ -1,12 +1,12 @@
-//! The door: a client before it has its answer. It owns which connections hold no attachment yet or any
+//! The listener: a client before it has its answer. It owns which connections hold no attachment yet or any
 //! more, which ids are open, and who was turned away for what. It must never let an attachment in that
 //! hosts could not tell from another, nor leave a client that says nothing a descriptor others need.
 
 use super::landing::STANDING_WITHIN;
-use super::{Ferries, Ferry, Stage};
-use crate::deck::{Deck, CLIENT};
-use crate::ferry::lane::Side;
-use crate::ferry::lines::{self, Opening, Request};
+use super::{Connection, Connections, Stage};
+use crate::connections::lane::Side;
+use crate::connections::lines::{self, Opening, Request};
+use crate::context::{Context, CLIENT};
 use reedferry::{Arrival, AttachmentId, Ending, Event, HostId, Nanos, MILLI, SECOND};
 use reedferry_quay::{Errno, Mark, Socket};
 use std::collections::{BTreeMap, HashSet, VecDeque};
@@ -27,7 +27,7 @@
 const ACCEPTS: usize = 256;
 
 #[derive(Default)]
-pub(super) struct Door {
+pub(super) struct Listener {
     /// Those that hold no attachment, by slot and stamp, in the order in which they came to that.
     pub idle: VecDeque<(usize, u32)>,
     /// The ids that are open, and those that hosts would not have, the oldest first.
@@ -40,18 +40,18 @@
     pub open: bool,
 }
 
-impl Ferries {
-    /// Takes in the clients that wait at the door.
-    pub fn accept(&mut self, deck: &mut Deck, door: Option<&Socket>) {
-        self.door.open = false;
-        let Some(door) = door else { return };
+impl Connections {
+    /// Takes in the clients that wait at the listener.
+    pub fn accept(&mut self, context: &mut Context, listener: Option<&Socket>) {
+        self.listener.open = false;
+        let Some(listener) = listener else { return };
         for _ in 0..ACCEPTS {
             // Guards: usual clients kept out by hundreds that connect and say nothing. Where all have just
-            // come, those behind them wait at the door until the next sweep.
-            if !deck.budget.room(1) && !self.make_room(deck, FLEETING) && deck.budget.tight() {
+            // come, those behind them wait at the listener until the next sweep.
+            if !context.budget.room(1) && !self.make_room(context, FLEETING) && context.budget.tight() {
                 return;
             }
-            let socket = match deck.budget.accept(door) {
+            let socket = match context.budget.accept(listener) {
                 Ok(socket) => socket,
                 Err(Errno::AGAIN | Errno::MFILE) => return,
                 // What failed before it was taken is no client any more.
@@ -59,31 +59,31 @@
                 Err(_) => return,
             };
             let slot = self.slab.vacant_key();
-            let Ok(mark) = deck.watch(&socket, CLIENT, slot) else { continue };
+            let Ok(mark) = context.watch(&socket, CLIENT, slot) else { continue };
             let client = Side { socket, stamp: mark.stamp, readable: false, writable: true };
-            self.door.idle.push_back((slot, mark.stamp));
-            self.slab.insert(Ferry::new(client, slot, deck.now));
+            self.listener.idle.push_back((slot, mark.stamp));
+            self.slab.insert(Connection::new(client, slot, context.now));
         }
-        self.door.open = true;
+        self.listener.open = true;
     }
 
     /// Whether the connection that has held a descriptor longest without an attachment gave it up; one that
     /// has just come is not asked to, nor one whose attachment has come meanwhile.
-    pub(super) fn make_room(&mut self, deck: &mut Deck, safe: Nanos) -> bool {
-        while let Some(&(slot, stamp)) = self.door.idle.front() {
-            let same = |f: &&Ferry| f.idles() && f.client.as_ref().is_some_and(|c| c.stamp == stamp);
-            let Some(ferry) = self.slab.get(slot).filter(same) else {
-                self.door.idle.pop_front();
+    pub(super) fn make_room(&mut self, context: &mut Context, safe: Nanos) -> bool {
+        while let Some(&(slot, stamp)) = self.listener.idle.front() {
+            let same = |f: &&Connection| f.idles() && f.client.as_ref().is_some_and(|c| c.stamp == stamp);
+            let Some(connection) = self.slab.get(slot).filter(same) else {
+                self.listener.idle.pop_front();
                 continue;
             };
-            if deck.now < ferry.since + safe {
+            if context.now < connection.since + safe {
                 return false;
             }
             // Guards: a request that lies unread in its socket, lost in the reset that closing over it brings.
-            if ferry.stage == Stage::Knocking {
+            if connection.stage == Stage::Unasked {
                 self.slab[slot].client.iter_mut().for_each(|client| client.readable = true);
-                self.knock(deck, slot);
-                let Some(ferry) = self.slab.get(slot).filter(same) else {
+                self.read_opening(context, slot);
+                let Some(connection) = self.slab.get(slot).filter(same) else {
                     // Its attachment has come, or it was gone.
                     if self.slab.get(slot).is_none_or(|f| f.client.as_ref().is_none_or(|c| c.stamp != stamp))
                     {
@@ -91,16 +91,16 @@
                     }
                     continue;
                 };
-                if ferry.stage != Stage::Knocking {
+                if connection.stage != Stage::Unasked {
                     // It is turned away, and heard out as long as others are.
-                    self.door.idle.pop_front();
+                    self.listener.idle.pop_front();
                     continue;
                 }
             }
-            let ferry = &mut self.slab[slot];
-            if let (Stage::Knocking, Some(client)) = (ferry.stage, &ferry.client) {
+            let connection = &mut self.slab[slot];
+            if let (Stage::Unasked, Some(client)) = (connection.stage, &connection.client) {
                 _ = client.socket.send(b"BUSY\r\n");
-                *self.door.turned.entry("no descriptors for the silent").or_default() += 1;
+                *self.listener.turned.entry("no descriptors for the silent").or_default() += 1;
             }
             self.remove(slot, false);
             return true;
@@ -109,25 +109,25 @@
     }
 
     /// Sends a client away that has not asked.
-    pub(super) fn send_away(&mut self, deck: &mut Deck, slot: usize) {
-        self.answer(deck, slot, b"BUSY\r\n");
+    pub(super) fn send_away(&mut self, context: &mut Context, slot: usize) {
+        self.answer(context, slot, b"BUSY\r\n");
     }
 
     /// Turns a client away that is not to be served.
-    pub(super) fn turn_away(&mut self, deck: &mut Deck, slot: usize, why: &'static str) {
-        *self.door.turned.entry(why).or_default() += 1;
-        self.answer(deck, slot, b"ERR\r\n");
+    pub(super) fn turn_away(&mut self, context: &mut Context, slot: usize, why: &'static str) {
+        *self.listener.turned.entry(why).or_default() += 1;
+        self.answer(context, slot, b"ERR\r\n");
     }
 
     /// Reads the client's first line.
-    pub(super) fn knock(&mut self, deck: &mut Deck, slot: usize) {
-        let ferry = &mut self.slab[slot];
-        let Some(client) = ferry.client.as_mut() else { return };
+    pub(super) fn read_opening(&mut self, context: &mut Context, slot: usize) {
+        let connection = &mut self.slab[slot];
+        let Some(client) = connection.client.as_mut() else { return };
         loop {
-            if ferry.letter.is_none() {
-                ferry.letter = deck.pool.take();
+            if connection.letter.is_none() {
+                connection.letter = context.pool.take();
             }
-            let Some(letter) = ferry.letter.as_mut() else { return self.starved.push(slot) };
+            let Some(letter) = connection.letter.as_mut() else { return self.starved.push(slot) };
             let mut ended = false;
             while client.readable && !ended && !letter.spare().is_empty() {
                 match client.socket.receive(letter.spare()) {
@@ -138,10 +138,10 @@
                 }
             }
             // Guards: a flood of pings that holds up the loop, or that fills a connection nobody reads.
-            while letter.waiting().starts_with(b"PING\r\n") && ferry.pings < MOST_PINGS {
+            while letter.waiting().starts_with(b"PING\r\n") && connection.pings < MOST_PINGS {
                 letter.sent(6);
-                ferry.pings += 1;
-                let pong = if deck.standby.is_some() { b"BUSY\r\n" } else { b"PONG\r\n" };
+                connection.pings += 1;
+                let pong = if context.standby.is_some() { b"BUSY\r\n" } else { b"PONG\r\n" };
                 if client.socket.send(pong) != Ok(6) {
                     return self.remove(slot, true);
                 }
@@ -151,17 +151,17 @@
                 Ok(None) if client.readable => continue,
                 Ok(None) => {}
                 Ok(Some((_, length))) if ended || letter.waiting().len() > length => {
-                    return self.turn_away(deck, slot, "more than one line before its answer");
+                    return self.turn_away(context, slot, "more than one line before its answer");
                 }
                 Ok(Some((line, length))) => {
                     let said = lines::opening(line).and_then(|said| match said {
                         Opening::Ping => Err("too many pings"),
                         Opening::Open(request) => {
-                            let arrival = Self::arrival(deck, ferry.arrival.id, &request)?;
-                            let open = self.door.names.contains(request.id);
+                            let arrival = Self::arrival(context, connection.arrival.id, &request)?;
+                            let open = self.listener.names.contains(request.id);
                             // Guards: one that uses the id of another's open request, which hosts would
                             // tell from a good one only by an error; the same again and again.
-                            if open || self.door.struck.iter().any(|n| **n == *request.id) {
+                            if open || self.listener.struck.iter().any(|n| **n == *request.id) {
                                 return Err("an id that is in use");
                             }
                             Ok((arrival, Rc::from(request.id), request.at.map(lines::hash)))
@@ -169,39 +169,40 @@
                     });
                     let (arrival, name, home): (Arrival, Rc<str>, Option<u64>) = match said {
                         Ok(good) => good,
-                        Err(why) => return self.turn_away(deck, slot, why),
+                        Err(why) => return self.turn_away(context, slot, why),
                     };
-                    (ferry.since, ferry.waits, ferry.arrival) = (deck.now, arrival.time_left, arrival);
-                    ferry.letter_length = length - 2;
-                    self.door.names.insert(name.clone());
-                    ferry.name = Some(name);
+                    (connection.since, connection.waits, connection.arrival) =
+                        (context.now, arrival.time_left, arrival);
+                    connection.letter_length = length - 2;
+                    self.listener.names.insert(name.clone());
+                    connection.name = Some(name);
                     if let Some(home) = home {
-                        ferry.home = Some(HostId(home));
-                        ferry.stage = Stage::Returning(deck.now);
-                        return self.go_back(deck, slot);
+                        connection.home = Some(HostId(home));
+                        connection.stage = Stage::Returning(context.now);
+                        return self.go_back(context, slot);
                     }
-                    ferry.stage = Stage::Held;
-                    deck.events.push(Event::Arrived(ferry.arrival));
+                    connection.stage = Stage::Held;
+                    context.events.push(Event::Arrived(connection.arrival));
                     return;
                 }
-                Err(why) => return self.turn_away(deck, slot, why),
+                Err(why) => return self.turn_away(context, slot, why),
             }
             if letter.is_empty() {
-                ferry.letter = None;
+                connection.letter = None;
             }
             return;
         }
     }
 
     /// What the module is told of a request, or why it is none that this node serves.
-    fn arrival(deck: &Deck, id: AttachmentId, request: &Request) -> Result<Arrival, &'static str> {
-        let terms = &deck.terms;
+    fn arrival(context: &Context, id: AttachmentId, request: &Request) -> Result<Arrival, &'static str> {
+        let terms = &context.terms;
         let offering = terms.offering(request.offering).ok_or("an unknown offering")?;
         if !terms.tenants.is_empty() && !terms.tenants.iter().any(|t| t == request.tenant) {
             return Err("an unknown tenant");
         }
         // Guards: a client that says it stood somewhere, and would be kept for as long as it likes.
-        if request.at.is_some() && deck.now > deck.start + 2 * STANDING_WITHIN {
+        if request.at.is_some() && context.now > context.start + 2 * STANDING_WITHIN {
             return Err("a standing connection long after the start");
         }
         let longest = if terms.longest_expiry > 0 { terms.longest_expiry } else { Nanos::MAX / WILD };
@@ -214,9 +215,9 @@
     }
 
     /// Notices a client that leaves while it waits, or that goes on talking.
-    pub(super) fn listen(&mut self, deck: &mut Deck, slot: usize) {
-        let ferry = &mut self.slab[slot];
-        let Some(client) = ferry.client.as_mut().filter(|client| client.readable) else { return };
+    pub(super) fn listen(&mut self, context: &mut Context, slot: usize) {
+        let connection = &mut self.slab[slot];
+        let Some(client) = connection.client.as_mut().filter(|client| client.readable) else { return };
         // Guards: an end that is never seen behind a first line which fills its buffer.
         let talks = match client.socket.receive(&mut [0; 64]) {
             Err(Errno::AGAIN) => {
@@ -232,49 +233,51 @@
             Err(_) => false,
         };
         // The hand-off that is out ends when the module calls it off or it ends by itself.
-        let (client, came) = (ferry.client.take(), ferry.came);
-        ferry.letter = None;
-        let held = ferry.stage == Stage::Held;
+        let (client, came) = (connection.client.take(), connection.came);
+        connection.letter = None;
+        let held = connection.stage == Stage::Held;
         if held {
-            deck.events.push(Event::Left { id: ferry.arrival.id });
+            context.events.push(Event::Left { id: connection.arrival.id });
         }
-        if !held || ferry.landing.is_none() {
+        if !held || connection.landing.is_none() {
             self.remove(slot, false);
-        } else if ferry.landing.as_ref().is_some_and(|landing| !landing.written) {
+        } else if connection.landing.as_ref().is_some_and(|landing| !landing.written) {
             // Guards: a line that begins for a client which had gone while its host's connection came up, where the
             // settings allow none to be called off: this one has not begun, or never ends.
-            self.fell_through(deck, slot, Ending::NeverSent);
+            self.fell_through(context, slot, Ending::NeverSent);
         }
         let Some(mut client) = client.filter(|_| talks) else { return };
         // Guards: a client that sends hundreds of lines at once, served by its first one: it is parted from
         // its attachment and turned away.
         let slot = self.slab.vacant_key();
-        let mark = Mark { part: CLIENT, slot: slot as u32, stamp: deck.stamp() };
-        if deck.poller.rewatch(&client.socket, mark).is_ok() {
+        let mark = Mark { part: CLIENT, slot: slot as u32, stamp: context.stamp() };
+        if context.poller.rewatch(&client.socket, mark).is_ok() {
             client.stamp = mark.stamp;
-            self.slab.insert(Ferry { came, ..Ferry::new(client, slot, deck.now) });
-            self.turn_away(deck, slot, "more than one line before its answer");
+            self.slab.insert(Connection { came, ..Connection::new(client, slot, context.now) });
+            self.turn_away(context, slot, "more than one line before its answer");
         }
     }
 
     /// Whether the client still waits, as its socket has it now, whatever the poller has said so far. Guards: an attempt
     /// that begins for one which has gone, and whose end waits behind many events or a process that stood still.
-    pub(super) fn waits(&mut self, deck: &mut Deck, slot: usize) -> bool {
+    pub(super) fn waits(&mut self, context: &mut Context, slot: usize) -> bool {
         let id = self.slab[slot].arrival.id;
         self.slab[slot].client.iter_mut().for_each(|client| client.readable = true);
-        self.listen(deck, slot);
-        self.slab.get(slot).is_some_and(|ferry| ferry.arrival.id == id && ferry.client.is_some())
+        self.listen(context, slot);
+        self.slab
+            .get(slot)
+            .is_some_and(|connection| connection.arrival.id == id && connection.client.is_some())
     }
 
     /// The id of what is answered or gone is no longer in use, unless hosts would not have it.
     pub(super) fn free_name(&mut self, slot: usize) {
-        let ferry = &mut self.slab[slot];
-        let Some(name) = ferry.name.take() else { return };
-        self.door.names.remove(&name);
-        if ferry.errors >= STRIKES && ferry.stage == Stage::Held {
-            self.door.struck.push_back(name);
-            if self.door.struck.len() > STRUCK {
-                self.door.struck.pop_front();
+        let connection = &mut self.slab[slot];
+        let Some(name) = connection.name.take() else { return };
+        self.listener.names.remove(&name);
+        if connection.errors >= STRIKES && connection.stage == Stage::Held {
+            self.listener.struck.push_back(name);
+            if self.listener.struck.len() > STRUCK {
+                self.listener.struck.pop_front();
             }
         }
     }
--- a/node/src/ferry/mod.rs
+++ b/node/src/connections/mod.rs
@@ -1,25 +1,25 @@
-//! The ferry: an attachment's two connections, from the client's first line to the end of both. It owns
+//! Connections: an attachment's two, the client's and its host's, from the first line to the end of both. It owns
 //! the sockets of clients and hosts and what is on its way between them, in parts by what they own: the
-//! client's side before its answer (`door`), a hand-off (`landing`), the open connection (`passage`), and
+//! client's side before its answer (`listener`), a hand-off (`landing`), the open connection (`passage`), and
 //! endings. It tells events and carries actions out, whoever decides. It must never choose a host or an
 //! answer, nor answer an attachment twice or let it go without an answer, nor pass on what is no proper
 //! attachment: that is turned away here, whatever it sends or leaves unsent.
 
-mod door;
 mod endings;
 mod landing;
 pub mod lane;
 pub mod lines;
+mod listener;
 mod passage;
 mod passing;
 pub mod probe;
 pub mod wire;
 
-use crate::deck::{Deck, CLIENT};
-use crate::ferry::lane::{Lane, Side};
-use door::{Door, SILENT_CLIENT};
+use crate::connections::lane::{Lane, Side};
+use crate::context::{Context, CLIENT};
 use endings::MOST_WASTE;
 use landing::Landing;
+use listener::{Listener, SILENT_CLIENT};
 pub use passing::Passenger;
 use reedferry::{Action, Arrival, AttachmentId, Ending, HostId, Nanos, Offering, SECOND};
 use reedferry_quay::{Buffer, Readiness, Socket};
@@ -31,7 +31,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Stage {
     /// The first line has not come yet.
-    Knocking,
+    Unasked,
     /// The module has it and owes an answer.
     Held,
     /// It stood at a host before the run and goes back there; when it is tried next.
@@ -44,7 +44,7 @@
     Closing(Nanos),
 }
 
-struct Ferry {
+struct Connection {
     client: Option<Side>,
     landing: Option<Landing>,
     stage: Stage,
@@ -78,13 +78,13 @@
     turned_down: bool,
 }
 
-impl Ferry {
+impl Connection {
     fn new(client: Side, slot: usize, now: Nanos) -> Self {
         let id = AttachmentId(u64::from(client.stamp) << 32 | slot as u64);
-        Ferry {
+        Connection {
             client: Some(client),
             landing: None,
-            stage: Stage::Knocking,
+            stage: Stage::Unasked,
             came: now,
             since: now,
             arrival: Arrival { id, ..Arrival::default() },
@@ -115,14 +115,14 @@
 
     /// Whether it holds no attachment: it has not asked yet, or has its answer.
     fn idles(&self) -> bool {
-        matches!(self.stage, Stage::Knocking | Stage::Closing(_))
+        matches!(self.stage, Stage::Unasked | Stage::Closing(_))
     }
 }
 
 #[derive(Default)]
-pub struct Ferries {
-    slab: Slab<Ferry>,
-    door: Door,
+pub struct Connections {
+    slab: Slab<Connection>,
+    listener: Listener,
     /// What may still be thrown away before the next sweep.
     waste: usize,
     /// Those with more to do than a turn allows.
@@ -131,19 +131,19 @@
     starved: Vec<usize>,
 }
 
-impl Ferries {
+impl Connections {
     pub fn count(&self) -> usize {
         self.slab.len()
     }
 
     /// Whether any attachment goes by this place of an offering.
     pub fn holds(&self, offering: usize) -> bool {
-        self.slab.iter().any(|(_, ferry)| !ferry.idles() && ferry.arrival.offering == offering)
+        self.slab.iter().any(|(_, connection)| !connection.idles() && connection.arrival.offering == offering)
     }
 
     /// The offerings that any attachment goes by, by their names, and what they mean.
-    pub fn held(&self, deck: &Deck) -> Vec<(String, Offering)> {
-        let all = deck.terms.offerings.iter().zip(&deck.offerings).enumerate();
+    pub fn held(&self, context: &Context) -> Vec<(String, Offering)> {
+        let all = context.terms.offerings.iter().zip(&context.offerings).enumerate();
         let held = all.filter(|(n, _)| self.holds(*n));
         held.map(|(_, (name, offering))| (name.clone(), offering.clone())).collect()
     }
@@ -152,13 +152,15 @@
     pub fn in_flight(&self) -> usize {
         self.slab
             .iter()
-            .filter(|(_, ferry)| (ferry.owed() || ferry.stage == Stage::Open) && ferry.client.is_some())
+            .filter(|(_, connection)| {
+                (connection.owed() || connection.stage == Stage::Open) && connection.client.is_some()
+            })
             .count()
     }
 
     /// Whether something is left to do without waiting.
     pub fn busy(&self) -> bool {
-        !self.more.is_empty() || self.door.open
+        !self.more.is_empty() || self.listener.open
     }
 
     pub(super) fn find(&self, id: AttachmentId) -> Option<usize> {
@@ -166,90 +168,94 @@
         self.slab.get(slot).filter(|f| f.arrival.id == id).map(|_| slot)
     }
 
-    pub fn ready(&mut self, deck: &mut Deck, ready: Readiness) {
+    pub fn ready(&mut self, context: &mut Context, ready: Readiness) {
         let (slot, stamp) = (ready.mark.slot as usize, ready.mark.stamp);
-        let Some(ferry) = self.slab.get_mut(slot) else { return };
+        let Some(connection) = self.slab.get_mut(slot) else { return };
         let side = match ready.mark.part {
-            CLIENT => ferry.client.as_mut(),
-            _ => ferry.landing.as_mut().map(|l| &mut l.side),
+            CLIENT => connection.client.as_mut(),
+            _ => connection.landing.as_mut().map(|l| &mut l.side),
         };
         let Some(side) = side.filter(|s| s.stamp == stamp) else { return };
         side.readable |= ready.read;
         side.writable |= ready.write;
-        self.go(deck, slot);
+        self.go(context, slot);
     }
 
     /// Goes on with those that had more to do.
-    pub fn resume(&mut self, deck: &mut Deck, door: Option<&Socket>) {
-        if self.door.open {
-            self.accept(deck, door);
+    pub fn resume(&mut self, context: &mut Context, listener: Option<&Socket>) {
+        if self.listener.open {
+            self.accept(context, listener);
         }
         for slot in std::mem::take(&mut self.more) {
-            self.go(deck, slot);
+            self.go(context, slot);
         }
     }
 
-    pub(super) fn go(&mut self, deck: &mut Deck, slot: usize) {
-        let Some(ferry) = self.slab.get(slot) else { return };
-        match ferry.stage {
-            Stage::Knocking => self.knock(deck, slot),
+    pub(super) fn go(&mut self, context: &mut Context, slot: usize) {
+        let Some(connection) = self.slab.get(slot) else { return };
+        match connection.stage {
+            Stage::Unasked => self.read_opening(context, slot),
             Stage::Held | Stage::Returning(_) => {
-                self.listen(deck, slot);
-                self.land_on(deck, slot);
+                self.listen(context, slot);
+                self.land_on(context, slot);
             }
-            Stage::Open => self.pass(deck, slot),
+            Stage::Open => self.pass(context, slot),
             Stage::Passing(_) => {}
-            Stage::Closing(_) => self.see_off(deck, slot),
+            Stage::Closing(_) => self.see_off(context, slot),
         }
     }
 
     /// Carries out what is for an attachment, whoever decided it, and gives back what is not.
-    pub fn carry_out(&mut self, deck: &mut Deck, action: Action) -> Option<Action> {
+    pub fn carry_out(&mut self, context: &mut Context, action: Action) -> Option<Action> {
         match action {
-            Action::HandOff { id, host, until, by } => self.hand_off(deck, id, host, until, by),
-            Action::Dismiss { id, wait } => self.dismiss(deck, id, wait),
-            Action::GiveUp { id } => self.give_up(deck, id),
-            Action::Move { id } => self.move_on(deck, id),
-            Action::CallOff { id, hand_off } => self.call_off(deck, id, hand_off),
+            Action::HandOff { id, host, until, by } => self.hand_off(context, id, host, until, by),
+            Action::Dismiss { id, wait } => self.dismiss(context, id, wait),
+            Action::GiveUp { id } => self.give_up(context, id),
+            Action::Move { id } => self.move_on(context, id),
+            Action::CallOff { id, hand_off } => self.call_off(context, id, hand_off),
             other => return Some(other),
         }
         None
     }
 
     /// Looks over all: what has waited too long, and which lines go unanswered.
-    pub fn sweep(&mut self, deck: &mut Deck) {
-        let now = deck.now;
-        let stopped = deck.stopped_by.unwrap_or(Nanos::MAX);
+    pub fn sweep(&mut self, context: &mut Context) {
+        let now = context.now;
+        let stopped = context.stopped_by.unwrap_or(Nanos::MAX);
         self.more.append(&mut self.starved);
         self.waste = MOST_WASTE;
         let slots: Vec<usize> = self.slab.iter().map(|(slot, _)| slot).collect();
         for slot in slots {
-            let Some(ferry) = self.slab.get_mut(slot) else { continue };
-            match ferry.stage {
+            let Some(connection) = self.slab.get_mut(slot) else { continue };
+            match connection.stage {
                 // Guards: clients that wait or rest until the program is ended from outside, and never have an answer.
-                Stage::Knocking if now >= stopped => self.send_away(deck, slot),
-                Stage::Held if now >= stopped && ferry.landing.is_some() => self.out_of_time(deck, slot),
-                Stage::Knocking if now >= ferry.came + SILENT_CLIENT => {
-                    self.turn_away(deck, slot, "no whole line in time");
+                Stage::Unasked if now >= stopped => self.send_away(context, slot),
+                Stage::Held if now >= stopped && connection.landing.is_some() => {
+                    self.out_of_time(context, slot)
+                }
+                Stage::Unasked if now >= connection.came + SILENT_CLIENT => {
+                    self.turn_away(context, slot, "no whole line in time");
+                }
+                Stage::Returning(next) if connection.landing.is_none() && now >= next => {
+                    self.go_back(context, slot)
                 }
-                Stage::Returning(next) if ferry.landing.is_none() && now >= next => self.go_back(deck, slot),
                 Stage::Closing(by) if now >= by => self.remove(slot, false),
                 Stage::Closing(_) => {
-                    ferry.wasted = 0;
-                    self.see_off(deck, slot);
+                    connection.wasted = 0;
+                    self.see_off(context, slot);
                 }
-                Stage::Open => self.look_after(deck, slot),
+                Stage::Open => self.look_after(context, slot),
                 _ => {}
             }
         }
         let slab = &self.slab;
-        let same = |f: &Ferry, stamp| f.idles() && f.client.as_ref().is_some_and(|c| c.stamp == stamp);
-        self.door.idle.retain(|&(slot, stamp)| slab.get(slot).is_some_and(|f| same(f, stamp)));
+        let same = |f: &Connection, stamp| f.idles() && f.client.as_ref().is_some_and(|c| c.stamp == stamp);
+        self.listener.idle.retain(|&(slot, stamp)| slab.get(slot).is_some_and(|f| same(f, stamp)));
         // Once a second. Guards: a log that bad clients fill.
-        if now >= self.door.told + SECOND {
-            self.door.told = now;
-            for (why, count) in std::mem::take(&mut self.door.turned) {
-                info!(deck.log, "turned away"; "why" => why, "count" => count);
+        if now >= self.listener.told + SECOND {
+            self.listener.told = now;
+            for (why, count) in std::mem::take(&mut self.listener.turned) {
+                info!(context.log, "turned away"; "why" => why, "count" => count);
             }
         }
     }
--- a/node/src/ferry/probe.rs
+++ b/node/src/connections/probe.rs
@@ -1,8 +1,8 @@
 //! Probes of hosts. It owns the connections of probes that are out, one a probe. It must never send a
 //! probe that the module did not ask for, nor let one outlast its time.
 
-use crate::deck::{Deck, PROBE};
-use crate::ferry::lines::{self, Scanner, Word};
+use crate::connections::lines::{self, Scanner, Word};
+use crate::context::{Context, PROBE};
 use reedferry::{Ending, Event, HostId, Nanos};
 use reedferry_quay::{Buffer, Errno, Mark, Readiness, Socket};
 use slab::Slab;
@@ -21,66 +21,66 @@
 }
 
 impl Probes {
-    pub fn send(&mut self, deck: &mut Deck, host: HostId) {
-        let address = deck.hosts.index(host).and_then(|h| deck.hosts.berth(h).address);
+    pub fn send(&mut self, context: &mut Context, host: HostId) {
+        let address = context.hosts.index(host).and_then(|h| context.hosts.record(h).address);
         let opened = match address {
-            Some(address) if deck.budget.room(1) => deck.budget.connect(&address).ok(),
+            Some(address) if context.budget.room(1) => context.budget.connect(&address).ok(),
             _ => None,
         };
         let Some((socket, _)) = opened else {
-            return Self::tell(deck, host, Ending::Unconnected, Vec::new());
+            return Self::tell(context, host, Ending::Unconnected, Vec::new());
         };
         let entry = self.slab.vacant_entry();
-        let Ok(mark) = deck.watch(&socket, PROBE, entry.key()) else {
-            return Self::tell(deck, host, Ending::Unconnected, Vec::new());
+        let Ok(mark) = context.watch(&socket, PROBE, entry.key()) else {
+            return Self::tell(context, host, Ending::Unconnected, Vec::new());
         };
         entry.insert(Probe { host, socket, stamp: mark.stamp, asked: false, heard: None });
-        let until: Nanos = deck.now + 2 * deck.terms.connect_within;
-        deck.poller.remind(until, mark, 0);
+        let until: Nanos = context.now + 2 * context.terms.connect_within;
+        context.poller.remind(until, mark, 0);
     }
 
-    fn tell(deck: &mut Deck, host: HostId, ending: Ending, gauges: Vec<f64>) {
-        deck.events.push(Event::Probed { host, ending, gauges });
+    fn tell(context: &mut Context, host: HostId, ending: Ending, gauges: Vec<f64>) {
+        context.events.push(Event::Probed { host, ending, gauges });
     }
 
-    fn end(&mut self, deck: &mut Deck, slot: usize, ending: Ending, gauges: Vec<f64>) {
+    fn end(&mut self, context: &mut Context, slot: usize, ending: Ending, gauges: Vec<f64>) {
         let probe = self.slab.remove(slot);
-        Self::tell(deck, probe.host, ending, gauges);
+        Self::tell(context, probe.host, ending, gauges);
     }
 
-    pub fn due(&mut self, deck: &mut Deck, mark: Mark) {
+    pub fn due(&mut self, context: &mut Context, mark: Mark) {
         let slot = mark.slot as usize;
         if let Some(probe) = self.slab.get(slot).filter(|p| p.stamp == mark.stamp) {
             let ending = if probe.asked { Ending::TimedOut } else { Ending::Unconnected };
-            self.end(deck, slot, ending, Vec::new());
+            self.end(context, slot, ending, Vec::new());
         }
     }
 
-    pub fn ready(&mut self, deck: &mut Deck, ready: Readiness) {
+    pub fn ready(&mut self, context: &mut Context, ready: Readiness) {
         let slot = ready.mark.slot as usize;
         let Some(probe) = self.slab.get_mut(slot).filter(|p| p.stamp == ready.mark.stamp) else { return };
         if ready.write && !probe.asked {
-            let line: &[u8] = if deck.terms.gauges.is_empty() { b"PING\r\n" } else { b"STATS\r\n" };
+            let line: &[u8] = if context.terms.gauges.is_empty() { b"PING\r\n" } else { b"STATS\r\n" };
             if probe.socket.connected().is_err() || probe.socket.send(line) != Ok(line.len()) {
-                return self.end(deck, slot, Ending::Unconnected, Vec::new());
+                return self.end(context, slot, Ending::Unconnected, Vec::new());
             }
             probe.asked = true;
         }
         if !ready.read || !probe.asked {
             return;
         }
-        let Some(mut heard) = probe.heard.take().or_else(|| deck.pool.take()) else {
-            return self.end(deck, slot, Ending::NeverSent, Vec::new());
+        let Some(mut heard) = probe.heard.take().or_else(|| context.pool.take()) else {
+            return self.end(context, slot, Ending::NeverSent, Vec::new());
         };
         loop {
             if heard.spare().is_empty() {
-                return self.end(deck, slot, Ending::Error, Vec::new());
+                return self.end(context, slot, Ending::Error, Vec::new());
             }
             match probe.socket.receive(heard.spare()) {
-                Ok(0) => return self.end(deck, slot, Ending::Broken, Vec::new()),
+                Ok(0) => return self.end(context, slot, Ending::Broken, Vec::new()),
                 Ok(count) => heard.filled(count),
                 Err(Errno::AGAIN) => break,
-                Err(_) => return self.end(deck, slot, Ending::Broken, Vec::new()),
+                Err(_) => return self.end(context, slot, Ending::Broken, Vec::new()),
             }
         }
         match lines::first(heard.waiting()) {
@@ -89,10 +89,10 @@
                 let said =
                     Scanner::default().step(&heard.waiting()[..length]).ok().and_then(|(_, said)| said);
                 let ending = if said == Some(Word::Pong) { Ending::Done } else { Ending::Error };
-                let gauges = lines::report(line, &deck.terms.gauges);
-                self.end(deck, slot, ending, gauges);
+                let gauges = lines::report(line, &context.terms.gauges);
+                self.end(context, slot, ending, gauges);
             }
-            Err(_) => self.end(deck, slot, Ending::Error, Vec::new()),
+            Err(_) => self.end(context, slot, Ending::Error, Vec::new()),
         }
     }
 }
--- a/node/src/deck.rs
+++ b/node/src/context.rs
@@ -16,7 +16,7 @@
 
 /// The parts that marks are dealt out to.
 pub const MODULE: u8 = 0;
-pub const DOOR: u8 = 1;
+pub const LISTENER: u8 = 1;
 pub const STOP: u8 = 2;
 pub const DISCOVERY: u8 = 3;
 pub const CLIENT: u8 = 4;
@@ -24,17 +24,17 @@
 pub const PROBE: u8 = 6;
 pub const SWEEP: u8 = 7;
 pub const REREAD: u8 = 8;
-/// A connection of the link, the door that forwarders knock at, and the next turn of a core's own.
+/// A connection of the link, the listener that forwarders call at, and the next turn of a core's own.
 pub const LINK: u8 = 9;
-pub const LINK_DOOR: u8 = 10;
+pub const LINK_LISTENER: u8 = 10;
 pub const TICK: u8 = 11;
 /// What other nodes tell.
 pub const PEERS: u8 = 12;
-/// The operators' door, and one of their calls.
-pub const OPS_DOOR: u8 = 13;
+/// The operators' listener, and one of their calls.
+pub const OPS_LISTENER: u8 = 13;
 pub const OPS: u8 = 14;
 /// Where the next process calls, its line, and that of the one before.
-pub const HEIR_DOOR: u8 = 15;
+pub const HEIR_LISTENER: u8 = 15;
 pub const HEIR: u8 = 16;
 pub const ELDER: u8 = 17;
 /// The fleet view's next turn.
@@ -59,7 +59,7 @@
     Mark { part, slot: 0, stamp: 0 }
 }
 
-pub struct Deck {
+pub struct Context {
     pub now: Nanos,
     /// When the node started.
     pub start: Nanos,
@@ -86,9 +86,9 @@
     pub deaf: Range<Nanos>,
 }
 
-impl Deck {
+impl Context {
     /// What every role starts with, and the log that its loop drains.
-    pub fn open(papers: &Papers, clock: &Clock, start: &AtStart) -> Result<(Deck, Backlog), String> {
+    pub fn open(papers: &Papers, clock: &Clock, start: &AtStart) -> Result<(Context, Backlog), String> {
         let (log, backlog) = log::logger(&papers.name);
         let poller = Poller::new().map_err(|e| format!("cannot poll: {e}"))?;
         poller.watch(&start.stop, mark(STOP)).map_err(|e| format!("cannot poll: {e}"))?;
@@ -96,7 +96,7 @@
         let now = clock.read();
         let mut tally = Tally::default();
         tally.offers(&papers.terms.offerings);
-        let deck = Deck {
+        let context = Context {
             now,
             start: now,
             poller,
@@ -116,22 +116,22 @@
             scarce: false,
             deaf: Nanos::MAX..Nanos::MAX,
         };
-        Ok((deck, backlog))
+        Ok((context, backlog))
     }
 
-    /// Listens, and watches who knocks.
+    /// Listens, and watches who calls.
     pub fn listen(&mut self, address: &SocketAddr, part: u8) -> Result<Socket, String> {
-        let door = self.budget.listen(address).map_err(|e| format!("cannot listen on {address}: {e}"))?;
-        self.poller.watch(&door, mark(part)).map_err(|e| format!("cannot poll: {e}"))?;
-        Ok(door)
+        let listener = self.budget.listen(address).map_err(|e| format!("cannot listen on {address}: {e}"))?;
+        self.poller.watch(&listener, mark(part)).map_err(|e| format!("cannot poll: {e}"))?;
+        Ok(listener)
     }
 
-    /// Takes in those who knock at a door that the platform holds open.
+    /// Takes in those who call at a listener that the platform holds open.
     pub fn inherit(&mut self, number: i32) -> Result<Socket, String> {
         let wrong = |e: Errno| format!("GW_ACCEPT_FD {number} is no listener: {e}");
-        let door = self.budget.inherit(number).map_err(wrong)?;
-        self.poller.watch(&door, mark(DOOR)).map_err(wrong)?;
-        Ok(door)
+        let listener = self.budget.inherit(number).map_err(wrong)?;
+        self.poller.watch(&listener, mark(LISTENER)).map_err(wrong)?;
+        Ok(listener)
     }
 
     /// Takes in the roll as last known, and gives its revision.
--- a/node/src/listing/discovery.rs
+++ b/node/src/listing/discovery.rs
@@ -3,7 +3,7 @@
 //! changes are to come unasked the watch is kept up by itself, and once a watch has failed `Hearing` says when. A
 //! call that fails ends alone.
 
-use crate::deck::{Deck, DISCOVERY};
+use crate::context::{Context, DISCOVERY};
 use crate::listing::hearing::{Failure, Hearing};
 use crate::listing::http::Answer;
 use crate::listing::list::{List, Reader};
@@ -77,15 +77,15 @@
     /// Goes over to the service at another address, at once and from its whole list on: versions are each
     /// service's own. Guards: a node that follows a service which has been replaced, or that waits for
     /// the new one to pass a version of the old.
-    pub fn go_over(&mut self, deck: &mut Deck, address: SocketAddr) {
+    pub fn go_over(&mut self, context: &mut Context, address: SocketAddr) {
         let asked = self.calls[ASK].out;
         self.calls = Default::default();
         (self.address, self.following, self.next) = (address, false, None);
         self.versions = Versions::default();
-        self.hearing.moved(deck.now);
-        self.call(deck, WATCH, 0);
+        self.hearing.moved(context.now);
+        self.call(context, WATCH, 0);
         if asked {
-            self.call(deck, ASK, 0);
+            self.call(context, ASK, 0);
         }
     }
 
@@ -103,33 +103,33 @@
     }
 
     /// Reads what has come, whether or not the poller has said so yet.
-    pub fn look(&mut self, deck: &mut Deck) {
+    pub fn look(&mut self, context: &mut Context) {
         for which in ALL {
             if self.calls[which].line.is_some() {
-                self.read(deck, which);
+                self.read(context, which);
             }
         }
     }
 
     /// The module wants the whole roll once.
-    pub fn ask(&mut self, deck: &mut Deck) {
+    pub fn ask(&mut self, context: &mut Context) {
         if !self.calls[ASK].out {
-            self.call(deck, ASK, 0);
+            self.call(context, ASK, 0);
         }
     }
 
     /// The module wants to be told of changes from now on.
-    pub fn follow(&mut self, deck: &mut Deck) {
-        if !self.calls[WATCH].out && self.next.is_none_or(|at| deck.now >= at) {
+    pub fn follow(&mut self, context: &mut Context) {
+        if !self.calls[WATCH].out && self.next.is_none_or(|at| context.now >= at) {
             self.following = false;
             // What was missed since a version that is known comes at once, by the call that then waits on, unless the
             // node may have missed something: whoever waits is not heard.
             let waits = self.versions.may_wait() && !self.hearing.pressed();
-            self.call(deck, WATCH, if waits { self.hearing.hold() } else { MILLI });
+            self.call(context, WATCH, if waits { self.hearing.hold() } else { MILLI });
         }
     }
 
-    fn call(&mut self, deck: &mut Deck, which: usize, hold: Nanos) {
+    fn call(&mut self, context: &mut Context, which: usize, hold: Nanos) {
         // Without a version the whole list comes, which nothing waits for.
         let from = self.versions.known().filter(|_| which == WATCH);
         let hold = if from.is_some() { hold } else { 0 };
@@ -139,69 +139,69 @@
         };
         let call = &mut self.calls[which];
         call.request = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address).into_bytes();
-        (call.out, call.since, call.hold) = (true, deck.now, hold);
-        (call.until, call.used) = (self.hearing.silent_at(deck.now, hold), call.line.is_some());
+        (call.out, call.since, call.hold) = (true, context.now, hold);
+        (call.until, call.used) = (self.hearing.silent_at(context.now, hold), call.line.is_some());
         if which == WATCH {
             self.next = None;
-            self.hearing.out(deck.now, hold);
-            deck.deaf = self.hearing.deaf();
+            self.hearing.out(context.now, hold);
+            context.deaf = self.hearing.deaf();
         }
-        self.start(deck, which);
+        self.start(context, which);
     }
 
     /// Sends the request from its first byte, over a new connection where none is open.
-    fn start(&mut self, deck: &mut Deck, which: usize) {
+    fn start(&mut self, context: &mut Context, which: usize) {
         let call = &mut self.calls[which];
         (call.written, call.body, call.came) = (0, 0, false);
         (call.answer, call.reader) = (Answer::default(), Reader::default());
         if call.line.is_none() {
-            let opened = deck.budget.connect(&self.address).and_then(|(socket, _)| {
-                let mark = deck.watch(&socket, DISCOVERY, which)?;
+            let opened = context.budget.connect(&self.address).and_then(|(socket, _)| {
+                let mark = context.watch(&socket, DISCOVERY, which)?;
                 Ok((socket, mark.stamp))
             });
             match opened {
                 Ok(line) => call.line = Some(line),
                 // What this machine is short of says nothing of the service.
                 Err(e @ (Errno::MFILE | Errno::NFILE | Errno::ADDRNOTAVAIL | Errno::NOBUFS)) => {
-                    self.ended(deck, which, Failure::Refused, &format!("connect: {e}"));
+                    self.ended(context, which, Failure::Refused, &format!("connect: {e}"));
                 }
-                Err(e) => self.fail(deck, which, Failure::Broken, &format!("connect: {e}")),
+                Err(e) => self.fail(context, which, Failure::Broken, &format!("connect: {e}")),
             }
         } else {
-            self.write(deck, which);
+            self.write(context, which);
         }
     }
 
-    pub fn ready(&mut self, deck: &mut Deck, ready: Readiness) {
+    pub fn ready(&mut self, context: &mut Context, ready: Readiness) {
         let which = ready.mark.slot as usize;
         let Some(call) = self.calls.get(which) else { return };
         if call.line.as_ref().is_none_or(|(_, stamp)| *stamp != ready.mark.stamp) {
             return;
         }
         if ready.write {
-            self.write(deck, which);
+            self.write(context, which);
         }
         // Writing may have failed and closed it.
         if ready.read && self.calls[which].line.as_ref().is_some_and(|(_, s)| *s == ready.mark.stamp) {
-            self.read(deck, which);
+            self.read(context, which);
         }
     }
 
-    fn write(&mut self, deck: &mut Deck, which: usize) {
+    fn write(&mut self, context: &mut Context, which: usize) {
         let call = &mut self.calls[which];
         let Some((socket, _)) = &call.line else { return };
         while call.out && call.written < call.request.len() {
             match socket.send(&call.request[call.written..]) {
                 Ok(count) => call.written += count,
                 Err(Errno::AGAIN | Errno::NOTCONN) => return,
-                Err(e) => return self.broken(deck, which, &format!("send: {e}")),
+                Err(e) => return self.broken(context, which, &format!("send: {e}")),
             }
         }
     }
 
-    fn read(&mut self, deck: &mut Deck, which: usize) {
+    fn read(&mut self, context: &mut Context, which: usize) {
         // Guards: a list that is lost because clients hold all buffers; it is read when one is free.
-        let Some(mut buffer) = deck.pool.take() else { return };
+        let Some(mut buffer) = context.pool.take() else { return };
         loop {
             let call = &mut self.calls[which];
             let Some((socket, _)) = &call.line else { return };
@@ -209,21 +209,21 @@
             let count = match socket.receive(buffer.spare()) {
                 Ok(0) => {
                     if call.out && call.answer.ended() {
-                        return self.answered(deck, which);
+                        return self.answered(context, which);
                     }
-                    return self.broken(deck, which, "ended");
+                    return self.broken(context, which, "ended");
                 }
                 Ok(count) => count,
                 Err(Errno::AGAIN) => return,
-                Err(e) => return self.broken(deck, which, &e.to_string()),
+                Err(e) => return self.broken(context, which, &e.to_string()),
             };
             buffer.filled(count);
             if !call.out {
-                return self.broken(deck, which, "bytes that nobody asked for");
+                return self.broken(context, which, "bytes that nobody asked for");
             }
             if !std::mem::replace(&mut call.came, true) {
                 // Guards: an answer that begins and never ends, waited for as long as a watch that is quiet.
-                call.until = call.until.min(self.hearing.stopped_at(deck.now));
+                call.until = call.until.min(self.hearing.stopped_at(context.now));
             }
             let (answer, reader, body) = (&mut call.answer, &mut call.reader, &mut call.body);
             let took = answer.feed(buffer.waiting(), |piece| {
@@ -235,167 +235,167 @@
             });
             match took {
                 Ok(took) if call.answer.done() && took < count => {
-                    return self.fail(deck, which, Failure::Unread, "bytes that nobody asked for");
+                    return self.fail(context, which, Failure::Unread, "bytes that nobody asked for");
                 }
                 Ok(_) if call.answer.done() => {
-                    self.answered(deck, which);
+                    self.answered(context, which);
                     // A call that began at once over the same connection reads on when there is more.
                 }
                 Ok(_) if call.answer.begun() && call.answer.status >= 400 => {
                     let status = call.answer.status;
-                    return self.refused(deck, which, status);
+                    return self.refused(context, which, status);
                 }
                 Ok(_) => {}
-                Err(why) => return self.fail(deck, which, Failure::Unread, why),
+                Err(why) => return self.fail(context, which, Failure::Unread, why),
             }
         }
     }
 
     /// A whole answer has come.
-    fn answered(&mut self, deck: &mut Deck, which: usize) {
+    fn answered(&mut self, context: &mut Context, which: usize) {
         let call = &mut self.calls[which];
         if call.answer.last {
             call.line = None;
         }
         if call.answer.status != 200 {
             let status = call.answer.status;
-            return self.refused(deck, which, status);
+            return self.refused(context, which, status);
         }
         call.out = false;
         let list = match std::mem::take(&mut call.reader).finish() {
             Ok(list) => list,
-            Err(why) => return self.fail(deck, which, Failure::Unread, why),
+            Err(why) => return self.fail(context, which, Failure::Unread, why),
         };
         let (since, hold, news) = (call.since, call.hold, !list.members.is_empty());
-        if !self.take(deck, which, list) {
-            return self.fail(deck, which, Failure::Unread, "a revision that runs backwards");
+        if !self.take(context, which, list) {
+            return self.fail(context, which, Failure::Unread, "a revision that runs backwards");
         }
         if which == WATCH {
             if !self.following {
-                info!(deck.log, "watch begun"; "at" => %self.address, "revision" => self.revision());
+                info!(context.log, "watch begun"; "at" => %self.address, "revision" => self.revision());
             }
             self.following = true;
             self.calls[SILENT] = Call::default();
-            self.hearing.heard(deck.now);
-            deck.deaf = self.hearing.deaf();
-            let next = self.hearing.next(deck.now, since, hold, news);
-            if next > deck.now {
+            self.hearing.heard(context.now);
+            context.deaf = self.hearing.deaf();
+            let next = self.hearing.next(context.now, since, hold, news);
+            if next > context.now {
                 self.next = Some(next);
                 return;
             }
-            self.call(deck, WATCH, self.hearing.hold());
+            self.call(context, WATCH, self.hearing.hold());
         }
     }
 
     /// Whether the list counts, if only as no news.
-    fn take(&mut self, deck: &mut Deck, which: usize, mut list: List) -> bool {
+    fn take(&mut self, context: &mut Context, which: usize, mut list: List) -> bool {
         match self.versions.told(which == WATCH, list.revision, list.complete) {
             // Guards: a host that drains and counts as ready again, by changes from before.
             Worth::Backwards => return false,
             Worth::Stale => {
-                deck.events.push(Event::Roll { kind: RollKind::Changes, hosts: Vec::new() });
+                context.events.push(Event::Roll { kind: RollKind::Changes, hosts: Vec::new() });
                 return true;
             }
             // Guards: new work for hosts that drain, by a service that came back with an older list. What it says
             // of them as a change from there on is news.
             Worth::Older => {
-                let kept = deck.hosts.keep_drains(&mut list);
+                let kept = context.hosts.keep_drains(&mut list);
                 let hosts = list.members.len();
-                warn!(deck.log, "an older list"; "revision" => list.revision, "hosts" => hosts, "drains kept" => kept);
+                warn!(context.log, "an older list"; "revision" => list.revision, "hosts" => hosts, "drains kept" => kept);
             }
             Worth::News => {}
         }
-        let now = deck.now;
-        let event = deck.hosts.told(now, list, false, &deck.log);
-        deck.events.push(event);
+        let now = context.now;
+        let event = context.hosts.told(now, list, false, &context.log);
+        context.events.push(event);
         true
     }
 
     /// The connection broke. Where it had served before and nothing has come of an answer to a call that has just gone
     /// out, the other side closed it between two calls: the call goes out once more. One that broke while it waited
     /// is told, as it may have ended for all nodes.
-    fn broken(&mut self, deck: &mut Deck, which: usize, why: &str) {
+    fn broken(&mut self, context: &mut Context, which: usize, why: &str) {
         let call = &mut self.calls[which];
         call.line = None;
         if !call.out {
             return;
         }
-        if call.used && !call.answer.begun() && deck.now < call.since + CLOSED_BETWEEN {
+        if call.used && !call.answer.begun() && context.now < call.since + CLOSED_BETWEEN {
             // Without a wait: whoever closed it may have started anew, and wait for a version long passed here.
-            return self.call(deck, which, MILLI);
+            return self.call(context, which, MILLI);
         }
-        self.fail(deck, which, Failure::Broken, why);
+        self.fail(context, which, Failure::Broken, why);
     }
 
     /// The service answered, but not with a list: it is the one that it was where it says that it is busy.
-    fn refused(&mut self, deck: &mut Deck, which: usize, status: u16) {
+    fn refused(&mut self, context: &mut Context, which: usize, status: u16) {
         if !matches!(status, 429 | 503) {
             self.versions.broke();
         }
-        self.ended(deck, which, Failure::Refused, &format!("status {status}"));
+        self.ended(context, which, Failure::Refused, &format!("status {status}"));
     }
 
-    fn fail(&mut self, deck: &mut Deck, which: usize, how: Failure, why: &str) {
+    fn fail(&mut self, context: &mut Context, which: usize, how: Failure, why: &str) {
         if which == WATCH {
             self.versions.broke();
         }
-        self.ended(deck, which, how, why);
+        self.ended(context, which, how, why);
     }
 
-    fn ended(&mut self, deck: &mut Deck, which: usize, how: Failure, why: &str) {
+    fn ended(&mut self, context: &mut Context, which: usize, how: Failure, why: &str) {
         let call = &mut self.calls[which];
         (call.line, call.out) = (None, false);
-        warn!(deck.log, "discovery call failed"; "watch" => which == WATCH, "why" => why.to_string());
+        warn!(context.log, "discovery call failed"; "watch" => which == WATCH, "why" => why.to_string());
         if which == WATCH {
             self.following = false;
-            let next = self.hearing.failed(deck.now, how);
+            let next = self.hearing.failed(context.now, how);
             self.next = Some(next);
-            deck.deaf = self.hearing.deaf();
-            if next <= deck.now {
-                self.follow(deck);
+            context.deaf = self.hearing.deaf();
+            if next <= context.now {
+                self.follow(context);
             }
         }
         // Nobody else says when the watch is taken up again.
         if which == ASK {
-            deck.events.push(Event::Roll { kind: RollKind::Failed, hosts: Vec::new() });
+            context.events.push(Event::Roll { kind: RollKind::Failed, hosts: Vec::new() });
         }
     }
 
     /// The watch has said nothing beyond its wait: it is kept until the call in its place is answered.
-    fn fell_silent(&mut self, deck: &mut Deck) {
+    fn fell_silent(&mut self, context: &mut Context) {
         let mut silent = std::mem::take(&mut self.calls[WATCH]);
         if let Some((socket, stamp)) = &mut silent.line {
-            let mark = Mark { part: DISCOVERY, slot: SILENT as u32, stamp: deck.stamp() };
-            if deck.poller.rewatch(socket, mark).is_ok() {
+            let mark = Mark { part: DISCOVERY, slot: SILENT as u32, stamp: context.stamp() };
+            if context.poller.rewatch(socket, mark).is_ok() {
                 *stamp = mark.stamp;
                 silent.until = Nanos::MAX;
                 self.calls[SILENT] = silent;
             }
         }
-        self.fail(deck, WATCH, Failure::Silent, "no answer in time");
+        self.fail(context, WATCH, Failure::Silent, "no answer in time");
     }
 
     /// Ends calls that nothing answers, and takes the watch up again where that is due.
-    pub fn sweep(&mut self, deck: &mut Deck) {
+    pub fn sweep(&mut self, context: &mut Context) {
         for which in ALL {
             // What came while no buffer was to be had.
             if self.calls[which].line.is_some() {
-                self.read(deck, which);
+                self.read(context, which);
             }
             let call = &self.calls[which];
-            match call.out && deck.now >= call.until {
-                true if which == WATCH && !call.came => self.fell_silent(deck),
-                true => self.fail(deck, which, Failure::Silent, "no answer in time"),
+            match call.out && context.now >= call.until {
+                true if which == WATCH && !call.came => self.fell_silent(context),
+                true => self.fail(context, which, Failure::Silent, "no answer in time"),
                 false => {}
             }
         }
-        self.hearing.runs(deck.now);
-        if !self.calls[WATCH].out && self.next.is_some_and(|at| deck.now >= at) {
-            self.follow(deck);
+        self.hearing.runs(context.now);
+        if !self.calls[WATCH].out && self.next.is_some_and(|at| context.now >= at) {
+            self.follow(context);
         }
-        let shut = deck.deaf.contains(&deck.now);
+        let shut = context.deaf.contains(&context.now);
         if shut != std::mem::replace(&mut self.shut, shut) {
-            warn!(deck.log, "list not heard in time"; "nothing new to hosts" => shut);
+            warn!(context.log, "list not heard in time"; "nothing new to hosts" => shut);
         }
     }
 }
--- a/node/src/listing/hosts.rs
+++ b/node/src/listing/hosts.rs
@@ -2,7 +2,7 @@
 //! since when it is told to be leaving, and how long messages take there. It must never judge a host:
 //! it tells the module what it measured, and no more often than that asks for.
 
-use crate::ferry::lines;
+use crate::connections::lines;
 use crate::listing::list::{List, Member};
 use reedferry::{Event, HostId, Listing, Nanos, RollKind, Standing, MILLI, SECOND};
 use reedferry_link::HostLine;
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-pub struct Berth {
+pub struct HostRecord {
     pub name: String,
     pub id: HostId,
     pub address: Option<SocketAddr>,
@@ -35,9 +35,9 @@
     looked: Nanos,
 }
 
-impl Berth {
+impl HostRecord {
     fn new(name: String, id: HostId, now: Nanos) -> Self {
-        Berth {
+        HostRecord {
             name,
             id,
             address: None,
@@ -125,7 +125,7 @@
 
 #[derive(Default)]
 pub struct Hosts {
-    all: Vec<Berth>,
+    all: Vec<HostRecord>,
     by_id: HashMap<HostId, usize>,
     zones: Vec<String>,
     /// Grows with every list.
@@ -154,14 +154,14 @@
     }
 
     pub fn ids(&self) -> impl Iterator<Item = u64> + '_ {
-        self.all.iter().filter(|berth| berth.said.is_some()).map(|berth| berth.id.0)
+        self.all.iter().filter(|record| record.said.is_some()).map(|record| record.id.0)
     }
 
     pub fn index(&self, id: HostId) -> Option<usize> {
         self.by_id.get(&id).copied()
     }
 
-    pub fn berth(&self, host: usize) -> &Berth {
+    pub fn record(&self, host: usize) -> &HostRecord {
         &self.all[host]
     }
 
@@ -189,9 +189,9 @@
         };
         if list.complete {
             let named: HashSet<HostId> = list.members.iter().map(|m| HostId(lines::hash(&m.name))).collect();
-            for berth in self.all.iter_mut().filter(|b| !named.contains(&b.id)) {
-                berth.left_since.get_or_insert(now);
-                berth.said = None;
+            for record in self.all.iter_mut().filter(|b| !named.contains(&b.id)) {
+                record.left_since.get_or_insert(now);
+                record.said = None;
             }
         }
         self.lists += 1;
@@ -217,7 +217,7 @@
         }
     }
 
-    fn put(&mut self, place: usize, fresh: Berth) {
+    fn put(&mut self, place: usize, fresh: HostRecord) {
         self.by_id.insert(fresh.id, place);
         match self.all.get_mut(place) {
             Some(old) => _ = self.by_id.remove(&std::mem::replace(old, fresh).id),
@@ -229,15 +229,15 @@
     pub fn adopt(&mut self, now: Nanos, name: &str) -> usize {
         let id = HostId(lines::hash(name));
         self.index(id).unwrap_or_else(|| {
-            let berth = Berth { left_since: Some(now), ..Berth::new(name.to_string(), id, now) };
-            self.put(self.all.len(), berth);
+            let record = HostRecord { left_since: Some(now), ..HostRecord::new(name.to_string(), id, now) };
+            self.put(self.all.len(), record);
             self.all.len() - 1
         })
     }
 
     /// What the list says of the hosts that it names.
     pub fn members(&self) -> Vec<Member> {
-        self.all.iter().filter_map(|berth| berth.said.clone()).collect()
+        self.all.iter().filter_map(|record| record.said.clone()).collect()
     }
 
     /// One line of a list; no record before `searched` serves again.
@@ -245,21 +245,22 @@
         let id = HostId(lines::hash(&member.name));
         let host = self.index(id).unwrap_or_else(|| {
             // The record of a host long gone serves again: a node runs for months.
-            let old =
-                |b: &Berth| b.left_since.is_some_and(|t| now > t + KEPT) && Rc::strong_count(&b.lease) == 1;
+            let old = |b: &HostRecord| {
+                b.left_since.is_some_and(|t| now > t + KEPT) && Rc::strong_count(&b.lease) == 1
+            };
             let spare = self.all.iter().skip(*searched).position(old);
             let spare = spare.map_or(self.all.len(), |n| *searched + n);
             *searched = spare;
             info!(log, "host listed"; "name" => &member.name, "hash" => format!("{:x}", id.0));
-            self.put(spare, Berth::new(member.name.clone(), id, now));
+            self.put(spare, HostRecord::new(member.name.clone(), id, now));
             spare
         });
-        let berth = &mut self.all[host];
-        berth.said = Some(member.clone()).filter(|m| m.standing != Standing::Gone);
-        berth.address = member.address.or(berth.address);
+        let record = &mut self.all[host];
+        record.said = Some(member.clone()).filter(|m| m.standing != Standing::Gone);
+        record.address = member.address.or(record.address);
         match member.standing {
-            Standing::Ready => berth.left_since = None,
-            _ => _ = berth.left_since.get_or_insert(now),
+            Standing::Ready => record.left_since = None,
+            _ => _ = record.left_since.get_or_insert(now),
         }
         let zone = self.zones.iter().position(|z| *z == member.zone);
         let zone = zone.or_else(|| member.zone.parse().ok()).unwrap_or(usize::from(u16::MAX));
@@ -275,15 +276,15 @@
 
     /// A line that went at `sent` has been answered.
     pub fn answered(&mut self, host: usize, sent: Nanos, now: Nanos) {
-        let berth = &mut self.all[host];
+        let record = &mut self.all[host];
         let time = now.saturating_sub(sent);
-        berth.shortest = berth.shortest.min(time);
-        berth.latest = Some((sent, time));
-        if time <= self.long.saturating_add(berth.shortest) {
-            berth.well = berth.well.max(sent);
+        record.shortest = record.shortest.min(time);
+        record.latest = Some((sent, time));
+        if time <= self.long.saturating_add(record.shortest) {
+            record.well = record.well.max(sent);
         }
-        if berth.times.len() < MOST_TIMES {
-            berth.times.push(time);
+        if record.times.len() < MOST_TIMES {
+            record.times.push(time);
         }
     }
 
@@ -302,11 +303,11 @@
     /// Tells what messages take at each host: at once when work piles up, else once a second while they
     /// take long, and once more when they do not.
     pub fn look(&mut self, now: Nanos, events: &mut Vec<Event>) {
-        for berth in &mut self.all {
-            if let Some(time) = berth.look(now, self.long) {
-                events.push(Event::MessageTime { host: berth.id, time });
+        for record in &mut self.all {
+            if let Some(time) = record.look(now, self.long) {
+                events.push(Event::MessageTime { host: record.id, time });
             }
-            (berth.oldest, berth.waiting) = (None, 0);
+            (record.oldest, record.waiting) = (None, 0);
         }
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -2,8 +2,8 @@
 //! file that `GW_CONFIG` names, as the platform starts it. It owns what all roles do first. It must never
 //! serve anybody itself.
 
-mod deck;
-mod ferry;
+mod connections;
+mod context;
 mod listing;
 mod operators;
 mod peers;
--- a/node/src/operators/ops.rs
+++ b/node/src/operators/ops.rs
@@ -3,7 +3,7 @@
 //! anything, wait for a caller, or look into the module: a whole call is given to the loop, which has it
 //! answered.
 
-use crate::deck::{mark, Deck, OPS, OPS_DOOR};
+use crate::context::{mark, Context, OPS, OPS_LISTENER};
 use reedferry::{Nanos, SECOND};
 use reedferry_quay::{Budget, Buffer, Errno, Pool, Readiness, Socket};
 use slab::Slab;
@@ -156,7 +156,7 @@
 }
 
 pub struct Ops {
-    door: Socket,
+    listener: Socket,
     budget: Budget,
     pool: Pool,
     lines: Slab<Line>,
@@ -166,35 +166,40 @@
 
 impl Ops {
     /// Listens for callers, with descriptors that clients can't use up, and no more.
-    pub fn open(deck: &mut Deck, address: &SocketAddr) -> Result<Ops, String> {
+    pub fn open(context: &mut Context, address: &SocketAddr) -> Result<Ops, String> {
         let wrong = |e: Errno| format!("cannot listen for operators on {address}: {e}");
-        let budget = deck.budget.set_aside(CALLERS + 1);
-        let door = budget.listen(address).map_err(wrong)?;
-        deck.poller.watch(&door, mark(OPS_DOOR)).map_err(wrong)?;
-        let at = door.address().unwrap_or(*address);
-        info!(deck.log, "operators"; "at" => %at);
-        Ok(Ops { door, budget, pool: Pool::new(CALLERS), lines: Slab::new(), calls: Vec::new() })
+        let budget = context.budget.set_aside(CALLERS + 1);
+        let listener = budget.listen(address).map_err(wrong)?;
+        context.poller.watch(&listener, mark(OPS_LISTENER)).map_err(wrong)?;
+        let at = listener.address().unwrap_or(*address);
+        info!(context.log, "operators"; "at" => %at);
+        Ok(Ops { listener, budget, pool: Pool::new(CALLERS), lines: Slab::new(), calls: Vec::new() })
     }
 
-    /// Takes in the callers that wait at the door.
-    pub fn accept(&mut self, deck: &mut Deck) {
+    /// Takes in the callers that wait at the listener.
+    pub fn accept(&mut self, context: &mut Context) {
         for _ in 0..ACCEPTS {
             if self.lines.len() >= CALLERS {
                 self.make_room();
             }
-            let socket = match self.budget.accept(&self.door) {
+            let socket = match self.budget.accept(&self.listener) {
                 Ok(socket) => socket,
                 Err(Errno::CONNABORTED | Errno::INTR) => continue,
                 Err(_) => return,
             };
             let (Some(head), slot) = (self.pool.take(), self.lines.vacant_key()) else { continue };
-            let Ok(mark) = deck.watch(&socket, OPS, slot) else { continue };
-            self.lines.insert(Line { socket, stamp: mark.stamp, since: deck.now, stage: Stage::Head(head) });
+            let Ok(mark) = context.watch(&socket, OPS, slot) else { continue };
+            self.lines.insert(Line {
+                socket,
+                stamp: mark.stamp,
+                since: context.now,
+                stage: Stage::Head(head),
+            });
             // What has come with it is read at once. Guards: a caller put out by those behind it, unread.
-            self.read(deck, slot);
+            self.read(context, slot);
         }
         // More may wait.
-        _ = deck.poller.rewatch(&self.door, mark(OPS_DOOR));
+        _ = context.poller.rewatch(&self.listener, mark(OPS_LISTENER));
     }
 
     /// Puts the one out that has its answer, or else the one that has taken longest over its call.
@@ -207,16 +212,16 @@
         }
     }
 
-    pub fn ready(&mut self, deck: &mut Deck, ready: Readiness) {
+    pub fn ready(&mut self, context: &mut Context, ready: Readiness) {
         let slot = ready.mark.slot as usize;
         if self.lines.get(slot).is_none_or(|line| line.stamp != ready.mark.stamp) {
             return;
         }
         if ready.write {
-            self.write(deck, slot);
+            self.write(context, slot);
         }
         if ready.read {
-            self.read(deck, slot);
+            self.read(context, slot);
         }
     }
 
@@ -225,16 +230,16 @@
         (!self.calls.is_empty()).then(|| self.calls.remove(0))
     }
 
-    pub fn reply(&mut self, deck: &mut Deck, to: Caller, reply: &Reply) {
+    pub fn reply(&mut self, context: &mut Context, to: Caller, reply: &Reply) {
         let same = |line: &&mut Line| line.stamp == to.stamp && matches!(line.stage, Stage::Asked);
         if let Some(line) = self.lines.get_mut(to.slot).filter(same) {
             line.stage = Stage::Answered(reply.bytes(""), 0);
-            line.since = deck.now;
-            self.write(deck, to.slot);
+            line.since = context.now;
+            self.write(context, to.slot);
         }
     }
 
-    fn read(&mut self, deck: &mut Deck, slot: usize) {
+    fn read(&mut self, context: &mut Context, slot: usize) {
         let mut waste = [0; 4096];
         loop {
             let Some(line) = self.lines.get_mut(slot) else { return };
@@ -266,8 +271,8 @@
                         Heard::Part => {}
                         Heard::Head(call, left) => line.stage = Stage::Body(call, left),
                         Heard::Wrong(reply, head) => {
-                            (line.stage, line.since) = (Stage::Answered(reply.bytes(head), 0), deck.now);
-                            self.write(deck, slot);
+                            (line.stage, line.since) = (Stage::Answered(reply.bytes(head), 0), context.now);
+                            self.write(context, slot);
                             continue;
                         }
                     }
@@ -283,7 +288,7 @@
         }
     }
 
-    fn write(&mut self, deck: &mut Deck, slot: usize) {
+    fn write(&mut self, context: &mut Context, slot: usize) {
         let Some(line) = self.lines.get_mut(slot) else { return };
         let Stage::Answered(answer, written) = &mut line.stage else { return };
         while *written < answer.len() {
@@ -297,12 +302,12 @@
             }
         }
         line.socket.end_sending();
-        (line.stage, line.since) = (Stage::Ending, deck.now);
+        (line.stage, line.since) = (Stage::Ending, context.now);
     }
 
     /// Ends what has taken too long.
-    pub fn sweep(&mut self, deck: &mut Deck) {
-        let now = deck.now;
+    pub fn sweep(&mut self, context: &mut Context) {
+        let now = context.now;
         let late: Vec<usize> =
             self.lines.iter().filter(|(_, l)| now >= l.since + WITHIN).map(|l| l.0).collect();
         for slot in late {
@@ -310,13 +315,13 @@
             if matches!(line.stage, Stage::Head(_) | Stage::Body(..)) {
                 let reply = Reply::new(408, "no whole call in time\n");
                 (line.stage, line.since) = (Stage::Answered(reply.bytes(""), 0), now);
-                self.write(deck, slot);
+                self.write(context, slot);
             } else {
                 self.lines.remove(slot);
             }
         }
         let gone = |line: &Line| matches!(line.stage, Stage::Ending) && now >= line.since + LINGER;
         self.lines.retain(|_, line| !gone(line));
-        self.accept(deck);
+        self.accept(context);
     }
 }
--- a/node/src/operators/papers.rs
+++ b/node/src/operators/papers.rs
@@ -101,7 +101,7 @@
             name: sheet.name,
             seed: match sheet.seed {
                 Seed::Number(seed) => seed,
-                Seed::Text(text) => crate::ferry::lines::word(&text).unwrap_or(0),
+                Seed::Text(text) => crate::connections::lines::word(&text).unwrap_or(0),
             },
             memory: (sheet.limits.memory_mb * 1024.0 * 1024.0) as usize,
             sockets: sheet.limits.sockets,
--- a/node/src/peers/fleet.rs
+++ b/node/src/peers/fleet.rs
@@ -2,7 +2,7 @@
 //! that socket, the log lines on members, bounded when hundreds change at once, and the view as operators see it. It
 //! must never decide who is alive, nor take in more of a flood than a turn's worth.
 
-use crate::deck::{mark, Deck, FLEET, PEERS};
+use crate::context::{mark, Context, FLEET, PEERS};
 use crate::operators::papers::Papers;
 use crate::peers::wards::WardTerms;
 use reedferry::{Event, HostId, Nanos, SECOND};
@@ -60,7 +60,7 @@
 }
 
 impl Fleet {
-    pub fn open(deck: &mut Deck, terms: &FleetTerms, papers: &Papers) -> Result<Fleet, String> {
+    pub fn open(context: &mut Context, terms: &FleetTerms, papers: &Papers) -> Result<Fleet, String> {
         let charter = &papers.charter;
         let who = Who {
             name: papers.name.clone(),
@@ -72,10 +72,10 @@
             roster: charter.nodes,
         };
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis() as u64);
-        let fleet = crate::ferry::lines::hash(&terms.name) as u32;
+        let fleet = crate::connections::lines::hash(&terms.name) as u32;
         let FleetTerms { seeds, period, most, .. } = terms.clone();
         let core_terms = members::Terms { period, seeds, most, fleet };
-        let core = Members::new(who, core_terms, deck.now, unix, papers.seed ^ unix);
+        let core = Members::new(who, core_terms, context.now, unix, papers.seed ^ unix);
         let (lines, odd) = ((0, 0), BTreeMap::new());
         let (shares, looks) = (Vec::new(), Vec::new());
         let mut fleet = Fleet {
@@ -92,54 +92,54 @@
             lending: false,
             letters: Vec::new(),
         };
-        match fleet.bind(deck) {
+        match fleet.bind(context) {
             Ok(()) | Err(Errno::ADDRINUSE) => Ok(fleet),
             Err(e) => Err(format!("cannot take letters on {}: {e}", terms.listen)),
         }
     }
 
-    fn bind(&mut self, deck: &mut Deck) -> Result<(), Errno> {
-        let socket = deck.budget.datagrams(&self.terms.listen)?;
-        deck.poller.watch(&socket, mark(PEERS))?;
+    fn bind(&mut self, context: &mut Context) -> Result<(), Errno> {
+        let socket = context.budget.datagrams(&self.terms.listen)?;
+        context.poller.watch(&socket, mark(PEERS))?;
         let (seeds, period) = (self.terms.seeds.len(), self.terms.period / 1_000_000);
-        info!(deck.log, "fleet"; "address" => %self.terms.address, "seeds" => seeds, "period_ms" => period);
+        info!(context.log, "fleet"; "address" => %self.terms.address, "seeds" => seeds, "period_ms" => period);
         self.socket = Some(socket);
-        self.handle(deck, members::Event::Wake);
+        self.handle(context, members::Event::Wake);
         Ok(())
     }
 
-    fn handle(&mut self, deck: &mut Deck, event: members::Event) {
+    fn handle(&mut self, context: &mut Context, event: members::Event) {
         let mut out = Vec::new();
-        self.core.handle(deck.now, event, &mut out);
+        self.core.handle(context.now, event, &mut out);
         for action in out {
             match action {
                 Action::Send { to, bytes } => {
                     // Whom it can't reach is found out by its silence.
                     self.socket.iter().for_each(|socket| _ = socket.send_to(&bytes, &to));
                 }
-                Action::Changed { name, address, before, state } if self.room(deck.now) => {
+                Action::Changed { name, address, before, state } if self.room(context.now) => {
                     let before = before.map_or("unknown", State::word);
-                    info!(deck.log, "member {}", state.word(); "name" => name, "address" => %address, "before" => before);
+                    info!(context.log, "member {}", state.word(); "name" => name, "address" => %address, "before" => before);
                 }
-                Action::Moved { name, from, to } if self.room(deck.now) => {
-                    info!(deck.log, "member moved"; "name" => name, "from" => %from, "to" => %to);
+                Action::Moved { name, from, to } if self.room(context.now) => {
+                    info!(context.log, "member moved"; "name" => name, "from" => %from, "to" => %to);
                 }
                 Action::Changed { .. } | Action::Moved { .. } => self.left_out += 1,
-                Action::WasGone => warn!(deck.log, "others held this node gone"),
+                Action::WasGone => warn!(context.log, "others held this node gone"),
                 Action::StoodStill(span) => {
-                    warn!(deck.log, "stood still"; "ms" => span / 1_000_000);
-                    self.look(deck, Vec::new());
+                    warn!(context.log, "stood still"; "ms" => span / 1_000_000);
+                    self.look(context, Vec::new());
                 }
                 Action::Superseded { by } => {
-                    warn!(deck.log, "another process has this node's name and started later; out of the fleet"; "at" => %by);
+                    warn!(context.log, "another process has this node's name and started later; out of the fleet"; "at" => %by);
                 }
-                Action::Odd { why, from } => self.odd(deck, why, from),
+                Action::Odd { why, from } => self.odd(context, why, from),
             }
         }
         let due = self.core.next();
         if due != Nanos::MAX && self.reminded.is_none_or(|at| due < at) {
             self.reminded = Some(due);
-            deck.poller.remind(due, mark(FLEET), 0);
+            context.poller.remind(due, mark(FLEET), 0);
         }
     }
 
@@ -153,16 +153,16 @@
     }
 
     /// Each kind of odd thing is said once a minute, with how often it came since.
-    fn odd(&mut self, deck: &Deck, why: &'static str, from: SocketAddr) {
+    fn odd(&mut self, context: &Context, why: &'static str, from: SocketAddr) {
         let (said, count) = self.odd.entry(why).or_insert((0, 0));
         *count += 1;
-        if *said == 0 || deck.now >= *said + 60 * SECOND {
-            warn!(deck.log, "letter dropped"; "why" => why, "from" => %from, "count" => *count);
-            (*said, *count) = (deck.now, 0);
+        if *said == 0 || context.now >= *said + 60 * SECOND {
+            warn!(context.log, "letter dropped"; "why" => why, "from" => %from, "count" => *count);
+            (*said, *count) = (context.now, 0);
         }
     }
 
-    pub fn ready(&mut self, deck: &mut Deck) {
+    pub fn ready(&mut self, context: &mut Context) {
         let mut space = [0; LONGEST_LETTER + 1];
         for _ in 0..A_TURN {
             let Some(socket) = &self.socket else { return };
@@ -176,9 +176,9 @@
                 [WORD, ref word @ ..] => {
                     let known = self.core.others().any(|m| m.who.address == from && m.state != State::Gone);
                     if known && word.len() <= reedferry::word::LONGEST {
-                        deck.events.push(Event::Heard { message: word.to_vec() });
+                        context.events.push(Event::Heard { message: word.to_vec() });
                     } else {
-                        self.odd(deck, "a word of no member's", from);
+                        self.odd(context, "a word of no member's", from);
                     }
                 }
                 [WARD, a, b, c, d, ref rest @ ..]
@@ -189,55 +189,56 @@
                         self.letters.push((place, rest.to_vec()));
                     }
                 }
-                [WARD, ..] => self.odd(deck, "a ward of no member's, or garbled", from),
-                ref bytes => self.handle(deck, members::Event::Letter { from, bytes }),
+                [WARD, ..] => self.odd(context, "a ward of no member's, or garbled", from),
+                ref bytes => self.handle(context, members::Event::Letter { from, bytes }),
             }
         }
         // Guards: the rest of a flood left lying, as the poller tells of each arrival once.
         if let Some(socket) = &self.socket {
-            _ = deck.poller.rewatch(socket, mark(PEERS));
+            _ = context.poller.rewatch(socket, mark(PEERS));
         }
     }
 
     /// The moment that the core asked for, or one before it, has come.
-    pub fn due(&mut self, deck: &mut Deck) {
+    pub fn due(&mut self, context: &mut Context) {
         self.reminded = None;
-        self.handle(deck, members::Event::Wake);
+        self.handle(context, members::Event::Wake);
     }
 
     /// Before anything is decided in a turn: what the module may use and do now. Guards: turns and duties of before a
     /// stand-still, which others have taken up.
-    pub fn mind(&mut self, deck: &mut Deck) {
-        if deck.now > self.core.next() {
-            self.handle(deck, members::Event::Wake);
+    pub fn mind(&mut self, context: &mut Context) {
+        if context.now > self.core.next() {
+            self.handle(context, members::Event::Wake);
         }
-        let shares = self.core.shares(deck.now);
+        let shares = self.core.shares(context.now);
         if shares != self.shares {
-            if self.room(deck.now) {
-                info!(deck.log, "turns"; "of" => format!("{shares:?}"));
+            if self.room(context.now) {
+                info!(context.log, "turns"; "of" => format!("{shares:?}"));
             }
-            deck.events.push(Event::Turns(shares.clone()));
+            context.events.push(Event::Turns(shares.clone()));
             self.shares = shares;
         }
     }
 
     /// Whether any turns are shared now, and which hosts are to be looked at by this node.
-    pub fn serve(&mut self, deck: &mut Deck, shares_turns: bool, looks: bool) {
+    pub fn serve(&mut self, context: &mut Context, shares_turns: bool, looks: bool) {
         if std::mem::replace(&mut self.lending, shares_turns) != shares_turns {
-            self.handle(deck, members::Event::Lending(shares_turns));
+            self.handle(context, members::Event::Lending(shares_turns));
         }
-        let by = Some((self.core.digest(), deck.hosts.lists)).filter(|_| !self.core.holds_off(deck.now));
+        let by =
+            Some((self.core.digest(), context.hosts.lists)).filter(|_| !self.core.holds_off(context.now));
         if looks && (by.is_none() || by != self.looked_by) {
-            let mine = self.core.duties(deck.now, deck.hosts.ids());
-            self.look(deck, mine);
+            let mine = self.core.duties(context.now, context.hosts.ids());
+            self.look(context, mine);
             self.looked_by = by;
         }
     }
 
-    fn look(&mut self, deck: &mut Deck, mine: Vec<u64>) {
+    fn look(&mut self, context: &mut Context, mine: Vec<u64>) {
         // Those of a host that is new are told though none is this node's.
-        if mine != self.looks || self.looked_by.is_none_or(|(_, lists)| lists != deck.hosts.lists) {
-            deck.events.push(Event::Looks(mine.iter().map(|id| HostId(*id)).collect()));
+        if mine != self.looks || self.looked_by.is_none_or(|(_, lists)| lists != context.hosts.lists) {
+            context.events.push(Event::Looks(mine.iter().map(|id| HostId(*id)).collect()));
             self.looks = mine;
         }
     }
@@ -274,28 +275,28 @@
     }
 
     /// This node says how it stands.
-    pub fn stands(&mut self, deck: &mut Deck, state: State) {
-        self.handle(deck, members::Event::Stands(state));
+    pub fn stands(&mut self, context: &mut Context, state: State) {
+        self.handle(context, members::Event::Stands(state));
     }
 
-    pub fn ends(&mut self, deck: &mut Deck) {
-        self.handle(deck, members::Event::Ends);
+    pub fn ends(&mut self, context: &mut Context) {
+        self.handle(context, members::Event::Ends);
     }
 
     /// Takes up other seeds and another place; the rest holds until the next start. Gives what does.
-    pub fn renew(&mut self, deck: &mut Deck, terms: &FleetTerms, place: (u32, u32)) -> bool {
-        self.handle(deck, members::Event::Seeds(terms.seeds.clone()));
-        self.handle(deck, members::Event::Placed { place: place.0, roster: place.1 });
+    pub fn renew(&mut self, context: &mut Context, terms: &FleetTerms, place: (u32, u32)) -> bool {
+        self.handle(context, members::Event::Seeds(terms.seeds.clone()));
+        self.handle(context, members::Event::Placed { place: place.0, roster: place.1 });
         self.terms.seeds = terms.seeds.clone();
         self.terms == *terms
     }
 
-    pub fn sweep(&mut self, deck: &mut Deck) {
+    pub fn sweep(&mut self, context: &mut Context) {
         if self.socket.is_none() {
-            _ = self.bind(deck);
+            _ = self.bind(context);
         }
-        if self.left_out > 0 && deck.now >= self.lines.0 + SECOND {
-            info!(deck.log, "members changed beside"; "count" => std::mem::take(&mut self.left_out));
+        if self.left_out > 0 && context.now >= self.lines.0 + SECOND {
+            info!(context.log, "members changed beside"; "count" => std::mem::take(&mut self.left_out));
         }
     }
 
--- a/node/src/peers/wards.rs
+++ b/node/src/peers/wards.rs
@@ -3,7 +3,7 @@
 //! waits, and the form of histories. It must never hold up what is redoable, nor decide what becomes of an attachment
 //! whose ward it has.
 
-use crate::deck::{mark, Deck, WARDS};
+use crate::context::{mark, Context, WARDS};
 use crate::peers::fleet::Fleet;
 use reedferry::{Action, Arrival, AttachmentId, Effect, Ending, Event, HostId, Nanos, Past, SECOND};
 use reedferry_wards::{guardians, Answer, Guardian, Holder, Keeper, Outcome, Question, Record};
@@ -108,11 +108,11 @@
 }
 
 impl Wards {
-    pub fn new(deck: &Deck, terms: &WardTerms, place: u32, roster: u32, life: u64) -> Wards {
+    pub fn new(context: &Context, terms: &WardTerms, place: u32, roster: u32, life: u64) -> Wards {
         Wards {
             terms: terms.clone(),
             keeper: Keeper::new(Holder { place, life }, roster, terms.within),
-            guardian: Guardian::new(deck.now, terms.life, terms.most),
+            guardian: Guardian::new(context.now, terms.life, terms.most),
             place,
             roster,
             held: HashMap::new(),
@@ -133,15 +133,15 @@
             "turned_away": turned_away})
     }
 
-    fn ask(&mut self, deck: &mut Deck, key: u64, question: &Question) {
+    fn ask(&mut self, context: &mut Context, key: u64, question: &Question) {
         for place in guardians(key, self.roster) {
             self.out.push((place, Word::Question(question.clone())));
         }
-        deck.poller.remind(deck.now + self.terms.within, mark(WARDS), 0);
+        context.poller.remind(context.now + self.terms.within, mark(WARDS), 0);
     }
 
     /// An event on its way to the module: one that waits for a ward does not get there yet.
-    pub fn before(&mut self, deck: &mut Deck, effects: &[Effect], event: Event) -> Option<Event> {
+    pub fn before(&mut self, context: &mut Context, effects: &[Effect], event: Event) -> Option<Event> {
         match &event {
             Event::Arrived(arrival) if effects.get(arrival.offering) != Some(&Effect::Redoable) => {
                 // Without a key nobody can bring it again; and this is one whose ward has come.
@@ -154,23 +154,23 @@
                     self.turn_away(arrival.id);
                     return None;
                 }
-                let (id, arrival, came) = (arrival.id, *arrival, deck.now);
+                let (id, arrival, came) = (arrival.id, *arrival, context.now);
                 self.held.insert(
                     key,
                     Held {
                         id,
                         arrival,
                         came,
-                        passed: Passed { history: History::default(), ran_at: deck.now, ran_by: 0 },
+                        passed: Passed { history: History::default(), ran_at: context.now, ran_by: 0 },
                         waits: None,
                     },
                 );
                 self.keys.insert(id, key);
-                let question = self.keeper.claim(deck.now, key);
-                self.ask(deck, key, &question);
+                let question = self.keeper.claim(context.now, key);
+                self.ask(context, key, &question);
                 return None;
             }
-            Event::Begun { id, .. } => self.answered(deck, *id),
+            Event::Begun { id, .. } => self.answered(context, *id),
             Event::Left { id } => {
                 // Its history stays on record: it may come again.
                 if let Some(key) = self.keys.remove(id) {
@@ -189,36 +189,37 @@
     }
 
     /// An action on its way out: a hand-off waits until it is on record.
-    pub fn ahead(&mut self, deck: &mut Deck, action: Action) -> Option<Action> {
+    pub fn ahead(&mut self, context: &mut Context, action: Action) -> Option<Action> {
         match &action {
             Action::HandOff { id, .. } if self.refused.contains(id) => return None,
             Action::HandOff { id, host, .. } => {
                 let Some(&key) = self.keys.get(id) else { return Some(action) };
                 let host = host.0;
                 let held = self.held.get_mut(&key)?;
-                held.passed.handed_off(deck.now, host);
+                held.passed.handed_off(context.now, host);
                 let history = &held.passed.history;
                 let record =
                     Record { history: postcard::to_allocvec(history).unwrap_or_default(), over: false };
-                held.waits = Some((action, deck.now));
-                match self.keeper.keep(deck.now, key, record) {
-                    Some(question) => self.ask(deck, key, &question),
-                    None => self.refuse(deck, key),
+                held.waits = Some((action, context.now));
+                match self.keeper.keep(context.now, key, record) {
+                    Some(question) => self.ask(context, key, &question),
+                    None => self.refuse(context, key),
                 }
                 return None;
             }
-            Action::Dismiss { id, .. } | Action::GiveUp { id } => self.answered(deck, *id),
+            Action::Dismiss { id, .. } | Action::GiveUp { id } => self.answered(context, *id),
             _ => {}
         }
         Some(action)
     }
 
     /// It has had its final answer: what comes under its key from here on is another one.
-    fn answered(&mut self, deck: &mut Deck, id: AttachmentId) {
+    fn answered(&mut self, context: &mut Context, id: AttachmentId) {
         let Some(key) = self.keys.remove(&id) else { return };
         self.held.remove(&key);
-        if let Some(question) = self.keeper.keep(deck.now, key, Record { history: Vec::new(), over: true }) {
-            self.ask(deck, key, &question);
+        if let Some(question) = self.keeper.keep(context.now, key, Record { history: Vec::new(), over: true })
+        {
+            self.ask(context, key, &question);
         }
     }
 
@@ -229,15 +230,15 @@
     }
 
     /// The ward is not to be had: what has not run is dismissed, the rest given up; nothing more is handed off.
-    fn refuse(&mut self, deck: &mut Deck, key: u64) {
+    fn refuse(&mut self, context: &mut Context, key: u64) {
         let Some(held) = self.held.remove(&key) else { return };
         self.keys.remove(&held.id);
         self.keeper.drop(key);
         let waits = held.waits.map(|(action, _)| action);
         if let Some(Action::HandOff { id, host, .. }) = waits {
             let (hand_off, ending, gauges) = (held.passed.history.hand_offs, Ending::NeverSent, Vec::new());
-            deck.events.push(Event::Ended { id, hand_off, host, over: true, ending, gauges });
-            deck.events.push(Event::Left { id });
+            context.events.push(Event::Ended { id, hand_off, host, over: true, ending, gauges });
+            context.events.push(Event::Left { id });
             self.refused.insert(id);
         }
         // What waits has not run; what went before it may have.
@@ -249,60 +250,63 @@
         }
     }
 
-    fn came(&mut self, deck: &mut Deck, outcome: Outcome) {
+    fn came(&mut self, context: &mut Context, outcome: Outcome) {
         match outcome {
             Outcome::Owned { key, record, age } => {
                 let Some(held) = self.held.get_mut(&key) else { return };
-                let waited = deck.now.saturating_sub(held.came);
+                let waited = context.now.saturating_sub(held.came);
                 let arrival =
                     Arrival { time_left: held.arrival.time_left.saturating_sub(waited), ..held.arrival };
                 let known =
                     if record.over { None } else { postcard::from_bytes::<History>(&record.history).ok() };
                 held.passed.history = known.unwrap_or_default();
                 if held.passed.history.hand_offs == 0 {
-                    return deck.events.push(Event::Arrived(arrival));
+                    return context.events.push(Event::Arrived(arrival));
                 }
                 self.figures.taken_over += 1;
                 let History { hand_offs, ran, tried } = &held.passed.history;
                 // No two clocks are compared: so long before it was written, since then there, and on the way here.
                 let ago = ran.map_or(0, |(_, before)| before) + age + self.terms.within;
-                held.passed.ran_at = deck.now.saturating_sub(ago);
+                held.passed.ran_at = context.now.saturating_sub(ago);
                 let ran = ran.map(|(host, _)| (HostId(host), held.passed.ran_at));
                 let tried = tried.iter().map(|host| HostId(*host)).collect();
-                deck.events.push(Event::TakenUp(arrival, Past { hand_offs: *hand_offs, ran, tried }));
+                context.events.push(Event::TakenUp(arrival, Past { hand_offs: *hand_offs, ran, tried }));
             }
             Outcome::Written { key } => {
                 let Some(held) = self.held.get_mut(&key) else { return self.keeper.drop(key) };
                 let Some((action, since)) = held.waits.take() else { return };
                 // Guards: a hand-off by a record that another has taken up, after a stand-still.
-                if deck.now >= since + self.terms.within {
+                if context.now >= since + self.terms.within {
                     held.waits = Some((action, since));
-                    return self.refuse(deck, key);
+                    return self.refuse(context, key);
                 }
                 self.figures.written += 1;
                 self.missing = false;
                 self.ready.push(action);
             }
-            Outcome::Again { key, question } => self.ask(deck, key, &question),
-            Outcome::Lost { key } => self.refuse(deck, key),
+            Outcome::Again { key, question } => self.ask(context, key, &question),
+            Outcome::Lost { key } => self.refuse(context, key),
             Outcome::NoMajority { key } => {
                 if !std::mem::replace(&mut self.missing, true) && self.held.contains_key(&key) {
-                    warn!(deck.log, "no majority of guardians; labelled and irreversible work is sent away");
+                    warn!(
+                        context.log,
+                        "no majority of guardians; labelled and irreversible work is sent away"
+                    );
                 }
-                self.refuse(deck, key);
+                self.refuse(context, key);
             }
         }
     }
 
     /// Takes in what others say, and what this node says to itself; sends what is to go.
-    pub fn turn(&mut self, deck: &mut Deck, fleet: &mut Fleet) {
+    pub fn turn(&mut self, context: &mut Context, fleet: &mut Fleet) {
         for (place, bytes) in fleet.letters() {
             match postcard::from_bytes(&bytes) {
                 Ok(Word::Question(question)) => {
-                    let answer = self.guardian.answer(deck.now, &question);
+                    let answer = self.guardian.answer(context.now, &question);
                     self.out.push((place, Word::Answer(answer)));
                 }
-                Ok(Word::Answer(answer)) => self.hear(deck, place, answer),
+                Ok(Word::Answer(answer)) => self.hear(context, place, answer),
                 // The sum over it was right: another version.
                 Err(_) => {}
             }
@@ -315,8 +319,8 @@
             for (place, word) in std::mem::take(&mut self.out) {
                 match word {
                     Word::Question(question) if place == self.place => {
-                        let answer = self.guardian.answer(deck.now, &question);
-                        self.hear(deck, place, answer);
+                        let answer = self.guardian.answer(context.now, &question);
+                        self.hear(context, place, answer);
                     }
                     word => fleet.send_letter(place, &postcard::to_allocvec(&word).unwrap_or_default()),
                 }
@@ -324,18 +328,18 @@
         }
     }
 
-    fn hear(&mut self, deck: &mut Deck, place: u32, answer: Answer) {
-        if let Some(outcome) = self.keeper.heard(deck.now, place, answer) {
-            self.came(deck, outcome);
+    fn hear(&mut self, context: &mut Context, place: u32, answer: Answer) {
+        if let Some(outcome) = self.keeper.heard(context.now, place, answer) {
+            self.came(context, outcome);
         }
     }
 
     /// A time has come.
-    pub fn due(&mut self, deck: &mut Deck) {
-        for outcome in self.keeper.due(deck.now) {
-            self.came(deck, outcome);
+    pub fn due(&mut self, context: &mut Context) {
+        for outcome in self.keeper.due(context.now) {
+            self.came(context, outcome);
         }
-        self.guardian.sweep(deck.now);
+        self.guardian.sweep(context.now);
     }
 
     /// What is to be carried out now, past the module.
--- a/node/src/peers/words.rs
+++ b/node/src/peers/words.rs
@@ -2,7 +2,7 @@
 //! alone, known by their addresses. It owns that socket. It must never take in what a stranger sends or what
 //! is longer than a message, hold a turn up over a flood, nor care whether a message arrives.
 
-use crate::deck::{mark, Deck, PEERS};
+use crate::context::{mark, Context, PEERS};
 use crate::peers::fleet::FleetTerms;
 use reedferry::word::LONGEST;
 use reedferry::Event;
@@ -30,12 +30,12 @@
 }
 
 impl Peers {
-    pub fn open(deck: &mut Deck, correspondence: &Correspondence) -> Result<Peers, String> {
+    pub fn open(context: &mut Context, correspondence: &Correspondence) -> Result<Peers, String> {
         let wrong = |e: Errno| format!("cannot take messages on {}: {e}", correspondence.at);
-        let socket = deck.budget.datagrams(&correspondence.at).map_err(wrong)?;
-        deck.poller.watch(&socket, mark(PEERS)).map_err(wrong)?;
+        let socket = context.budget.datagrams(&correspondence.at).map_err(wrong)?;
+        context.poller.watch(&socket, mark(PEERS)).map_err(wrong)?;
         let at = socket.address().unwrap_or(correspondence.at);
-        info!(deck.log, "messages"; "at" => %at, "peers" => correspondence.peers.len());
+        info!(context.log, "messages"; "at" => %at, "peers" => correspondence.peers.len());
         Ok(Peers { socket, peers: correspondence.peers.clone(), warned: false })
     }
 
@@ -46,7 +46,7 @@
         }
     }
 
-    pub fn ready(&mut self, deck: &mut Deck) {
+    pub fn ready(&mut self, context: &mut Context) {
         let mut space = [0; LONGEST];
         for _ in 0..A_TURN {
             let (length, from) = match self.socket.receive_from(&mut space) {
@@ -57,13 +57,13 @@
             };
             let known = from.is_some_and(|from| self.peers.contains(&from));
             if known && length <= LONGEST {
-                deck.events.push(Event::Heard { message: space[..length].to_vec() });
+                context.events.push(Event::Heard { message: space[..length].to_vec() });
             } else if !std::mem::replace(&mut self.warned, true) {
                 let from = from.map_or("nobody".to_string(), |from| from.to_string());
-                warn!(deck.log, "message dropped"; "from" => from, "known" => known, "length" => length);
+                warn!(context.log, "message dropped"; "from" => from, "known" => known, "length" => length);
             }
         }
         // Guards: the rest of a flood left lying, as the poller tells of each arrival once.
-        _ = deck.poller.rewatch(&self.socket, mark(PEERS));
+        _ = context.poller.rewatch(&self.socket, mark(PEERS));
     }
 }
--- a/node/src/roles/alone.rs
+++ b/node/src/roles/alone.rs
@@ -2,9 +2,9 @@
 //! hand it to the module in one go with one reading of the clock, carry out what came back. It must
 //! never decide anything that the module decides, nor wait for anything but the poller.
 
-use crate::deck::{self, mark, Deck};
-use crate::ferry::probe::Probes;
-use crate::ferry::Ferries;
+use crate::connections::probe::Probes;
+use crate::connections::Connections;
+use crate::context::{self, mark, Context};
 use crate::listing::discovery::Discovery;
 use crate::listing::list::List;
 use crate::operators::articles::{self, Articles, Role};
@@ -51,9 +51,9 @@
 
 struct Node<'a> {
     told: Told<'a>,
-    deck: Deck,
+    context: Context,
     module: Balancer,
-    ferries: Ferries,
+    connections: Connections,
     discovery: Discovery,
     probes: Probes,
     peers: Option<Peers>,
@@ -75,46 +75,46 @@
 pub fn run(told: Told, start: AtStart) -> Result<(), String> {
     let (mut papers, correspondence) = told.papers()?;
     let clock = Clock::start();
-    let (mut deck, backlog) = Deck::open(&papers, &clock, &start)?;
-    let mut succession = Succession::open(&mut deck, &papers)?;
-    let mut estate = succession.begin(&mut deck, &clock);
+    let (mut context, backlog) = Context::open(&papers, &clock, &start)?;
+    let mut succession = Succession::open(&mut context, &papers)?;
+    let mut estate = succession.begin(&mut context, &clock);
     if let Some(estate) = &mut estate {
         renewal::keep((&mut papers.charter, &mut papers.terms), std::mem::take(&mut estate.held));
-        (deck.terms, deck.offerings) = (papers.terms.clone(), papers.charter.offerings.clone());
+        (context.terms, context.offerings) = (papers.terms.clone(), papers.charter.offerings.clone());
     }
     let estate = estate.map(|e| e.in_terms_of(&papers.terms.offerings));
-    let ops = papers.ops.map(|at| Ops::open(&mut deck, &at)).transpose()?;
-    let (now, log) = (deck.now, deck.log.clone());
+    let ops = papers.ops.map(|at| Ops::open(&mut context, &at)).transpose()?;
+    let (now, log) = (context.now, context.log.clone());
     let mut actions = Vec::new();
     let fleet = correspondence.as_ref().and_then(|c| c.fleet.as_ref());
-    let fleet = fleet.map(|terms| Fleet::open(&mut deck, terms, &papers)).transpose()?;
+    let fleet = fleet.map(|terms| Fleet::open(&mut context, terms, &papers)).transpose()?;
     let wards = fleet.as_ref().and_then(|fleet| {
         let terms = correspondence.as_ref()?.fleet.as_ref()?.wards.as_ref()?;
         let Charter { node, nodes, .. } = papers.charter;
-        Some(Wards::new(&deck, terms, node, nodes, fleet.life()))
+        Some(Wards::new(&context, terms, node, nodes, fleet.life()))
     });
     let peers = correspondence.as_ref().filter(|c| c.fleet.is_none());
-    let peers = peers.map(|correspondence| Peers::open(&mut deck, correspondence)).transpose()?;
+    let peers = peers.map(|correspondence| Peers::open(&mut context, correspondence)).transpose()?;
     let module = Balancer::new(papers.charter.clone(), papers.seed, now, &mut actions);
-    let mut revision = deck.known(&papers)?;
+    let mut revision = context.known(&papers)?;
     if let Some(Estate { discovery, revision: reached, members, legacy, .. }) = estate {
         // What another process was told last is newer than what this one was started with.
         let roll = List { revision: reached.unwrap_or(0), complete: true, members };
-        let event = deck.hosts.told(deck.now, roll, true, &deck.log);
-        deck.events.extend([event, Event::Inherited(Box::new(legacy))]);
+        let event = context.hosts.told(context.now, roll, true, &context.log);
+        context.events.extend([event, Event::Inherited(Box::new(legacy))]);
         revision = reached.filter(|_| discovery == papers.discovery);
     }
-    let hosts = deck.hosts.count();
+    let hosts = context.hosts.count();
     // The system deals out the port where none is named.
-    let listen = succession.door().and_then(Socket::address).unwrap_or(papers.listen);
+    let listen = succession.listener().and_then(Socket::address).unwrap_or(papers.listen);
     info!(log, "started"; "listen" => %listen, "hosts" => hosts, "revision" => revision,
         "sockets" => papers.sockets, "memory_mb" => papers.memory >> 20);
     let AtStart { stop, reread } = start;
     let mut node = Node {
         told,
-        deck,
+        context,
         module,
-        ferries: Ferries::default(),
+        connections: Connections::default(),
         discovery: Discovery::new(papers.discovery, revision, &papers.charter, papers.terms.drain_grace, now),
         probes: Probes::default(),
         peers,
@@ -130,15 +130,15 @@
         actions,
         trace: std::env::var_os("REEDFERRY_TRACE").is_some(),
     };
-    node.deck.poller.remind(now + SWEEP, mark(deck::SWEEP), 0);
+    node.context.poller.remind(now + SWEEP, mark(context::SWEEP), 0);
     loop {
         node.decide();
         node.guard();
         backlog.drain();
-        let late = |t| node.deck.now >= t || node.succession.over();
-        if node.deck.leaving.is_some_and(late) && node.ferries.count() == 0 {
-            let Node { fleet, deck, .. } = &mut node;
-            fleet.iter_mut().for_each(|fleet| fleet.ends(deck));
+        let late = |t| node.context.now >= t || node.succession.over();
+        if node.context.leaving.is_some_and(late) && node.connections.count() == 0 {
+            let Node { fleet, context, .. } = &mut node;
+            fleet.iter_mut().for_each(|fleet| fleet.ends(context));
             info!(log, "stopped");
             backlog.drain();
             return Ok(());
@@ -151,60 +151,60 @@
     /// Gathers what has come since the last turn.
     fn gather(&mut self, clock: &Clock) -> Result<(), Errno> {
         let mut ready = Vec::new();
-        let at_once = !self.deck.events.is_empty() || self.ferries.busy();
-        self.deck.poller.wait(clock.read(), at_once, &mut ready)?;
-        let before = std::mem::replace(&mut self.deck.now, clock.read());
-        self.fleet.iter_mut().for_each(|fleet| fleet.mind(&mut self.deck));
+        let at_once = !self.context.events.is_empty() || self.connections.busy();
+        self.context.poller.wait(clock.read(), at_once, &mut ready)?;
+        let before = std::mem::replace(&mut self.context.now, clock.read());
+        self.fleet.iter_mut().for_each(|fleet| fleet.mind(&mut self.context));
         // Guards: an operator who waits behind a crowd of clients; clients handed to a host that drains, by the word
         // of a list that came before them, while the process stood still.
         ready.sort_by_key(|one| match one.mark.part {
-            deck::DISCOVERY => 0,
-            deck::OPS | deck::OPS_DOOR => 1,
+            context::DISCOVERY => 0,
+            context::OPS | context::OPS_LISTENER => 1,
             _ => 2,
         });
-        if self.deck.now > before + 2 * SWEEP {
-            self.discovery.look(&mut self.deck);
+        if self.context.now > before + 2 * SWEEP {
+            self.discovery.look(&mut self.context);
         }
         for one in ready {
-            let deck = &mut self.deck;
+            let context = &mut self.context;
             match one.mark.part {
-                deck::DOOR => self.ferries.accept(deck, self.succession.door()),
-                deck::STOP => self.part(),
-                deck::REREAD => self.read_again(),
-                deck::DISCOVERY => self.discovery.ready(deck, one),
-                deck::PROBE => self.probes.ready(deck, one),
-                deck::OPS_DOOR => self.ops.iter_mut().for_each(|ops| ops.accept(deck)),
-                deck::OPS => self.ops.iter_mut().for_each(|ops| ops.ready(deck, one)),
-                deck::HEIR_DOOR | deck::HEIR | deck::ELDER => {
-                    self.succession.ready(deck, &mut self.ferries, one);
+                context::LISTENER => self.connections.accept(context, self.succession.listener()),
+                context::STOP => self.part(),
+                context::REREAD => self.read_again(),
+                context::DISCOVERY => self.discovery.ready(context, one),
+                context::PROBE => self.probes.ready(context, one),
+                context::OPS_LISTENER => self.ops.iter_mut().for_each(|ops| ops.accept(context)),
+                context::OPS => self.ops.iter_mut().for_each(|ops| ops.ready(context, one)),
+                context::HEIR_LISTENER | context::HEIR | context::ELDER => {
+                    self.succession.ready(context, &mut self.connections, one);
                 }
-                deck::PEERS => {
-                    self.peers.iter_mut().for_each(|peers| peers.ready(deck));
-                    self.fleet.iter_mut().for_each(|fleet| fleet.ready(deck));
+                context::PEERS => {
+                    self.peers.iter_mut().for_each(|peers| peers.ready(context));
+                    self.fleet.iter_mut().for_each(|fleet| fleet.ready(context));
                 }
-                _ => self.ferries.ready(deck, one),
+                _ => self.connections.ready(context, one),
             }
         }
         while let Some((caller, call)) = self.ops.as_mut().and_then(Ops::next) {
             let reply = self.called(call);
-            self.ops.iter_mut().for_each(|ops| ops.reply(&mut self.deck, caller, &reply));
+            self.ops.iter_mut().for_each(|ops| ops.reply(&mut self.context, caller, &reply));
         }
-        if self.ferries.busy() {
-            self.ferries.resume(&mut self.deck, self.succession.door());
+        if self.connections.busy() {
+            self.connections.resume(&mut self.context, self.succession.listener());
         }
-        while let Some((mark, word)) = self.deck.poller.due(self.deck.now) {
-            let deck = &mut self.deck;
+        while let Some((mark, word)) = self.context.poller.due(self.context.now) {
+            let context = &mut self.context;
             match mark.part {
-                deck::MODULE => deck.events.push(Event::Timer { mark: word }),
-                deck::HOST => self.ferries.due(deck, mark, word),
-                deck::PROBE => self.probes.due(deck, mark),
-                deck::WARDS => self.wards.iter_mut().for_each(|wards| wards.due(deck)),
-                deck::FLEET => self.fleet.iter_mut().for_each(|fleet| fleet.due(deck)),
+                context::MODULE => context.events.push(Event::Timer { mark: word }),
+                context::HOST => self.connections.due(context, mark, word),
+                context::PROBE => self.probes.due(context, mark),
+                context::WARDS => self.wards.iter_mut().for_each(|wards| wards.due(context)),
+                context::FLEET => self.fleet.iter_mut().for_each(|fleet| fleet.due(context)),
                 _ => self.sweep(),
             }
         }
         if let (Some(wards), Some(fleet)) = (&mut self.wards, &mut self.fleet) {
-            wards.turn(&mut self.deck, fleet);
+            wards.turn(&mut self.context, fleet);
         }
         self.pass_on();
         Ok(())
@@ -213,23 +213,23 @@
     /// Leaves another process what this one knows, and when it stops its connections; without one, the module
     /// sends the clients away.
     fn pass_on(&mut self) {
-        let deck = &mut self.deck;
+        let context = &mut self.context;
         if self.succession.wanted() {
             let estate = Estate {
                 discovery: self.papers.discovery,
                 revision: self.discovery.revision(),
-                members: deck.hosts.members(),
-                offerings: deck.terms.offerings.clone(),
-                held: self.ferries.held(deck),
+                members: context.hosts.members(),
+                offerings: context.terms.offerings.clone(),
+                held: self.connections.held(context),
                 legacy: self.module.leave(),
             };
-            self.succession.leave(deck, &mut self.ferries, &estate);
+            self.succession.leave(context, &mut self.connections, &estate);
         }
-        if deck.leaving.is_some() {
-            self.succession.pass_on(deck, &mut self.ferries);
+        if context.leaving.is_some() {
+            self.succession.pass_on(context, &mut self.connections);
         }
         if !self.succession.has_heir() {
-            deck.events.extend(self.parting.take());
+            context.events.extend(self.parting.take());
         }
     }
 
@@ -239,39 +239,41 @@
             Some(_) => self.papers.charter.offerings.iter().map(|o| o.effect).collect(),
             None => Vec::new(),
         };
-        for event in std::mem::take(&mut self.deck.events) {
+        for event in std::mem::take(&mut self.context.events) {
             let event = match &mut self.wards {
-                Some(wards) => wards.before(&mut self.deck, &effects, event),
+                Some(wards) => wards.before(&mut self.context, &effects, event),
                 None => Some(event),
             };
             let Some(event) = event else { continue };
             if self.trace {
-                info!(self.deck.log, "event {:?}", event);
+                info!(self.context.log, "event {:?}", event);
             }
-            self.module.handle(self.deck.now, event, &mut self.actions);
+            self.module.handle(self.context.now, event, &mut self.actions);
         }
         for action in std::mem::take(&mut self.actions) {
-            let deck = &mut self.deck;
+            let context = &mut self.context;
             if self.trace {
-                info!(deck.log, "action {:?}", action);
+                info!(context.log, "action {:?}", action);
             }
             let action = match &mut self.wards {
-                Some(wards) => wards.ahead(deck, action),
+                Some(wards) => wards.ahead(context, action),
                 None => Some(action),
             };
             let Some(action) = action else { continue };
-            let Some(action) = self.ferries.carry_out(deck, action) else { continue };
+            let Some(action) = self.connections.carry_out(context, action) else { continue };
             match action {
-                Action::WakeAt { time, mark: word } => deck.poller.remind(time, mark(deck::MODULE), word),
-                Action::AskRoll => self.discovery.ask(deck),
-                Action::FollowRoll => self.discovery.follow(deck),
-                Action::Probe { host } => self.probes.send(deck, host),
+                Action::WakeAt { time, mark: word } => {
+                    context.poller.remind(time, mark(context::MODULE), word)
+                }
+                Action::AskRoll => self.discovery.ask(context),
+                Action::FollowRoll => self.discovery.follow(context),
+                Action::Probe { host } => self.probes.send(context, host),
                 Action::Tell { message } => {
                     self.peers.iter().for_each(|peers| peers.tell(&message));
                     self.fleet.iter().for_each(|fleet| fleet.tell(&message));
                 }
-                Action::Log(text) => info!(deck.log, "{}", text),
-                // The ferry has carried out the rest.
+                Action::Log(text) => info!(context.log, "{}", text),
+                // The connection has carried out the rest.
                 _ => {}
             }
         }
@@ -280,62 +282,64 @@
     /// What wards let go ahead, and what they ask of others.
     fn guard(&mut self) {
         let (Some(wards), Some(fleet)) = (&mut self.wards, &mut self.fleet) else { return };
-        wards.turn(&mut self.deck, fleet);
+        wards.turn(&mut self.context, fleet);
         for action in wards.ready() {
-            self.ferries.carry_out(&mut self.deck, action);
+            self.connections.carry_out(&mut self.context, action);
         }
     }
 
     fn sweep(&mut self) {
-        let deck = &mut self.deck;
-        self.ops.iter_mut().for_each(|ops| ops.sweep(deck));
-        self.ferries.accept(deck, self.succession.door());
-        self.ferries.sweep(deck);
-        deck.spare();
-        self.discovery.sweep(deck);
-        let (shares, looks) = (self.module.shares_turns(deck.now), self.papers.charter.probe_for_gauges);
+        let context = &mut self.context;
+        self.ops.iter_mut().for_each(|ops| ops.sweep(context));
+        self.connections.accept(context, self.succession.listener());
+        self.connections.sweep(context);
+        context.spare();
+        self.discovery.sweep(context);
+        let (shares, looks) = (self.module.shares_turns(context.now), self.papers.charter.probe_for_gauges);
         if let Some(fleet) = &mut self.fleet {
-            fleet.sweep(deck);
-            fleet.serve(deck, shares, looks);
+            fleet.sweep(context);
+            fleet.serve(context, shares, looks);
         }
-        deck.hosts.look(deck.now, &mut deck.events);
-        deck.poller.remind(deck.now + SWEEP, mark(deck::SWEEP), 0);
+        context.hosts.look(context.now, &mut context.events);
+        context.poller.remind(context.now + SWEEP, mark(context::SWEEP), 0);
     }
 
     /// Does what operators ask for, and says how it stands.
     fn called(&mut self, call: Call) -> Reply {
-        let (stops, stands_by) = (self.deck.leaving.is_some(), self.deck.standby.is_some());
-        let held = self.ferries.count();
+        let (stops, stands_by) = (self.context.leaving.is_some(), self.context.standby.is_some());
+        let held = self.connections.count();
         match call {
             Call::Figures => {
-                let (hosts_known, hosts_excluded) = self.module.regard(self.deck.now);
-                let in_flight = self.ferries.in_flight();
-                Reply::new(200, self.deck.tally.text(&Now { in_flight, hosts_known, hosts_excluded }))
+                let (hosts_known, hosts_excluded) = self.module.regard(self.context.now);
+                let in_flight = self.connections.in_flight();
+                Reply::new(200, self.context.tally.text(&Now { in_flight, hosts_known, hosts_excluded }))
             }
             Call::Fleet => match &self.fleet {
                 Some(fleet) => {
-                    Reply::new(200, fleet.text(self.deck.now, self.wards.as_ref().map(Wards::figures)))
+                    Reply::new(200, fleet.text(self.context.now, self.wards.as_ref().map(Wards::figures)))
                 }
                 None => Reply::new(404, "no fleet\n"),
             },
             Call::Status if stops => Reply::new(503, "stopping\n"),
             Call::Status if stands_by => Reply::new(503, "standby\n"),
-            Call::Status if self.module.regard(self.deck.now).0 == 0 => Reply::new(503, "no hosts known\n"),
+            Call::Status if self.module.regard(self.context.now).0 == 0 => {
+                Reply::new(503, "no hosts known\n")
+            }
             Call::Status => Reply::new(200, "ready\n"),
             Call::Active if stops => Reply::new(409, "stopping\n"),
             Call::Standby if stops => Reply::new(200, "stopping\n"),
             Call::Standby => {
                 if !stands_by {
-                    let event = self.deck.stand_by(held);
-                    self.deck.events.push(event);
+                    let event = self.context.stand_by(held);
+                    self.context.events.push(event);
                     self.stands(State::Standby);
                 }
                 Reply::new(200, "standby\n")
             }
             Call::Active => {
                 if stands_by {
-                    let event = self.deck.back_to_work();
-                    self.deck.events.push(event);
+                    let event = self.context.back_to_work();
+                    self.context.events.push(event);
                     self.stands(State::Working);
                 }
                 Reply::new(200, "active\n")
@@ -344,18 +348,18 @@
     }
 
     fn part(&mut self) {
-        if !self.stop.came() || self.deck.leaving.is_some() {
+        if !self.stop.came() || self.context.leaving.is_some() {
             return;
         }
-        self.succession.part(&self.deck);
-        self.parting = Some(self.deck.leave(BEYOND_EXPIRY, self.ferries.count()));
+        self.succession.part(&self.context);
+        self.parting = Some(self.context.leave(BEYOND_EXPIRY, self.connections.count()));
         self.stands(State::Leaving);
     }
 
     /// Tells the fleet how this node stands.
     fn stands(&mut self, state: State) {
-        let Node { fleet, deck, .. } = self;
-        fleet.iter_mut().for_each(|fleet| fleet.stands(deck, state));
+        let Node { fleet, context, .. } = self;
+        fleet.iter_mut().for_each(|fleet| fleet.stands(context, state));
     }
 
     /// Takes the papers up afresh: discovery and settings may change in a node that runs.
@@ -366,17 +370,17 @@
         let fresh = self.told.papers();
         // Guards: a node ended or led astray by papers that are half written or wrong.
         let checked = fresh.and_then(|fresh| self.papers.whole_in(&fresh.0).map(|()| fresh));
-        self.deck.tally.reread(checked.is_ok());
+        self.context.tally.reread(checked.is_ok());
         let (mut fresh, correspondence) = match checked {
             Ok(fresh) => fresh,
-            Err(why) => return warn!(self.deck.log, "papers not taken up"; "why" => why),
+            Err(why) => return warn!(self.context.log, "papers not taken up"; "why" => why),
         };
         let mut kept = self.papers.kept_from(&fresh);
         let fleet = correspondence.as_ref().and_then(|c| c.fleet.as_ref());
         let same = match (&mut self.fleet, fleet) {
             (Some(fleet), Some(terms)) => {
                 let place = (fresh.charter.node, fresh.charter.nodes);
-                fleet.renew(&mut self.deck, terms, place)
+                fleet.renew(&mut self.context, terms, place)
             }
             _ => correspondence == self.correspondence,
         };
@@ -385,14 +389,14 @@
             fresh.charter.peers = self.papers.charter.peers;
         }
         if !kept.is_empty() {
-            warn!(self.deck.log, "kept until the next start"; "parts" => kept.join(" "));
+            warn!(self.context.log, "kept until the next start"; "parts" => kept.join(" "));
         }
-        info!(self.deck.log, "papers read again"; "discovery" => %fresh.discovery);
+        info!(self.context.log, "papers read again"; "discovery" => %fresh.discovery);
         self.retune(&mut fresh);
         let moved = fresh.discovery != self.papers.discovery;
         self.papers = fresh;
         if moved {
-            self.discovery.go_over(&mut self.deck, self.papers.discovery);
+            self.discovery.go_over(&mut self.context, self.papers.discovery);
         }
     }
 
@@ -401,20 +405,20 @@
         let Papers { charter, terms, .. } = &mut self.papers;
         let told = (fresh.charter.clone(), fresh.terms.clone());
         let zones = terms.zones != told.1.zones;
-        let others = renewal::renew((charter, terms), told, |n| self.ferries.holds(n));
+        let others = renewal::renew((charter, terms), told, |n| self.connections.holds(n));
         (fresh.charter, fresh.terms) = (charter.clone(), terms.clone());
-        let deck = &mut self.deck;
-        (deck.terms, deck.offerings) = (terms.clone(), charter.offerings.clone());
-        deck.tally.offers(&terms.offerings);
-        deck.hosts.renew(terms.zones.clone(), charter.shortest_message_time());
+        let context = &mut self.context;
+        (context.terms, context.offerings) = (terms.clone(), charter.offerings.clone());
+        context.tally.offers(&terms.offerings);
+        context.hosts.renew(terms.zones.clone(), charter.shortest_message_time());
         self.discovery.retune(charter, terms.drain_grace);
-        deck.events.push(Event::Renewed(Box::new(charter.clone()), others));
+        context.events.push(Event::Renewed(Box::new(charter.clone()), others));
         if zones {
             // Hosts are known by the places of their zones.
-            let members = deck.hosts.members();
+            let members = context.hosts.members();
             let roll = List { revision: self.discovery.revision().unwrap_or(0), complete: true, members };
-            let event = deck.hosts.told(deck.now, roll, true, &deck.log);
-            deck.events.push(event);
+            let event = context.hosts.told(context.now, roll, true, &context.log);
+            context.events.push(event);
         }
     }
 }
--- a/node/src/roles/forward.rs
+++ b/node/src/roles/forward.rs
@@ -1,11 +1,11 @@
-//! A forwarder: the ferry, and in place of the module the link to planners. It owns the sockets to planners
-//! and the order of a turn: gather what is ready, take in what planners say, hand what the ferry told to
+//! A forwarder: the connection, and in place of the module the link to planners. It owns the sockets to planners
+//! and the order of a turn: gather what is ready, take in what planners say, hand what the connection told to
 //! the forwarder's end of the link, carry out what came back, send what is to go. It must never decide
 //! anything, nor follow discovery: hosts are known as planners tell of them.
 
-use crate::deck::{self, mark, Deck, LINK, STOP, TICK};
-use crate::ferry::wire::{Wire, Wires};
-use crate::ferry::Ferries;
+use crate::connections::wire::{Wire, Wires};
+use crate::connections::Connections;
+use crate::context::{self, mark, Context, LINK, STOP, TICK};
 use crate::operators::articles::{Articles, Forwards, Role};
 use crate::{AtStart, BEYOND_EXPIRY, SWEEP};
 use reedferry::Nanos;
@@ -16,12 +16,12 @@
 use std::path::{Path, PathBuf};
 
 struct Forward {
-    deck: Deck,
+    context: Context,
     core: Forwarder,
-    ferries: Ferries,
+    connections: Connections,
     /// The connections to planners, by the core's name for each.
     wires: Wires,
-    door: Socket,
+    listener: Socket,
     stop: Signal,
     reread: Signal,
     path: PathBuf,
@@ -38,31 +38,31 @@
         return Err(format!("{} is for `reedferry {}`", path.display(), role.word()));
     };
     let clock = Clock::start();
-    let (mut deck, backlog) = Deck::open(&papers, &clock, &start)?;
-    let door = deck.listen(&papers.listen, deck::DOOR)?;
-    let listen = door.address().unwrap_or(papers.listen);
+    let (mut context, backlog) = Context::open(&papers, &clock, &start)?;
+    let listener = context.listen(&papers.listen, context::LISTENER)?;
+    let listen = listener.address().unwrap_or(papers.listen);
     let keeps = Covenant {
         name: papers.name.clone(),
         fingerprint: papers.fingerprint(),
-        epoch: deck.start,
+        epoch: context.start,
         charter: papers.charter,
         lease: forwards.lease,
         decide_within: forwards.decide_within,
         most_asked: forwards.most_asked,
         settle: forwards.settle,
     };
-    let core = Forwarder::new(keeps, planners.clone(), papers.seed, deck.now);
-    let log = deck.log.clone();
+    let core = Forwarder::new(keeps, planners.clone(), papers.seed, context.now);
+    let log = context.log.clone();
     info!(log, "started"; "listen" => %listen, "role" => "forward", "planners" => planners.len(),
         "sockets" => papers.sockets, "memory_mb" => papers.memory >> 20);
-    deck.poller.remind(deck.now + SWEEP, mark(deck::SWEEP), 0);
+    context.poller.remind(context.now + SWEEP, mark(context::SWEEP), 0);
     let AtStart { stop, reread } = start;
     let mut forward = Forward {
-        deck,
+        context,
         core,
-        ferries: Ferries::default(),
+        connections: Connections::default(),
         wires: Wires::default(),
-        door,
+        listener,
         stop,
         reread,
         path: path.to_path_buf(),
@@ -74,7 +74,9 @@
     loop {
         forward.turn();
         backlog.drain();
-        if forward.deck.leaving.is_some_and(|t| forward.deck.now >= t) && forward.ferries.count() == 0 {
+        if forward.context.leaving.is_some_and(|t| forward.context.now >= t)
+            && forward.connections.count() == 0
+        {
             info!(log, "stopped");
             backlog.drain();
             return Ok(());
@@ -86,31 +88,31 @@
 impl Forward {
     fn gather(&mut self, clock: &Clock) -> Result<(), Errno> {
         let next = self.core.next();
-        if next < self.armed || self.armed <= self.deck.now {
+        if next < self.armed || self.armed <= self.context.now {
             self.armed = next;
-            self.deck.poller.remind(next, mark(TICK), 0);
+            self.context.poller.remind(next, mark(TICK), 0);
         }
         let mut ready = Vec::new();
-        let at_once = !self.deck.events.is_empty() || self.ferries.busy() || self.wires.more;
-        self.deck.poller.wait(clock.read(), at_once, &mut ready)?;
-        self.deck.now = clock.read();
+        let at_once = !self.context.events.is_empty() || self.connections.busy() || self.wires.more;
+        self.context.poller.wait(clock.read(), at_once, &mut ready)?;
+        self.context.now = clock.read();
         for one in ready {
-            let deck = &mut self.deck;
+            let context = &mut self.context;
             match one.mark.part {
-                deck::DOOR => self.ferries.accept(deck, Some(&self.door)),
+                context::LISTENER => self.connections.accept(context, Some(&self.listener)),
                 STOP => self.part(),
-                deck::REREAD => self.read_again(),
+                context::REREAD => self.read_again(),
                 LINK => self.ready(one),
-                _ => self.ferries.ready(deck, one),
+                _ => self.connections.ready(context, one),
             }
         }
-        if self.ferries.busy() {
-            self.ferries.resume(&mut self.deck, Some(&self.door));
+        if self.connections.busy() {
+            self.connections.resume(&mut self.context, Some(&self.listener));
         }
-        while let Some((mark, word)) = self.deck.poller.due(self.deck.now) {
+        while let Some((mark, word)) = self.context.poller.due(self.context.now) {
             match mark.part {
-                deck::HOST => self.ferries.due(&mut self.deck, mark, word),
-                deck::SWEEP => self.sweep(),
+                context::HOST => self.connections.due(&mut self.context, mark, word),
+                context::SWEEP => self.sweep(),
                 _ => {}
             }
         }
@@ -118,12 +120,12 @@
     }
 
     fn sweep(&mut self) {
-        let deck = &mut self.deck;
-        self.ferries.accept(deck, Some(&self.door));
-        self.ferries.sweep(deck);
-        deck.spare();
-        deck.hosts.look(deck.now, &mut deck.events);
-        deck.poller.remind(deck.now + SWEEP, mark(deck::SWEEP), 0);
+        let context = &mut self.context;
+        self.connections.accept(context, Some(&self.listener));
+        self.connections.sweep(context);
+        context.spare();
+        context.hosts.look(context.now, &mut context.events);
+        context.poller.remind(context.now + SWEEP, mark(context::SWEEP), 0);
     }
 
     fn ready(&mut self, ready: Readiness) {
@@ -141,16 +143,16 @@
 
     fn lost(&mut self, line: u32, why: &str) {
         self.wires.all.remove(&line);
-        self.core.lost(self.deck.now, line, why, &mut self.deeds);
+        self.core.lost(self.context.now, line, why, &mut self.deeds);
     }
 
     /// All of a turn behind the gathering.
     fn turn(&mut self) {
-        let now = self.deck.now;
+        let now = self.context.now;
         let (core, deeds) = (&mut self.core, &mut self.deeds);
         let ended = self.wires.read(|line, bytes| core.came(now, line, bytes, deeds));
         ended.into_iter().for_each(|(line, why)| self.lost(line, why));
-        for event in std::mem::take(&mut self.deck.events) {
+        for event in std::mem::take(&mut self.context.events) {
             self.core.event(now, event, &mut self.deeds);
         }
         self.core.tick(now, &mut self.deeds);
@@ -167,26 +169,26 @@
     }
 
     fn carry_out(&mut self, deed: Deed) {
-        let deck = &mut self.deck;
+        let context = &mut self.context;
         match deed {
-            Deed::Act(action) => _ = self.ferries.carry_out(deck, action),
-            Deed::HandOff { id, host, until, by } => self.ferries.hand_off(deck, id, host, until, by),
+            Deed::Act(action) => _ = self.connections.carry_out(context, action),
+            Deed::HandOff { id, host, until, by } => self.connections.hand_off(context, id, host, until, by),
             Deed::Call { line, address } => self.call(line, address),
             Deed::Hang { line } => _ = self.wires.all.remove(&line),
             Deed::Host(line) => {
-                let log = deck.log.clone();
-                deck.hosts.heard(deck.now, line, &log);
+                let log = context.log.clone();
+                context.hosts.heard(context.now, line, &log);
             }
-            Deed::Log(text) => info!(deck.log, "{}", text),
+            Deed::Log(text) => info!(context.log, "{}", text),
         }
     }
 
     fn call(&mut self, line: u32, address: SocketAddr) {
-        let deck = &mut self.deck;
-        let opened = deck.budget.connect(&address).and_then(|(socket, _)| {
+        let context = &mut self.context;
+        let opened = context.budget.connect(&address).and_then(|(socket, _)| {
             // Whether it stands is told by the poller in either case.
-            let mark = Mark { part: LINK, slot: line, stamp: deck.stamp() };
-            deck.poller.watch(&socket, mark)?;
+            let mark = Mark { part: LINK, slot: line, stamp: context.stamp() };
+            context.poller.watch(&socket, mark)?;
             Ok(Wire::new(socket, mark.stamp, false))
         });
         match opened {
@@ -196,9 +198,9 @@
     }
 
     fn part(&mut self) {
-        if self.stop.came() && self.deck.leaving.is_none() {
-            let event = self.deck.leave(BEYOND_EXPIRY, self.ferries.count());
-            self.deck.events.push(event);
+        if self.stop.came() && self.context.leaving.is_none() {
+            let event = self.context.leave(BEYOND_EXPIRY, self.connections.count());
+            self.context.events.push(event);
         }
     }
 
@@ -207,7 +209,7 @@
         if !self.reread.came() {
             return;
         }
-        let log = self.deck.log.clone();
+        let log = self.context.log.clone();
         // Guards: a forwarder led astray by a file that is half written or wrong.
         let fresh = match Articles::read(&self.path) {
             Ok(fresh) => fresh,
@@ -222,7 +224,7 @@
         info!(log, "articles read again"; "planners" => fresh.planners.len());
         if fresh.planners != self.planners {
             self.planners = fresh.planners.clone();
-            self.core.planners(self.deck.now, fresh.planners, &mut self.deeds);
+            self.core.planners(self.context.now, fresh.planners, &mut self.deeds);
         }
     }
 }
--- a/node/src/roles/plan.rs
+++ b/node/src/roles/plan.rs
@@ -3,9 +3,9 @@
 //! holds the drains: what a forwarder asked for before it could know of one is never decided under a roll
 //! that is older than the beat which the order answers. It must never take a client.
 
-use crate::deck::{self, mark, Deck, LINK, STOP};
-use crate::ferry::probe::Probes;
-use crate::ferry::wire::{Wire, Wires};
+use crate::connections::probe::Probes;
+use crate::connections::wire::{Wire, Wires};
+use crate::context::{self, mark, Context, LINK, STOP};
 use crate::listing::discovery::Discovery;
 use crate::operators::articles::{Articles, Plans, Role};
 use crate::operators::papers::Papers;
@@ -22,13 +22,13 @@
 const ACCEPTS: usize = 64;
 
 struct Plan {
-    deck: Deck,
+    context: Context,
     core: Planner,
     discovery: Discovery,
     probes: Probes,
     /// The connections of forwarders, by the core's name for each.
     wires: Wires,
-    door: Socket,
+    listener: Socket,
     stop: Signal,
     reread: Signal,
     path: PathBuf,
@@ -44,9 +44,9 @@
         return Err(format!("{} is for `reedferry {}`", path.display(), role.word()));
     };
     let clock = Clock::start();
-    let (mut deck, backlog) = Deck::open(&papers, &clock, &start)?;
-    let door = deck.listen(&plans.listen, deck::LINK_DOOR)?;
-    let listen = door.address().unwrap_or(plans.listen);
+    let (mut context, backlog) = Context::open(&papers, &clock, &start)?;
+    let listener = context.listen(&plans.listen, context::LINK_LISTENER)?;
+    let listen = listener.address().unwrap_or(plans.listen);
     let remit = Remit {
         name: plans.name.clone(),
         zones: papers.terms.zones.len().max(1) as u16,
@@ -59,23 +59,23 @@
         charter: papers.charter.clone(),
     };
     let mut orders = Vec::new();
-    let core = Planner::new(remit, papers.seed, deck.now, &mut orders);
-    let revision = deck.known(&papers)?;
-    let log = deck.log.clone();
-    let hosts = deck.hosts.count();
+    let core = Planner::new(remit, papers.seed, context.now, &mut orders);
+    let revision = context.known(&papers)?;
+    let log = context.log.clone();
+    let hosts = context.hosts.count();
     info!(log, "started"; "listen" => %listen, "role" => "plan", "name" => &plans.name, "hosts" => hosts,
         "revision" => revision);
-    deck.poller.remind(deck.now + SWEEP, mark(deck::SWEEP), 0);
+    context.poller.remind(context.now + SWEEP, mark(context::SWEEP), 0);
     let AtStart { stop, reread } = start;
     let Papers { charter, terms, .. } = &papers;
-    let discovery = Discovery::new(papers.discovery, revision, charter, terms.drain_grace, deck.now);
+    let discovery = Discovery::new(papers.discovery, revision, charter, terms.drain_grace, context.now);
     let mut plan = Plan {
-        deck,
+        context,
         core,
         discovery,
         probes: Probes::default(),
         wires: Wires::default(),
-        door,
+        listener,
         stop,
         reread,
         path: path.to_path_buf(),
@@ -87,8 +87,8 @@
     loop {
         plan.turn();
         backlog.drain();
-        let alone = plan.deck.now >= plan.deck.start && plan.core.followers() == 0;
-        if plan.deck.leaving.is_some_and(|t| plan.deck.now >= t || alone) {
+        let alone = plan.context.now >= plan.context.start && plan.core.followers() == 0;
+        if plan.context.leaving.is_some_and(|t| plan.context.now >= t || alone) {
             info!(log, "stopped"; "held" => plan.core.held());
             backlog.drain();
             return Ok(());
@@ -99,19 +99,19 @@
 
 impl Plan {
     fn gather(&mut self, clock: &Clock) -> Result<(), Errno> {
-        let next = self.core.next(self.deck.now);
-        self.deck.poller.remind(next, mark(deck::TICK), 0);
+        let next = self.core.next(self.context.now);
+        self.context.poller.remind(next, mark(context::TICK), 0);
         let mut ready = Vec::new();
-        let at_once = !self.deck.events.is_empty() || self.wires.more;
-        self.deck.poller.wait(clock.read(), at_once, &mut ready)?;
-        self.deck.now = clock.read();
+        let at_once = !self.context.events.is_empty() || self.wires.more;
+        self.context.poller.wait(clock.read(), at_once, &mut ready)?;
+        self.context.now = clock.read();
         for one in ready {
             match one.mark.part {
-                deck::LINK_DOOR => self.accept(),
+                context::LINK_LISTENER => self.accept(),
                 STOP => self.part(),
-                deck::REREAD => self.read_again(),
-                deck::DISCOVERY => self.discovery.ready(&mut self.deck, one),
-                deck::PROBE => self.probes.ready(&mut self.deck, one),
+                context::REREAD => self.read_again(),
+                context::DISCOVERY => self.discovery.ready(&mut self.context, one),
+                context::PROBE => self.probes.ready(&mut self.context, one),
                 _ => self.ready(one),
             }
         }
@@ -120,17 +120,17 @@
 
     fn accept(&mut self) {
         for _ in 0..ACCEPTS {
-            let deck = &mut self.deck;
-            if !deck.budget.room(1) {
+            let context = &mut self.context;
+            if !context.budget.room(1) {
                 return;
             }
-            let Ok(socket) = deck.budget.accept(&self.door) else { return };
-            let stamp = deck.stamp();
-            if deck.poller.watch(&socket, Mark { part: LINK, slot: 0, stamp }).is_err() {
+            let Ok(socket) = context.budget.accept(&self.listener) else { return };
+            let stamp = context.stamp();
+            if context.poller.watch(&socket, Mark { part: LINK, slot: 0, stamp }).is_err() {
                 continue;
             }
             self.wires.all.insert(stamp, Wire::new(socket, stamp, true));
-            self.core.accept(deck.now, stamp, &mut self.orders);
+            self.core.accept(context.now, stamp, &mut self.orders);
         }
     }
 
@@ -147,23 +147,23 @@
 
     /// All of a turn behind the gathering.
     fn turn(&mut self) {
-        let now = self.deck.now;
+        let now = self.context.now;
         let (core, orders) = (&mut self.core, &mut self.orders);
         let ended = self.wires.read(|line, bytes| core.came(now, line, bytes, orders));
         // Behind the forwarders' beats. Guards: a drain that was written before a beat was sent, and that an
         // order under that beat does not know.
-        self.discovery.look(&mut self.deck);
-        for event in std::mem::take(&mut self.deck.events) {
+        self.discovery.look(&mut self.context);
+        for event in std::mem::take(&mut self.context.events) {
             self.told(event);
         }
-        while let Some((mark, word)) = self.deck.poller.due(now) {
+        while let Some((mark, word)) = self.context.poller.due(now) {
             match mark.part {
-                deck::MODULE => self.core.timer(now, mark.slot as u16, word, &mut self.orders),
-                deck::PROBE => self.probes.due(&mut self.deck, mark),
-                deck::SWEEP => {
-                    self.discovery.sweep(&mut self.deck);
-                    self.deck.spare();
-                    self.deck.poller.remind(now + SWEEP, crate::deck::mark(deck::SWEEP), 0);
+                context::MODULE => self.core.timer(now, mark.slot as u16, word, &mut self.orders),
+                context::PROBE => self.probes.due(&mut self.context, mark),
+                context::SWEEP => {
+                    self.discovery.sweep(&mut self.context);
+                    self.context.spare();
+                    self.context.poller.remind(now + SWEEP, crate::context::mark(context::SWEEP), 0);
                 }
                 _ => {}
             }
@@ -183,7 +183,7 @@
     }
 
     fn told(&mut self, event: Event) {
-        let now = self.deck.now;
+        let now = self.context.now;
         match event {
             Event::Roll { kind, hosts } => {
                 let lines = hosts.iter().filter_map(|listing| self.line(listing)).collect();
@@ -195,31 +195,31 @@
 
     /// A host as forwarders are told of it.
     fn line(&self, listing: &Listing) -> Option<HostLine> {
-        let berth = self.deck.hosts.berth(self.deck.hosts.index(listing.id)?);
-        let (name, address) = (berth.name.clone(), berth.address);
+        let record = self.context.hosts.record(self.context.hosts.index(listing.id)?);
+        let (name, address) = (record.name.clone(), record.address);
         let as_of = self.discovery.revision().unwrap_or(0);
         Some(HostLine { id: listing.id.0, name, address, stands: listing.standing.into(), as_of })
     }
 
     fn carry_out(&mut self, order: Order) {
-        let deck = &mut self.deck;
+        let context = &mut self.context;
         match order {
             Order::Wake { time, zone, mark } => {
-                let at = Mark { part: deck::MODULE, slot: zone.into(), stamp: 0 };
-                deck.poller.remind(time, at, mark);
+                let at = Mark { part: context::MODULE, slot: zone.into(), stamp: 0 };
+                context.poller.remind(time, at, mark);
             }
-            Order::AskRoll => self.discovery.ask(deck),
-            Order::FollowRoll => self.discovery.follow(deck),
-            Order::Probe { host } => self.probes.send(deck, host),
+            Order::AskRoll => self.discovery.ask(context),
+            Order::FollowRoll => self.discovery.follow(context),
+            Order::Probe { host } => self.probes.send(context, host),
             Order::Cut { line } => self.lost(line, "cut"),
-            Order::Log(text) => info!(deck.log, "{}", text),
+            Order::Log(text) => info!(context.log, "{}", text),
         }
     }
 
     fn part(&mut self) {
-        if self.stop.came() && self.deck.leaving.is_none() {
-            warn!(self.deck.log, "asked to stop"; "forwarders" => self.core.followers());
-            self.deck.leaving = Some(self.deck.now + LONGEST_STAY);
+        if self.stop.came() && self.context.leaving.is_none() {
+            warn!(self.context.log, "asked to stop"; "forwarders" => self.core.followers());
+            self.context.leaving = Some(self.context.now + LONGEST_STAY);
             self.core.leave(&mut self.orders);
         }
     }
@@ -229,7 +229,7 @@
         if !self.reread.came() {
             return;
         }
-        let log = self.deck.log.clone();
+        let log = self.context.log.clone();
         let fresh = match Articles::read(&self.path) {
             Ok(fresh) => fresh,
             Err(why) => return warn!(log, "articles not taken up"; "why" => why),
@@ -240,7 +240,7 @@
         info!(log, "articles read again"; "discovery" => %fresh.papers.discovery);
         if fresh.papers.discovery != self.at {
             self.at = fresh.papers.discovery;
-            self.discovery.go_over(&mut self.deck, self.at);
+            self.discovery.go_over(&mut self.context, self.at);
         }
     }
 }
--- a/node/src/roles/succession.rs
+++ b/node/src/roles/succession.rs
@@ -1,10 +1,10 @@
-//! One process in place of another. It owns the door that the platform holds open for both, who of them takes
+//! One process in place of another. It owns the listener that the platform holds open for both, who of them takes
 //! in new clients, and the channel over which the one that ends leaves the next what it knows and its
 //! connections. It must never trust what it finds, nor wait long for it: without an elder a node starts as
 //! ever, and without an heir it moves its clients as ever.
 
-use crate::deck::{self, Deck, ELDER, HEIR, HEIR_DOOR};
-use crate::ferry::{Ferries, Passenger};
+use crate::connections::{Connections, Passenger};
+use crate::context::{self, Context, ELDER, HEIR, HEIR_LISTENER};
 use crate::listing::list::Member;
 use crate::operators::papers::Papers;
 use reedferry::{AttachmentId, Event, Legacy, Nanos, Offering, MILLI};
@@ -83,7 +83,7 @@
 
 #[derive(Default)]
 pub struct Succession {
-    door: Option<Socket>,
+    listener: Option<Socket>,
     /// Other processes take in clients there too.
     shared: bool,
     /// Where the next process calls, and by which path.
@@ -100,44 +100,46 @@
 }
 
 impl Succession {
-    /// The door that the platform holds, where it names one, or else one of the node's own.
-    pub fn open(deck: &mut Deck, papers: &Papers) -> Result<Succession, String> {
+    /// The listener that the platform holds, where it names one, or else one of the node's own.
+    pub fn open(context: &mut Context, papers: &Papers) -> Result<Succession, String> {
         let Ok(named) = std::env::var("GW_ACCEPT_FD") else {
-            let door = deck.listen(&papers.listen, deck::DOOR)?;
-            return Ok(Succession { door: Some(door), ..Succession::default() });
+            let listener = context.listen(&papers.listen, context::LISTENER)?;
+            return Ok(Succession { listener: Some(listener), ..Succession::default() });
         };
         let number = named.parse().map_err(|_| format!("GW_ACCEPT_FD {named:?} is no descriptor"))?;
-        Ok(Succession { door: Some(deck.inherit(number)?), shared: true, ..Succession::default() })
+        Ok(Succession { listener: Some(context.inherit(number)?), shared: true, ..Succession::default() })
     }
 
     /// Where this process takes in clients, while it does.
-    pub fn door(&self) -> Option<&Socket> {
-        self.door.as_ref()
+    pub fn listener(&self) -> Option<&Socket> {
+        self.listener.as_ref()
     }
 
     /// Asks the process before this one for what it knows, if there is one, and is there for the next.
-    pub fn begin(&mut self, deck: &mut Deck, clock: &Clock) -> Option<Estate> {
+    pub fn begin(&mut self, context: &mut Context, clock: &Clock) -> Option<Estate> {
         self.path = PathBuf::from(std::env::var_os("TMPDIR").filter(|_| self.shared)?).join(FILE);
-        let estate = match deck.budget.call_at(&self.path) {
-            Ok(line) => self.ask(deck, clock, line),
+        let estate = match context.budget.call_at(&self.path) {
+            Ok(line) => self.ask(context, clock, line),
             Err(_) => None,
         };
-        self.expect(deck);
+        self.expect(context);
         estate
     }
 
     /// Is there for the next process, in place of whoever was.
-    fn expect(&mut self, deck: &Deck) {
-        match deck.budget.listen_at(&self.path) {
-            Ok(heirs) if deck.poller.watch(&heirs, deck::mark(HEIR_DOOR)).is_ok() => self.heirs = Some(heirs),
+    fn expect(&mut self, context: &Context) {
+        match context.budget.listen_at(&self.path) {
+            Ok(heirs) if context.poller.watch(&heirs, context::mark(HEIR_LISTENER)).is_ok() => {
+                self.heirs = Some(heirs)
+            }
             other => {
                 let why = other.err().map_or("cannot poll".into(), |e| e.to_string());
-                warn!(deck.log, "no process can follow this one"; "why" => why);
+                warn!(context.log, "no process can follow this one"; "why" => why);
             }
         }
     }
 
-    fn ask(&mut self, deck: &mut Deck, clock: &Clock, line: Socket) -> Option<Estate> {
+    fn ask(&mut self, context: &mut Context, clock: &Clock, line: Socket) -> Option<Estate> {
         line.send_with(&message(&FromHeir::Hello(VERSION)), &[]).ok()?;
         let until = clock.read() + ESTATE_WITHIN;
         let (mut space, mut bytes) = (vec![0; channel::LONGEST], Vec::new());
@@ -145,10 +147,10 @@
         while estate.is_none() {
             let left = until.saturating_sub(clock.read());
             if left == 0 || !line.readable_within(left) {
-                warn!(deck.log, "no word from the process before in time");
+                warn!(context.log, "no word from the process before in time");
                 break;
             }
-            let length = match deck.budget.receive_with(&line, &mut space) {
+            let length = match context.budget.receive_with(&line, &mut space) {
                 Err(Errno::AGAIN) => continue,
                 // It ends, or speaks another version.
                 Ok((0, _)) | Err(_) => return None,
@@ -166,18 +168,18 @@
             }
         }
         // What is still to come is read from here on.
-        let mark = Mark { part: ELDER, slot: 0, stamp: deck.stamp() };
-        deck.poller.watch(&line, mark).ok()?;
+        let mark = Mark { part: ELDER, slot: 0, stamp: context.stamp() };
+        context.poller.watch(&line, mark).ok()?;
         self.elder = Some((line, mark.stamp));
-        info!(deck.log, "in the place of another process"; "knows" => estate.is_some());
+        info!(context.log, "in the place of another process"; "knows" => estate.is_some());
         estate
     }
 
-    /// The process is asked to stop: whoever still comes to a door that is shared is the next one's.
-    pub fn part(&mut self, deck: &Deck) {
+    /// The process is asked to stop: whoever still comes to a listener that is shared is the next one's.
+    pub fn part(&mut self, context: &Context) {
         if self.shared {
-            if let Some(door) = self.door.take() {
-                _ = deck.poller.unwatch(&door);
+            if let Some(listener) = self.listener.take() {
+                _ = context.poller.unwatch(&listener);
             }
         }
     }
@@ -189,7 +191,7 @@
 
     /// Whether nobody comes any more, nor anything to be passed on.
     pub fn over(&self) -> bool {
-        self.shared && self.door.is_none() && self.elder.is_none()
+        self.shared && self.listener.is_none() && self.elder.is_none()
     }
 
     /// Whether an heir wants to know what this one knows.
@@ -197,7 +199,7 @@
         std::mem::take(&mut self.wanted)
     }
 
-    pub fn leave(&mut self, deck: &mut Deck, ferries: &mut Ferries, estate: &Estate) {
+    pub fn leave(&mut self, context: &mut Context, connections: &mut Connections, estate: &Estate) {
         let bytes = message(estate);
         let Some(heir) = self.heir.as_mut() else { return };
         let pieces = bytes.chunks(PIECE);
@@ -205,120 +207,122 @@
         for (n, piece) in pieces.enumerate() {
             heir.out.push_back(message(&FromElder::Piece(piece.to_vec(), n == last)));
         }
-        deck.events.push(Event::Heir(true));
-        info!(deck.log, "another process comes"; "bytes" => bytes.len());
-        self.write(deck, ferries);
+        context.events.push(Event::Heir(true));
+        info!(context.log, "another process comes"; "bytes" => bytes.len());
+        self.write(context, connections);
     }
 
-    fn write(&mut self, deck: &mut Deck, ferries: &mut Ferries) {
+    fn write(&mut self, context: &mut Context, connections: &mut Connections) {
         while let Some(heir) = self.heir.as_mut() {
             let Some(next) = heir.out.front() else { return };
             match heir.line.send_with(next, &[]) {
                 Ok(()) => _ = heir.out.pop_front(),
                 Err(Errno::AGAIN) => return,
-                Err(_) => self.alone_again(deck, ferries),
+                Err(_) => self.alone_again(context, connections),
             }
         }
     }
 
-    pub fn ready(&mut self, deck: &mut Deck, ferries: &mut Ferries, ready: Readiness) {
+    pub fn ready(&mut self, context: &mut Context, connections: &mut Connections, ready: Readiness) {
         match ready.mark.part {
-            HEIR_DOOR => self.called(deck, ferries),
+            HEIR_LISTENER => self.called(context, connections),
             HEIR if self.heir.as_ref().is_some_and(|h| h.stamp == ready.mark.stamp) => {
-                self.write(deck, ferries);
-                self.hear(deck, ferries);
+                self.write(context, connections);
+                self.hear(context, connections);
+            }
+            ELDER if self.elder.as_ref().is_some_and(|e| e.1 == ready.mark.stamp) => {
+                self.take(context, connections)
             }
-            ELDER if self.elder.as_ref().is_some_and(|e| e.1 == ready.mark.stamp) => self.take(deck, ferries),
             _ => {}
         }
     }
 
     /// Another process calls: the last that does is the heir.
-    fn called(&mut self, deck: &mut Deck, ferries: &mut Ferries) {
-        while let Some(Ok(line)) = self.heirs.as_ref().map(|heirs| deck.budget.called(heirs)) {
-            self.alone_again(deck, ferries);
-            let mark = Mark { part: HEIR, slot: 0, stamp: deck.stamp() };
-            if deck.poller.watch(&line, mark).is_ok() {
+    fn called(&mut self, context: &mut Context, connections: &mut Connections) {
+        while let Some(Ok(line)) = self.heirs.as_ref().map(|heirs| context.budget.called(heirs)) {
+            self.alone_again(context, connections);
+            let mark = Mark { part: HEIR, slot: 0, stamp: context.stamp() };
+            if context.poller.watch(&line, mark).is_ok() {
                 self.heir =
                     Some(Heir { line, stamp: mark.stamp, out: VecDeque::new(), going: VecDeque::new() });
             }
         }
     }
 
-    fn hear(&mut self, deck: &mut Deck, ferries: &mut Ferries) {
+    fn hear(&mut self, context: &mut Context, connections: &mut Connections) {
         let mut space = [0; 64];
         while let Some(heir) = self.heir.as_mut() {
-            let length = match deck.budget.receive_with(&heir.line, &mut space) {
+            let length = match context.budget.receive_with(&heir.line, &mut space) {
                 Ok((length @ 1.., _)) => length,
                 Err(Errno::AGAIN) => return,
-                _ => return self.alone_again(deck, ferries),
+                _ => return self.alone_again(context, connections),
             };
             match postcard::from_bytes(&space[..length]) {
                 Ok(FromHeir::Hello(VERSION)) if !self.wanted => self.wanted = true,
                 Ok(FromHeir::Has(goes_on)) => {
                     if let Some((id, _)) = heir.going.pop_front() {
                         match goes_on {
-                            true => ferries.passed(id),
-                            false => ferries.turned_down(deck, id),
+                            true => connections.passed(id),
+                            false => connections.turned_down(context, id),
                         }
                     }
                 }
-                _ => return self.alone_again(deck, ferries),
+                _ => return self.alone_again(context, connections),
             }
         }
     }
 
     /// The heir is gone, if there was one: this process goes on with what it had not taken.
-    fn alone_again(&mut self, deck: &mut Deck, ferries: &mut Ferries) {
+    fn alone_again(&mut self, context: &mut Context, connections: &mut Connections) {
         let Some(heir) = self.heir.take() else { return };
-        warn!(deck.log, "the process that came is gone"; "kept" => heir.going.len());
-        heir.going.into_iter().for_each(|(id, _)| ferries.keep(deck, id));
+        warn!(context.log, "the process that came is gone"; "kept" => heir.going.len());
+        heir.going.into_iter().for_each(|(id, _)| connections.keep(context, id));
         self.wanted = false;
-        deck.events.push(Event::Heir(false));
+        context.events.push(Event::Heir(false));
         // Guards: a next try that calls where the one that died would have listened.
-        if deck.leaving.is_none() {
-            self.expect(deck);
+        if context.leaving.is_none() {
+            self.expect(context);
         }
     }
 
     /// Passes on what can be, as much at a time as the heir takes.
-    pub fn pass_on(&mut self, deck: &mut Deck, ferries: &mut Ferries) {
+    pub fn pass_on(&mut self, context: &mut Context, connections: &mut Connections) {
         let Some(heir) = self.heir.as_mut().filter(|heir| heir.out.is_empty()) else { return };
         // Guards: clients of a process that ends, left with one that stands still.
-        if heir.going.front().is_some_and(|(_, since)| deck.now >= since + TAKEN_WITHIN) {
-            return self.alone_again(deck, ferries);
+        if heir.going.front().is_some_and(|(_, since)| context.now >= since + TAKEN_WITHIN) {
+            return self.alone_again(context, connections);
         }
-        for slot in ferries.passable() {
+        for slot in connections.passable() {
             if heir.going.len() >= WINDOW {
                 return;
             }
-            let (passenger, id) = ferries.let_go(deck, slot);
+            let (passenger, id) = connections.let_go(context, slot);
             let bytes = message(&FromElder::Passenger(Box::new(passenger)));
-            match heir.line.send_with(&bytes, &ferries.descriptors(slot)) {
-                Ok(()) => heir.going.push_back((id, deck.now)),
+            match heir.line.send_with(&bytes, &connections.descriptors(slot)) {
+                Ok(()) => heir.going.push_back((id, context.now)),
                 // The line is full, and tells when it is not; or broken, and tells that.
-                Err(_) => return ferries.keep(deck, id),
+                Err(_) => return connections.keep(context, id),
             }
         }
     }
 
     /// Goes on with what the elder has let go of.
-    fn take(&mut self, deck: &mut Deck, ferries: &mut Ferries) {
+    fn take(&mut self, context: &mut Context, connections: &mut Connections) {
         let mut space = vec![0; channel::LONGEST];
         let Some((line, stamp)) = &self.elder else { return };
         for _ in 0..A_TURN {
-            let (length, sockets) = match deck.budget.receive_with(line, &mut space) {
+            let (length, sockets) = match context.budget.receive_with(line, &mut space) {
                 Ok((length @ 1.., sockets)) => (length, sockets),
                 Err(Errno::AGAIN) => return,
                 _ => {
-                    info!(deck.log, "the process before is gone"; "connections" => ferries.count());
+                    info!(context.log, "the process before is gone"; "connections" => connections.count());
                     return self.elder = None;
                 }
             };
             let goes_on = match postcard::from_bytes(&space[..length]) {
                 // What it knows comes too late.
                 Ok(FromElder::Piece(..)) => continue,
-                Ok(FromElder::Passenger(passenger)) => ferries.adopt(deck, *passenger, sockets),
+                Ok(FromElder::Passenger(passenger)) => connections.adopt(context, *passenger, sockets),
                 Err(_) => false,
             };
             if line.send_with(&message(&FromHeir::Has(goes_on)), &[]).is_err() {
@@ -326,6 +330,6 @@
             }
         }
         let mark = Mark { part: ELDER, slot: 0, stamp: *stamp };
-        _ = deck.poller.rewatch(line, mark);
+        _ = context.poller.rewatch(line, mark);
     }
 }
--- a/node/tests/fleet.rs
+++ b/node/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! Many processes of the program beside one list service and hosts that warm up, with faults put in between them.
 //! Judged by what hosts, clients and the list service saw.
 
-use reedferry_rig::fleet::{alone, Berths, Fleet, Guests, Terms};
+use reedferry_rig::fleet::{alone, Fleet, Guests, Terms, WarmingHosts};
 use reedferry_rig::{eventually, Discovery, Node};
 use serde_json::Value;
 use std::ops::Range;
@@ -16,7 +16,7 @@
 /// A list service, hosts and a fleet. One at a time: each starts dozens of processes and judges by time.
 struct Site {
     service: Discovery,
-    hosts: Berths,
+    hosts: WarmingHosts,
     list: Vec<Value>,
     fleet: Fleet,
     from: Instant,
@@ -27,7 +27,7 @@
     /// The service works off so many calls a second.
     fn new(nodes: usize, rate: f64) -> Self {
         let turn = alone();
-        let (service, hosts) = (Discovery::start(), Berths::new(Terms::TRIAL));
+        let (service, hosts) = (Discovery::start(), WarmingHosts::new(Terms::TRIAL));
         service.bound(rate, ms(1000));
         let fleet = Fleet::new(nodes, service.address, Terms::TRIAL);
         Site { service, hosts, list: Vec::new(), fleet, from: Instant::now(), _turn: turn }
--- a/node/tests/gone.rs
+++ b/node/tests/gone.rs
@@ -61,9 +61,9 @@
 #[test]
 fn a_client_that_goes_while_its_hosts_connection_comes_up_is_not_sent_on() {
     for (cancel, way) in [true, false].into_iter().flat_map(|c| WAYS.map(|way| (c, way))) {
-        let (door, first) = jammed();
+        let (listener, first) = jammed();
         let discovery = Discovery::start();
-        let members = json!([member(0, &door.local_addr().unwrap().to_string(), "active")]);
+        let members = json!([member(0, &listener.local_addr().unwrap().to_string(), "active")]);
         let node = start(members, &discovery, cancel);
         let mut client = Peer::connect(node.address);
         client.say(&line(1));
@@ -71,12 +71,12 @@
         let kept = goes(client, way);
         has_read(&node);
         drop(first);
-        drop(door.accept());
-        door.set_nonblocking(true).unwrap();
+        drop(listener.accept());
+        listener.set_nonblocking(true).unwrap();
         // The system asks for the connection again a second after the first time, if it is still wanted.
         let until = Instant::now() + Duration::from_millis(1600);
         while Instant::now() < until {
-            if let Ok((late, _)) = door.accept() {
+            if let Ok((late, _)) = listener.accept() {
                 late.set_nonblocking(false).unwrap();
                 let end = Peer::new(late).hear();
                 assert!(["end", "reset"].contains(&end.as_str()), "cancel {cancel}, {way}: {end}");
--- a/node/tests/members.rs
+++ b/node/tests/members.rs
@@ -1,7 +1,7 @@
 //! Processes of the program that keep a view of their fleet, with faults put between them: how soon the view settles,
 //! who is put out and who is not. What clients and hosts saw is judged beside it where there is load.
 
-use reedferry_rig::fleet::{alone, Berths, Fleet, Guests, Terms};
+use reedferry_rig::fleet::{alone, Fleet, Guests, Terms, WarmingHosts};
 use reedferry_rig::schedule::{play, Schedule};
 use reedferry_rig::view::{started, View};
 use reedferry_rig::ways::{Spoil, Ways};
@@ -188,7 +188,7 @@
 #[test]
 fn all_are_restarted_in_turn_under_load_and_say_that_they_leave() {
     let _turn = alone();
-    let (service, hosts) = (Discovery::start(), Berths::new(Terms::TRIAL));
+    let (service, hosts) = (Discovery::start(), WarmingHosts::new(Terms::TRIAL));
     let list = hosts.members(hosts.start(6, false));
     list.iter().for_each(|member| service.change(member.clone()));
     let view = View { ways: Ways::new(10, 5), period: PERIOD, seeds: vec![0, 1, 2] };
@@ -222,7 +222,7 @@
 #[test]
 fn each_host_is_probed_once_a_round_whoever_dies_or_stands_still() {
     let _turn = alone();
-    let (service, hosts) = (Discovery::start(), Berths::new(Terms::TRIAL));
+    let (service, hosts) = (Discovery::start(), WarmingHosts::new(Terms::TRIAL));
     let list = hosts.members(hosts.start(8, false));
     list.iter().for_each(|member| service.change(member.clone()));
     let view = View { ways: Ways::new(6, 6), period: PERIOD, seeds: vec![0, 1, 2] };
@@ -264,7 +264,7 @@
 #[test]
 fn turns_of_the_dead_are_lent_under_a_majority_and_never_used_twice() {
     let _turn = alone();
-    let (service, hosts) = (Discovery::start(), Berths::new(Terms::TRIAL));
+    let (service, hosts) = (Discovery::start(), WarmingHosts::new(Terms::TRIAL));
     let mut list = hosts.members(hosts.start(4, false));
     list.iter().for_each(|member| service.change(member.clone()));
     let view = View { ways: Ways::new(6, 7), period: PERIOD, seeds: vec![0, 1, 2] };
--- a/node/tests/repeats.rs
+++ b/node/tests/repeats.rs
@@ -16,7 +16,7 @@
         ("single_shot", 0, false, "ERR"),
     ] {
         let hosts = Hosts::start(1);
-        let (door, first) = jammed();
+        let (listener, first) = jammed();
         let discovery = Discovery::start();
         let mut papers = papers_of(hosts.members(), discovery.address);
         let settings = &mut papers["settings"];
@@ -30,7 +30,7 @@
         let (_, mut host) = hosts.accept();
         host.hear();
         // The only other host is one whose connections come up late.
-        discovery.change(member(5, &door.local_addr().unwrap().to_string(), "active"));
+        discovery.change(member(5, &listener.local_addr().unwrap().to_string(), "active"));
         // The first is given up; what is sent again goes there.
         host.hears("end");
         // Whoever answers this has asked for that connection.
@@ -38,12 +38,12 @@
         other.say("PING");
         other.hears("PONG");
         drop(first);
-        drop(door.accept().unwrap());
-        door.set_nonblocking(true).unwrap();
+        drop(listener.accept().unwrap());
+        listener.set_nonblocking(true).unwrap();
         let mut lines = Vec::new();
         // The system asks for a connection again a second after the first time.
         while asked.elapsed() < Duration::from_millis(2500) && lines.is_empty() {
-            let Ok((late, _)) = door.accept() else { continue };
+            let Ok((late, _)) = listener.accept() else { continue };
             late.set_nonblocking(false).unwrap();
             let mut late = Peer::new(late);
             let line = late.hear();
--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -262,9 +262,9 @@
 /// Guards: a line that starts late to a host that was told to be leaving meanwhile.
 #[test]
 fn a_connection_that_comes_up_late_over_the_drain_is_not_written_to() {
-    let (door, _first) = jammed();
+    let (listener, _first) = jammed();
     let service = Discovery::start();
-    let named = |phase: &str| member(0, &door.local_addr().unwrap().to_string(), phase);
+    let named = |phase: &str| member(0, &listener.local_addr().unwrap().to_string(), phase);
     let mut papers = papers_of(json!([named("active")]), service.address);
     let settings = &mut papers["settings"];
     settings["policy_limits"]["connect_timeout"] = json!(5000.0);
@@ -280,11 +280,11 @@
     service.change(named("leaving"));
     let told = Instant::now();
     eventually("no time passes", || told.elapsed() > GRACE + SOCKETS + ms(50));
-    door.set_nonblocking(true).unwrap();
+    listener.set_nonblocking(true).unwrap();
     let mut up = Vec::new();
     // The system asks for the connection again a second after the first time.
     eventually("no connection came up late", || {
-        up.extend(door.accept().ok());
+        up.extend(listener.accept().ok());
         up.len() == 2
     });
     let late = up.pop().unwrap().0;
--- a/node/tests/stopping.rs
+++ b/node/tests/stopping.rs
@@ -127,15 +127,15 @@
 
 /// A host's listener that a test takes connections from when it likes, and the list that names it.
 fn slow_host() -> (std::net::TcpListener, std::net::TcpStream, Value) {
-    let (door, first) = jammed();
-    let members = json!([member(0, &door.local_addr().unwrap().to_string(), "active")]);
-    (door, first, members)
+    let (listener, first) = jammed();
+    let members = json!([member(0, &listener.local_addr().unwrap().to_string(), "active")]);
+    (listener, first, members)
 }
 
 /// Guards: an attachment lost, or sent on after its answer, where the signal comes while its host's connection comes up.
 #[test]
 fn a_stop_while_the_connection_to_the_host_comes_up() {
-    let (door, first, members) = slow_host();
+    let (listener, first, members) = slow_host();
     let discovery = Discovery::start();
     let mut papers = papers_of(members, discovery.address);
     papers["settings"]["policy_limits"]["connect_timeout"] = json!(5000.0);
@@ -151,8 +151,8 @@
     assert!(node.wait().success());
     // What came up at all was ended without a byte; first in the way was the test's own.
     drop(first);
-    door.set_nonblocking(true).unwrap();
-    while let Ok((late, _)) = door.accept() {
+    listener.set_nonblocking(true).unwrap();
+    while let Ok((late, _)) = listener.accept() {
         late.set_nonblocking(false).unwrap();
         let end = Peer::new(late).hear();
         assert!(["end", "reset"].contains(&end.as_str()), "{end}");
--- a/node/tests/succession.rs
+++ b/node/tests/succession.rs
@@ -12,7 +12,7 @@
     hosts: Hosts,
     _discovery: Discovery,
     papers: Value,
-    door: TcpListener,
+    listener: TcpListener,
     folder: PathBuf,
 }
 
@@ -21,12 +21,12 @@
         let (hosts, discovery) = (Hosts::start(hosts), Discovery::start());
         let mut papers = papers(&hosts, discovery.address);
         papers["ops"] = json!("127.0.0.1:0");
-        Site { hosts, _discovery: discovery, papers, door: door(), folder: folder() }
+        Site { hosts, _discovery: discovery, papers, listener: listener(), folder: folder() }
     }
 
     fn start(&self) -> Node {
-        let mut node = Node::start_at(&self.papers, &self.door, &self.folder);
-        node.address = self.door.local_addr().unwrap();
+        let mut node = Node::start_at(&self.papers, &self.listener, &self.folder);
+        node.address = self.listener.local_addr().unwrap();
         eventually("ready", || node.call("GET /status").0 == 200);
         node
     }
@@ -177,7 +177,7 @@
     // A folder that is none, or whose path is too long for a socket's: it serves, and nobody can follow.
     for folder in ["/dev/null", &format!("/tmp/{}", "long".repeat(40))] {
         let site = Site::new(1);
-        let node = Node::start_at(&site.papers, &site.door, Path::new(folder));
+        let node = Node::start_at(&site.papers, &site.listener, Path::new(folder));
         assert_eq!(node.call("GET /status").0, 200);
     }
 }
@@ -275,7 +275,7 @@
     clients.end();
     let broken = referee.broken(ms(150));
     assert!(broken.is_empty(), "{broken:#?}");
-    assert_eq!(referee.lived().len(), clients.started(), "some were lost at the door");
+    assert_eq!(referee.lived().len(), clients.started(), "some were lost at the listener");
 }
 
 /// A class of the settings.
