--- a/rig/src/coldstart.rs
+++ b/rig/src/coldstart.rs
@@ -4,7 +4,7 @@
 //! must never report what it did not measure.
 
 use crate::chart::Row;
-use crate::fleet::{Berths, Fleet, Guests, Terms};
+use crate::fleet::{Fleet, Guests, Terms, WarmingHosts};
 use crate::two_tier::Found;
 use crate::Discovery;
 use serde_json::{json, Map, Value};
@@ -98,7 +98,7 @@
         Way::Cold => (size.full(FILLED_BY), EACH * size.nodes),
         _ => (TERMS, size.nodes),
     };
-    let (service, hosts) = (Discovery::start(), Berths::new(terms));
+    let (service, hosts) = (Discovery::start(), WarmingHosts::new(terms));
     service.bound(size.rate, size.queue);
     let which = hosts.start(size.hosts, way == Way::Cold);
     hosts.members(which.clone()).into_iter().for_each(|member| service.change(member));
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -58,7 +58,7 @@
     TURN.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-struct Berth {
+struct WarmingHost {
     address: SocketAddr,
     started: Option<(Instant, u64)>,
     arrived: Mutex<Vec<Instant>>,
@@ -70,14 +70,14 @@
 
 /// Hosts that take whoever comes, until they tip over.
 #[derive(Clone)]
-pub struct Berths {
-    all: Arc<Mutex<Vec<Arc<Berth>>>>,
+pub struct WarmingHosts {
+    all: Arc<Mutex<Vec<Arc<WarmingHost>>>>,
     terms: Terms,
 }
 
-impl Berths {
+impl WarmingHosts {
     pub fn new(terms: Terms) -> Self {
-        Berths { all: Arc::default(), terms }
+        WarmingHosts { all: Arc::default(), terms }
     }
 
     /// Starts some, cold or warm, and says which.
@@ -86,7 +86,7 @@
         for _ in 0..count {
             let listener = TcpListener::bind("127.0.0.1:0").unwrap();
             let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
-            let berth = Arc::new(Berth {
+            let warming = Arc::new(WarmingHost {
                 address: listener.local_addr().unwrap(),
                 started: cold.then(|| (Instant::now(), since)),
                 arrived: Mutex::default(),
@@ -95,26 +95,26 @@
                 open: AtomicU32::new(0),
                 tipped: AtomicBool::new(false),
             });
-            self.all.lock().unwrap().push(berth.clone());
+            self.all.lock().unwrap().push(warming.clone());
             let terms = self.terms;
             small(move || {
                 for stream in listener.incoming().flatten() {
-                    let berth = berth.clone();
-                    small(move || berth.serve(stream, terms));
+                    let warming = warming.clone();
+                    small(move || warming.serve(stream, terms));
                 }
             });
         }
         first..first + count
     }
 
-    fn at(&self, host: usize) -> Arc<Berth> {
+    fn at(&self, host: usize) -> Arc<WarmingHost> {
         self.all.lock().unwrap()[host].clone()
     }
 
     pub fn member(&self, host: usize, phase: &str) -> Value {
-        let berth = self.at(host);
-        let since = berth.started.map_or(0, |(_, since)| since);
-        json!({"id": format!("s-{host}"), "host_port": berth.address.to_string(), "locality": "a", "flavor": "m",
+        let warming = self.at(host);
+        let since = warming.started.map_or(0, |(_, since)| since);
+        json!({"id": format!("s-{host}"), "host_port": warming.address.to_string(), "locality": "a", "flavor": "m",
             "cell": host % 2, "phase": phase, "size": 1.0, "up_since_ms": since})
     }
 
@@ -144,14 +144,14 @@
     /// What broke rules 3 and 4, each in a line; `told` is how long word of a drain may take.
     pub fn broken(&self, told: Duration) -> Vec<String> {
         let mut broken = Vec::new();
-        for (host, berth) in self.all.lock().unwrap().iter().enumerate() {
-            if berth.tipped.load(SeqCst) {
+        for (host, warming) in self.all.lock().unwrap().iter().enumerate() {
+            if warming.tipped.load(SeqCst) {
                 broken.push(format!("rule 4: host {host} was pushed over"));
             }
-            let drains = *berth.drains.lock().unwrap();
+            let drains = *warming.drains.lock().unwrap();
             let late = drains.map(|t| t + GRACE + SOCKETS + told);
             let after =
-                berth.arrived.lock().unwrap().iter().filter(|t| late.is_some_and(|l| **t > l)).count();
+                warming.arrived.lock().unwrap().iter().filter(|t| late.is_some_and(|l| **t > l)).count();
             if after > 0 {
                 broken.push(format!("rule 3: {after} came to host {host} after its drain"));
             }
@@ -160,7 +160,7 @@
     }
 }
 
-impl Berth {
+impl WarmingHost {
     fn serve(&self, mut stream: TcpStream, terms: Terms) {
         let Some((mut reader, mut line)) = first_line(&stream) else { return };
         while line.starts_with("STATS") {
@@ -614,7 +614,7 @@
     /// Guards: a referee that sees no broken rule whatever happens.
     #[test]
     fn planted_breaks_are_caught() {
-        let hosts = Berths::new(TERMS);
+        let hosts = WarmingHosts::new(TERMS);
         hosts.start(2, true);
         hosts.start(1, false);
         // Two within a second are what a host that has just started can take; a warm one takes more.
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -19,4 +19,4 @@
 
 pub use discovery::Discovery;
 pub use peers::*;
-pub use program::{answered, ask, door, folder, papers, program, program_at, Node};
+pub use program::{answered, ask, folder, listener, papers, program, program_at, Node};
--- a/rig/src/peers.rs
+++ b/rig/src/peers.rs
@@ -121,15 +121,15 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
-/// A host's door with no room: connections to it come up only once the one that is in the way, the first, was accepted.
+/// A host's listener with no room: connections to it come up only once the one that is in the way, the first, was accepted.
 pub fn jammed() -> (TcpListener, TcpStream) {
     use rustix::net::{bind, listen, socket, AddressFamily, SocketType};
-    let door = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
-    bind(&door, &SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
-    listen(&door, 0).unwrap();
-    let door = TcpListener::from(door);
-    let first = TcpStream::connect(door.local_addr().unwrap()).unwrap();
-    (door, first)
+    let listener = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+    bind(&listener, &SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    listen(&listener, 0).unwrap();
+    let listener = TcpListener::from(listener);
+    let first = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    (listener, first)
 }
 
 pub const OPEN: &str = "OPEN 9b1f 7f3a c=chat,t=acme,d=2000,g=5c0f";
--- a/rig/src/program.rs
+++ b/rig/src/program.rs
@@ -87,17 +87,17 @@
 }
 
 /// The same, with clients taken in at the descriptor that is named so.
-pub fn program_at(papers: &str, door: &str, folder: &Path) -> Command {
+pub fn program_at(papers: &str, listener: &str, folder: &Path) -> Command {
     let mut command = program(papers);
-    command.env("GW_ACCEPT_FD", door).env("TMPDIR", folder);
+    command.env("GW_ACCEPT_FD", listener).env("TMPDIR", folder);
     command
 }
 
 /// A listener that programs started from here on inherit.
-pub fn door() -> TcpListener {
-    let door = TcpListener::bind("127.0.0.1:0").unwrap();
-    rustix::io::fcntl_setfd(&door, rustix::io::FdFlags::empty()).unwrap();
-    door
+pub fn listener() -> TcpListener {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    rustix::io::fcntl_setfd(&listener, rustix::io::FdFlags::empty()).unwrap();
+    listener
 }
 
 /// An empty folder of its own.
@@ -119,8 +119,8 @@
     }
 
     /// One that takes clients in at a listener which the test holds, with this folder for what it leaves.
-    pub fn start_at(papers: &Value, door: &TcpListener, folder: &Path) -> Self {
-        Node::launch(program_at(&papers.to_string(), &door.as_raw_fd().to_string(), folder))
+    pub fn start_at(papers: &Value, listener: &TcpListener, folder: &Path) -> Self {
+        Node::launch(program_at(&papers.to_string(), &listener.as_raw_fd().to_string(), folder))
     }
 
     /// One that the system allows no more than so many descriptors.
