Keep a labelled repeat in its circle whatever lists and settings say of zones and of hosts that left

Four ways, each forced in repeats.rs and failing without its mend: two zones that the settings do not name shared one place (65535); a change that says no more than that a host left made its zone empty and its cell 0, and the module matched repeats against that; a host that was gone kept the place of its zone when SIGHUP changed the order. At fault: Hosts::listed (zone, Gone) and retune, which told listed hosts alone. Ruled out: the module's in_circle, which compares what it is told. Zones that lists alone name have places of their own; of a host that leaves, what was said last stays; the gone are told anew with the rest. A name that looks like a number is a place only where the settings name no zones. Tests of hosts.rs moved to a file of their own, none lost.

--- a/node/src/listing/hosts.rs
+++ b/node/src/listing/hosts.rs
@@ -16,8 +16,9 @@
     pub id: HostId,
     pub address: Option<SocketAddr>,
     pub left_since: Option<Nanos>,
-    /// What the list said of it last.
+    /// What the list says of it, and what it said last of one that is gone.
     said: Option<Member>,
+    was: Option<Member>,
     /// Held by every connection that knows this record by its index.
     pub lease: Rc<()>,
     /// Message times since the last second's look, and the shortest ever: the way there and back.
@@ -43,6 +44,7 @@
             address: None,
             left_since: None,
             said: None,
+            was: None,
             lease: Rc::new(()),
             times: Vec::new(),
             shortest: Nanos::MAX,
@@ -127,7 +129,9 @@
 pub struct Hosts {
     all: Vec<HostRecord>,
     by_id: HashMap<HostId, usize>,
+    /// The zones of the settings, and places for those that lists alone name, from the last down.
     zones: Vec<String>,
+    others: HashMap<String, u16>,
     /// Grows with every list.
     pub lists: u64,
     /// Message time from which the module is told.
@@ -136,6 +140,8 @@
 
 /// How long the record of a host that is gone is kept.
 const KEPT: Nanos = 3600 * SECOND;
+/// Zones that lists alone name and that are told apart; as many places are left to the settings.
+const MOST_ZONES: usize = 1 << 15;
 /// Samples kept a host between two looks.
 const MOST_TIMES: usize = 64;
 
@@ -191,7 +197,7 @@
             let named: HashSet<HostId> = list.members.iter().map(|m| HostId(lines::hash(&m.name))).collect();
             for record in self.all.iter_mut().filter(|b| !named.contains(&b.id)) {
                 record.left_since.get_or_insert(now);
-                record.said = None;
+                record.was = record.said.take().or(record.was.take());
             }
         }
         self.lists += 1;
@@ -240,6 +246,27 @@
         self.all.iter().filter_map(|record| record.said.clone()).collect()
     }
 
+    /// What it said last of those that are gone, and known still.
+    pub fn former(&self) -> Vec<Member> {
+        let former = |was: &Member| Member { standing: Standing::Gone, ..was.clone() };
+        self.all.iter().filter_map(|record| record.was.as_ref().map(former)).collect()
+    }
+
+    /// The place of a zone: by the settings, by its number where these name none, or one of its own. Guards: two zones that
+    /// the settings do not name taken for one, and a repeat sent out of the zone that drops it.
+    fn zone(&mut self, name: &str) -> u16 {
+        let number = || name.parse().ok().filter(|n| self.zones.is_empty() && *n < MOST_ZONES);
+        if let Some(place) = self.zones.iter().position(|zone| zone == name).or_else(number) {
+            return place as u16;
+        }
+        let next = u16::MAX - self.others.len().min(MOST_ZONES - 1) as u16;
+        match self.others.get(name) {
+            Some(place) => *place,
+            None if self.others.len() < MOST_ZONES => *self.others.entry(name.to_string()).or_insert(next),
+            None => next,
+        }
+    }
+
     /// One line of a list; no record before `searched` serves again.
     fn listed(&mut self, now: Nanos, member: Member, searched: &mut usize, log: &Logger) -> Listing {
         let id = HostId(lines::hash(&member.name));
@@ -256,17 +283,25 @@
             spare
         });
         let record = &mut self.all[host];
-        record.said = Some(member.clone()).filter(|m| m.standing != Standing::Gone);
         record.address = member.address.or(record.address);
+        let before = record.said.take().or(record.was.take());
+        // Guards: a repeat matched against the circle of a host that is gone, of which no more than that was said.
+        let member = match (member.standing, before) {
+            (Standing::Gone, Some(was)) => Member { standing: Standing::Gone, ..was },
+            _ => member,
+        };
+        match member.standing {
+            Standing::Gone => record.was = Some(member.clone()),
+            _ => record.said = Some(member.clone()),
+        }
         match member.standing {
             Standing::Ready => record.left_since = None,
             _ => _ = record.left_since.get_or_insert(now),
         }
-        let zone = self.zones.iter().position(|z| *z == member.zone);
-        let zone = zone.or_else(|| member.zone.parse().ok()).unwrap_or(usize::from(u16::MAX));
+        let zone = self.zone(&member.zone);
         Listing {
             id,
-            zone: zone as u16,
+            zone,
             cell: member.cell,
             standing: member.standing,
             size: member.size,
@@ -313,84 +348,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const T: Nanos = 1_000 * SECOND;
-
-    fn one() -> Hosts {
-        let mut hosts = Hosts::new(Vec::new(), 48 * MILLI);
-        let text = br#"{"revision":1,"complete":true,"members":[{"id":"a","phase":"active"}]}"#;
-        let mut reader = crate::listing::list::Reader::default();
-        reader.feed(text).unwrap();
-        hosts.told(T, reader.finish().unwrap(), true, &Logger::root(slog::Discard, slog::o!()));
-        hosts.answered(0, T + 100 * MILLI, T + 102 * MILLI);
-        hosts
-    }
-
-    fn look(hosts: &mut Hosts, now: Nanos) -> Option<Nanos> {
-        let mut events = Vec::new();
-        hosts.look(now, &mut events);
-        events.first().map(|e| match e {
-            Event::MessageTime { time, .. } => *time / MILLI,
-            other => panic!("{other:?}"),
-        })
-    }
-
-    #[test]
-    fn a_jam_is_told_at_once_and_at_its_size_to_be() {
-        let mut hosts = one();
-        // Sent 200 ms after the last good one and 200 ms late: one sent now is to take twice that.
-        hosts.answered(0, T + 300 * MILLI, T + 500 * MILLI);
-        assert!((395..=400).contains(&look(&mut hosts, T + 500 * MILLI).unwrap()));
-        hosts.unanswered(0, T + 300 * MILLI);
-        assert_eq!(look(&mut hosts, T + 600 * MILLI), None, "told again within the second");
-        hosts.unanswered(0, T + 300 * MILLI);
-        hosts.unanswered(0, T + 320 * MILLI);
-        assert_eq!(look(&mut hosts, T + 1600 * MILLI), Some(1298));
-        hosts.answered(0, T + 1700 * MILLI, T + 1705 * MILLI);
-        assert_eq!(look(&mut hosts, T + 2600 * MILLI), Some(3), "and once more when it is over");
-        hosts.answered(0, T + 2700 * MILLI, T + 2705 * MILLI);
-        assert_eq!(look(&mut hosts, T + 3600 * MILLI), None);
-    }
-
-    #[test]
-    fn a_host_that_answers_none_of_several_is_told_as_hung_and_once() {
-        let mut hosts = one();
-        for (now, wanted) in [(640, None), (660, Some(998)), (760, None), (1660, Some(1998))] {
-            hosts.unanswered(0, T + 250 * MILLI);
-            hosts.unanswered(0, T + 300 * MILLI);
-            assert_eq!(look(&mut hosts, T + now * MILLI), wanted, "at {now}");
-        }
-        // One line alone may be lost, and one older than what is answered is.
-        let mut hosts = one();
-        hosts.unanswered(0, T + 250 * MILLI);
-        assert_eq!(look(&mut hosts, T + 660 * MILLI), None);
-        hosts.unanswered(0, T + 250 * MILLI);
-        assert!(look(&mut hosts, T + 2800 * MILLI).unwrap() > 2500);
-        let mut hosts = one();
-        for now in [700, 1700, 2700, 3700] {
-            hosts.answered(0, T + (now - 100) * MILLI, T + (now - 98) * MILLI);
-            hosts.unanswered(0, T + 250 * MILLI);
-            hosts.unanswered(0, T + 300 * MILLI);
-            assert_eq!(look(&mut hosts, T + now * MILLI), None, "at {now}");
-        }
-    }
-
-    #[test]
-    fn a_pause_is_not_told_and_steady_lateness_is_once_a_second() {
-        let mut hosts = one();
-        hosts.unanswered(0, T + 300 * MILLI);
-        assert_eq!(look(&mut hosts, T + 390 * MILLI), None);
-        for n in 0..5 {
-            hosts.answered(0, T + 400 * MILLI, T + (440 + n) * MILLI);
-        }
-        assert_eq!(look(&mut hosts, T + 900 * MILLI), None);
-        assert_eq!(look(&mut hosts, T + 1000 * MILLI), Some(40));
-        // An old slow answer among quick ones says nothing of now.
-        for n in 0..5 {
-            hosts.answered(0, T + 1400 * MILLI, T + (1402 + n) * MILLI);
-        }
-        assert_eq!(look(&mut hosts, T + 2000 * MILLI), Some(2));
-    }
-}
+#[path = "hosts_tests.rs"]
+mod tests;
--- /dev/null
+++ b/node/src/listing/hosts_tests.rs
@@ -0,0 +1,138 @@
+//! Tests of the hosts as the node reaches them.
+
+use super::*;
+
+const T: Nanos = 1_000 * SECOND;
+
+fn one() -> Hosts {
+    let mut hosts = Hosts::new(Vec::new(), 48 * MILLI);
+    let text = br#"{"revision":1,"complete":true,"members":[{"id":"a","phase":"active"}]}"#;
+    let mut reader = crate::listing::list::Reader::default();
+    reader.feed(text).unwrap();
+    hosts.told(T, reader.finish().unwrap(), true, &Logger::root(slog::Discard, slog::o!()));
+    hosts.answered(0, T + 100 * MILLI, T + 102 * MILLI);
+    hosts
+}
+
+fn look(hosts: &mut Hosts, now: Nanos) -> Option<Nanos> {
+    let mut events = Vec::new();
+    hosts.look(now, &mut events);
+    events.first().map(|e| match e {
+        Event::MessageTime { time, .. } => *time / MILLI,
+        other => panic!("{other:?}"),
+    })
+}
+
+#[test]
+fn a_jam_is_told_at_once_and_at_its_size_to_be() {
+    let mut hosts = one();
+    // Sent 200 ms after the last good one and 200 ms late: one sent now is to take twice that.
+    hosts.answered(0, T + 300 * MILLI, T + 500 * MILLI);
+    assert!((395..=400).contains(&look(&mut hosts, T + 500 * MILLI).unwrap()));
+    hosts.unanswered(0, T + 300 * MILLI);
+    assert_eq!(look(&mut hosts, T + 600 * MILLI), None, "told again within the second");
+    hosts.unanswered(0, T + 300 * MILLI);
+    hosts.unanswered(0, T + 320 * MILLI);
+    assert_eq!(look(&mut hosts, T + 1600 * MILLI), Some(1298));
+    hosts.answered(0, T + 1700 * MILLI, T + 1705 * MILLI);
+    assert_eq!(look(&mut hosts, T + 2600 * MILLI), Some(3), "and once more when it is over");
+    hosts.answered(0, T + 2700 * MILLI, T + 2705 * MILLI);
+    assert_eq!(look(&mut hosts, T + 3600 * MILLI), None);
+}
+
+#[test]
+fn a_host_that_answers_none_of_several_is_told_as_hung_and_once() {
+    let mut hosts = one();
+    for (now, wanted) in [(640, None), (660, Some(998)), (760, None), (1660, Some(1998))] {
+        hosts.unanswered(0, T + 250 * MILLI);
+        hosts.unanswered(0, T + 300 * MILLI);
+        assert_eq!(look(&mut hosts, T + now * MILLI), wanted, "at {now}");
+    }
+    // One line alone may be lost, and one older than what is answered is.
+    let mut hosts = one();
+    hosts.unanswered(0, T + 250 * MILLI);
+    assert_eq!(look(&mut hosts, T + 660 * MILLI), None);
+    hosts.unanswered(0, T + 250 * MILLI);
+    assert!(look(&mut hosts, T + 2800 * MILLI).unwrap() > 2500);
+    let mut hosts = one();
+    for now in [700, 1700, 2700, 3700] {
+        hosts.answered(0, T + (now - 100) * MILLI, T + (now - 98) * MILLI);
+        hosts.unanswered(0, T + 250 * MILLI);
+        hosts.unanswered(0, T + 300 * MILLI);
+        assert_eq!(look(&mut hosts, T + now * MILLI), None, "at {now}");
+    }
+}
+
+#[test]
+fn a_pause_is_not_told_and_steady_lateness_is_once_a_second() {
+    let mut hosts = one();
+    hosts.unanswered(0, T + 300 * MILLI);
+    assert_eq!(look(&mut hosts, T + 390 * MILLI), None);
+    for n in 0..5 {
+        hosts.answered(0, T + 400 * MILLI, T + (440 + n) * MILLI);
+    }
+    assert_eq!(look(&mut hosts, T + 900 * MILLI), None);
+    assert_eq!(look(&mut hosts, T + 1000 * MILLI), Some(40));
+    // An old slow answer among quick ones says nothing of now.
+    for n in 0..5 {
+        hosts.answered(0, T + 1400 * MILLI, T + (1402 + n) * MILLI);
+    }
+    assert_eq!(look(&mut hosts, T + 2000 * MILLI), Some(2));
+}
+
+/// What a list in these words says, taken in.
+fn told(hosts: &mut Hosts, text: &str) -> Vec<Listing> {
+    let mut reader = crate::listing::list::Reader::default();
+    reader.feed(text.as_bytes()).unwrap();
+    match hosts.told(T, reader.finish().unwrap(), false, &Logger::root(slog::Discard, slog::o!())) {
+        Event::Roll { hosts, .. } => hosts,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards: zones that the settings do not name taken for one another or for one that they do; names that look like numbers.
+#[test]
+fn each_zone_has_a_place_of_its_own_whether_or_not_the_settings_name_it() {
+    let zones = |hosts: &mut Hosts, names: &[&str]| -> Vec<u16> {
+        let member = |n: &&str| format!(r#"{{"id":"s-{n}","locality":"{n}","phase":"active"}}"#);
+        let members: Vec<String> = names.iter().map(member).collect();
+        let list = format!(r#"{{"revision":1,"complete":true,"members":[{}]}}"#, members.join(","));
+        told(hosts, &list).iter().map(|listing| listing.zone).collect()
+    };
+    let mut hosts = Hosts::new(vec!["a".to_string(), "b".to_string()], 48 * MILLI);
+    let mut all = zones(&mut hosts, &["a", "b", "x", "y", "1", "70000"]);
+    assert_eq!((all[0], all[1]), (0, 1));
+    all.sort_unstable();
+    all.dedup();
+    assert_eq!(all.len(), 6, "{all:?}");
+    assert_eq!(zones(&mut hosts, &["y", "x"]), zones(&mut hosts, &["y", "x"]));
+    // Where the settings name none, a number is a place.
+    assert_eq!(zones(&mut Hosts::new(Vec::new(), 48 * MILLI), &["0", "3"]), [0, 3]);
+    // Thousands of names have places, and none of the settings' own.
+    let mut hosts = Hosts::new(vec!["a".to_string()], 48 * MILLI);
+    let places: HashSet<u16> = (0..3000).map(|n| hosts.zone(&format!("z{n}"))).collect();
+    assert!(places.len() == 3000 && !places.contains(&0));
+}
+
+/// Guards: a host that has left, of which the last change says no more, taken for one of another zone or cell; and one that
+/// is gone and keeps the place that its zone had before the settings changed theirs.
+#[test]
+fn a_host_that_has_left_stays_of_its_zone_and_cell() {
+    let mut hosts = Hosts::new(vec!["a".to_string(), "b".to_string()], 48 * MILLI);
+    let list = r#"{"revision":1,"complete":true,"members":[
+        {"id":"s-0","locality":"b","cell":3,"size":2.0,"phase":"active"},
+        {"id":"s-1","locality":"b","cell":4,"phase":"active"}]}"#;
+    told(&mut hosts, list);
+    let left = r#"{"revision":2,"complete":false,"members":[{"id":"s-0","phase":"left"}]}"#;
+    let listing = told(&mut hosts, left)[0];
+    assert_eq!((listing.standing, listing.zone, listing.cell, listing.size), (Standing::Gone, 1, 3, 2.0));
+    // Another is missing from a whole list.
+    told(&mut hosts, r#"{"revision":3,"complete":true,"members":[]}"#);
+    assert!(hosts.members().is_empty() && hosts.ids().next().is_none());
+    hosts.renew(vec!["b".to_string()], 48 * MILLI);
+    let former = List { revision: 3, complete: true, members: hosts.former() };
+    let event = hosts.told(T, former, true, &Logger::root(slog::Discard, slog::o!()));
+    let Event::Roll { hosts: listings, .. } = event else { panic!("{event:?}") };
+    assert_eq!(listings.iter().map(|l| (l.zone, l.cell)).collect::<Vec<_>>(), [(0, 3), (0, 4)]);
+    assert!(listings.iter().all(|l| l.standing == Standing::Gone));
+}
--- a/node/src/roles/alone.rs
+++ b/node/src/roles/alone.rs
@@ -414,8 +414,9 @@
         self.discovery.retune(charter, terms.drain_grace);
         context.events.push(Event::Renewed(Box::new(charter.clone()), others));
         if zones {
-            // Hosts are known by the places of their zones.
-            let members = context.hosts.members();
+            // Hosts are known by the places of their zones, those that are gone too while anything may go by them. Guards: a
+            // repeat matched against the zone that now has the place of the one in which it may have run.
+            let members = [context.hosts.members(), context.hosts.former()].concat();
             let roll = List { revision: self.discovery.revision().unwrap_or(0), complete: true, members };
             let event = context.hosts.told(context.now, roll, true, &context.log);
             context.events.push(event);
--- a/node/tests/repeats.rs
+++ b/node/tests/repeats.rs
@@ -58,3 +58,80 @@
         assert!(said.starts_with(answer), "{effect}, {window} ms: {said}");
     }
 }
+
+/// Guards: a repeat sent out of the circle that drops it: where the settings name neither host's zone, where the host that
+/// may have run it has left and no more is said of it, and where the settings change the places of zones after that.
+#[test]
+fn a_repeat_stays_in_the_circle_of_the_host_that_may_have_run_it() {
+    for (what, circle, zones, left) in [
+        ("zones that the settings do not name", "zone", ["x", "y"], false),
+        ("a zone of which no more is said", "zone", ["b", ""], true),
+        ("a cell of which no more is said", "cell", ["a", "a"], true),
+        ("zones that change their places", "zone", ["a", "b"], true),
+    ] {
+        let hosts = Hosts::start(2);
+        let discovery = Discovery::start();
+        let named = |host: usize| {
+            let mut member = member(host, &hosts.addresses[host].to_string(), "active");
+            // One of them is in the cell that stands for none.
+            (member["locality"], member["cell"]) = (json!(zones[host]), json!(3 * (1 - host)));
+            member
+        };
+        let mut papers = papers_of(json!([named(0)]), discovery.address);
+        let settings = &mut papers["settings"];
+        settings["zones"] = json!(["a", "b"]);
+        settings["offerings"][0] = json!({"name": "chat", "contract_time": 1500.0, "expiry": 6000.0,
+            "effect": "guarded", "group": circle, "payoff": 1.0, "repeat_window": 6000.0});
+        let node = Node::start(&papers);
+        discovery.calls(1);
+        let mut client = node.open(&OPEN.replace("d=2000", "d=6000"));
+        let (first, mut host) = hosts.accept();
+        assert_eq!(first, 0);
+        host.hear();
+        // Each change has been taken in once the next call has come.
+        discovery.change(named(1));
+        discovery.calls(2);
+        if left {
+            let mut gone = if what.contains("no more") { json!({"id": "s-0"}) } else { named(0) };
+            gone["phase"] = json!("left");
+            discovery.change(gone);
+            discovery.calls(3);
+        }
+        if what.contains("change their places") {
+            papers["settings"]["zones"] = json!(["b", "a"]);
+            papers["settings"]["zone"] = json!(1);
+            node.reread(&papers.to_string());
+            node.logs("terms renewed");
+        }
+        host.reset();
+        client.hears("ERR");
+        assert!(hosts.accept_soon().is_none(), "{what}: sent out of its circle");
+    }
+}
+
+/// Guards: the same kept so narrowly that nothing is repeated at all.
+#[test]
+fn a_repeat_goes_to_another_host_of_the_same_circle() {
+    for circle in ["zone", "cell", "all"] {
+        let hosts = Hosts::start(2);
+        let discovery = Discovery::start();
+        let named = |host: usize| {
+            let mut member = member(host, &hosts.addresses[host].to_string(), "active");
+            (member["locality"], member["cell"]) = (json!("x"), json!(7));
+            member
+        };
+        let mut papers = papers_of(json!([named(0), named(1)]), discovery.address);
+        papers["settings"]["offerings"][0] = json!({"name": "chat", "contract_time": 1500.0, "expiry": 6000.0,
+            "effect": "guarded", "group": circle, "payoff": 1.0, "repeat_window": 6000.0});
+        let node = Node::start(&papers);
+        let mut client = node.open(&OPEN.replace("d=2000", "d=6000"));
+        let (first, mut host) = hosts.accept();
+        host.hear();
+        host.reset();
+        let (second, mut host) = hosts.accept();
+        assert_ne!(first, second, "{circle}");
+        host.hear();
+        host.say("UP 2");
+        client.hears("UP 2");
+    }
+}
