Call for a pushed list before anybody is served, not at the first look round

Thrown out: shutting the node until the first answer, as an agent that is silent while discovery is down would shut every new process for as long as settings let a node go unasked.

--- a/node/src/roles/alone.rs
+++ b/node/src/roles/alone.rs
@@ -130,6 +130,9 @@
         actions,
         trace: std::env::var_os("REEDFERRY_TRACE").is_some(),
     };
+    // Guards: clients handed to hosts that drain, by a process that asks for a pushed list only when it first looks round:
+    // what that says counts as told from the process's start.
+    node.discovery.sweep(&mut node.context);
     node.context.poller.remind(now + SWEEP, mark(context::SWEEP), 0);
     loop {
         node.decide();
--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -6,6 +6,7 @@
 use reedferry_rig::{eventually, jammed, member, Discovery, Node, Peer, OPEN};
 use serde_json::json;
 use std::cell::Cell;
+use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -428,3 +429,19 @@
         }
     });
 }
+
+/// Guards: a process whose lists are pushed and that calls for them only when it first looks round: what it missed counts as
+/// told from its start.
+#[test]
+fn a_pushed_list_is_called_for_before_anybody_is_served() {
+    // Nobody answers there; a call lies in its queue.
+    let service = TcpListener::bind("127.0.0.1:0").unwrap();
+    service.set_nonblocking(true).unwrap();
+    let referee = Referee::default();
+    let hosts = Hosts::start(1, &referee);
+    let mut papers = papers_of(hosts.members(), service.local_addr().unwrap());
+    papers["settings"]["registry_mode"] = json!("pushed");
+    // It has begun once its first line is read.
+    let _node = Node::start(&papers);
+    assert!(service.accept().is_ok(), "not called");
+}
