Read what a resting client has sent before it is ended for resting, and tell it that it may come again

The class of the request that is lost as its resting client is ended, looked through once more: ended to make room was mended, ended after 2 s without a line was not. Forced: a process that stood still, 700 others that wrote first, so that the turn in which the client's time is up does not take its request in; it was read as waste and the client told ERR. Now it is read first and served; closing.rs fails without that (no connection at a host). One whose request crosses its end is told BUSY, as nothing was sent on; half a line is still ERR. Also forced, nothing found: a connection that the next process turns down is moved and given once (fails with the mark taken out: given again), and what is held and open over SIGHUP with three classes renamed, reordered, added, taken away and two tenants, goes by its own terms (retune.rs).

--- a/node/src/connections/listener.rs
+++ b/node/src/connections/listener.rs
@@ -81,8 +81,7 @@
             }
             // Guards: a request that lies unread in its socket, lost in the reset that closing over it brings.
             if connection.stage == Stage::Unasked {
-                self.slab[slot].client.iter_mut().for_each(|client| client.readable = true);
-                self.read_opening(context, slot);
+                self.read_again(context, slot);
                 let Some(connection) = self.slab.get(slot).filter(same) else {
                     // Its attachment has come, or it was gone.
                     if self.slab.get(slot).is_none_or(|f| f.client.as_ref().is_none_or(|c| c.stamp != stamp))
@@ -108,6 +107,27 @@
         false
     }
 
+    /// Reads what one that has not asked has sent by now, whatever the poller has said so far.
+    fn read_again(&mut self, context: &mut Context, slot: usize) {
+        self.slab[slot].client.iter_mut().for_each(|client| client.readable = true);
+        self.read_opening(context, slot);
+    }
+
+    /// Ends a connection on which no whole line has come in time. Guards: a request that lies unread in the socket of one
+    /// that rested, refused unread; and one that crosses its end, told that it failed where it may come again.
+    pub(super) fn rests(&mut self, context: &mut Context, slot: usize) {
+        let stamp = |f: &Connection| f.client.as_ref().map(|client| client.stamp);
+        let before = stamp(&self.slab[slot]);
+        self.read_again(context, slot);
+        let still = |f: &&Connection| f.stage == Stage::Unasked && stamp(f) == before;
+        let Some(connection) = self.slab.get(slot).filter(still) else { return };
+        if connection.letter.is_some() {
+            return self.turn_away(context, slot, "no whole line in time");
+        }
+        *self.listener.turned.entry("nothing in time").or_default() += 1;
+        self.send_away(context, slot);
+    }
+
     /// Sends a client away that has not asked.
     pub(super) fn send_away(&mut self, context: &mut Context, slot: usize) {
         self.answer(context, slot, b"BUSY\r\n");
--- a/node/src/connections/mod.rs
+++ b/node/src/connections/mod.rs
@@ -233,9 +233,7 @@
                 Stage::Held if now >= stopped && connection.landing.is_some() => {
                     self.out_of_time(context, slot)
                 }
-                Stage::Unasked if now >= connection.came + SILENT_CLIENT => {
-                    self.turn_away(context, slot, "no whole line in time");
-                }
+                Stage::Unasked if now >= connection.came + SILENT_CLIENT => self.rests(context, slot),
                 Stage::Returning(next) if connection.landing.is_none() && now >= next => {
                     self.go_back(context, slot)
                 }
--- a/node/tests/closing.rs
+++ b/node/tests/closing.rs
@@ -163,3 +163,36 @@
         assert!(["end", "reset"].contains(&client.hear().as_str()));
     }
 }
+
+/// Guards: a request that lies unread in the socket of a client that rested, refused as it is ended for resting; and one that
+/// crosses that end, told that it failed though it may come again.
+#[test]
+fn a_client_that_asks_in_the_moment_in_which_it_is_ended_for_resting_is_served() {
+    let hosts = Hosts::start(1);
+    let discovery = Discovery::start();
+    let node = start(&hosts, &discovery, |p| p["limits"]["sockets"] = json!(2048));
+    let mut all = resting(&node, 3);
+    let (mut crosses, mut half) = (all.pop().unwrap(), all.pop().unwrap());
+    half.write("OPEN 7 7f3a c=ch");
+    // Past the time in which it is ended: its request and that moment come in one turn, which takes in no more than what
+    // hundreds of others have sent before it.
+    let since = Instant::now();
+    let mut crowd: Vec<Peer> = (0..700).map(|_| Peer::connect(node.address)).collect();
+    eventually("no time passes", || since.elapsed() > Duration::from_millis(1500));
+    node.stand_still();
+    eventually("no time passes", || since.elapsed() > Duration::from_millis(2600));
+    crowd.iter_mut().for_each(|other| other.write("O"));
+    all[0].say(&line(1));
+    node.go_on();
+    let (_, mut host) = hosts.accept();
+    assert!(host.hear().starts_with("OPEN 1 "));
+    host.say("UP 1");
+    all[0].hears("UP 1");
+    // One that had nothing to say may come again, and what it then says is not sent on; half a line is no request.
+    crosses.say(&line(2));
+    crosses.hears("BUSY");
+    crosses.hears("end");
+    half.hears("ERR");
+    half.hears("end");
+    assert!(hosts.accept_soon().is_none(), "sent on after its end");
+}
--- a/node/tests/retune.rs
+++ b/node/tests/retune.rs
@@ -160,3 +160,101 @@
     assert_eq!(node.figure("hosts_known"), 2);
     serves(&node, &hosts, "chat");
 }
+
+/// A connection of a class and a tenant.
+fn asks_for(node: &Node, name: &str, tenant: &str) -> Peer {
+    node.open(&OPEN.replace("c=chat,t=acme", &format!("c={name},t={tenant}")))
+}
+
+/// Guards: one customer's connection that goes by another's terms, or is cut, where classes are renamed, reordered, added and
+/// taken away by SIGHUP, and tenants too, while connections are held and open.
+#[test]
+fn what_is_held_and_open_goes_by_its_own_terms_over_other_classes_and_tenants() {
+    let hosts = Hosts::start(12);
+    let discovery = Discovery::start();
+    let mut papers = papers(&hosts, discovery.address);
+    papers["ops"] = json!("127.0.0.1:0");
+    let class = |name: &str, effect: &str, window: f64| {
+        let mut class = offering(name, effect);
+        (class["expiry"], class["contract_time"], class["repeat_window"]) =
+            (json!(9000.0), json!(9000.0), json!(window));
+        class
+    };
+    papers["settings"]["offerings"] =
+        json!([class("chat", "free", 0.0), class("till", "single_shot", 0.0), class("seat", "guarded", 0.0)]);
+    papers["settings"]["tenants"] = json!([{"name": "acme"}, {"name": "zeta"}]);
+    let node = Node::start(&papers);
+    // What each is answered when its host breaks: sent on, failed as it may have run, or dismissed as its window is over.
+    let kinds = [
+        ("chat", "acme", "UP 2"),
+        ("till", "zeta", "ERR"),
+        ("seat", "acme", "BUSY"),
+        ("seat", "zeta", "BUSY"),
+    ];
+    let mut open = Vec::new();
+    let mut held = Vec::new();
+    for (name, tenant, then) in kinds {
+        let mut client = asks_for(&node, name, tenant);
+        let (_, mut host) = hosts.accept();
+        host.hear();
+        host.say("UP 1");
+        client.hears("UP 1");
+        open.push((client, host));
+        let client = asks_for(&node, name, tenant);
+        let (_, mut host) = hosts.accept();
+        host.hear();
+        held.push((client, host, then));
+    }
+    // Each name means what another meant, in another order, one is new; a tenant is gone, one new.
+    papers["settings"]["offerings"] = json!([
+        class("late", "single_shot", 0.0),
+        class("seat", "free", 0.0),
+        class("till", "free", 0.0),
+        class("chat", "single_shot", 0.0)
+    ]);
+    papers["settings"]["tenants"] = json!([{"name": "omega"}, {"name": "zeta"}]);
+    reread(&node, &papers.to_string(), true);
+    for (mut client, host, then) in held {
+        host.reset();
+        if then.starts_with("UP") {
+            let (_, mut host) = hosts.accept();
+            assert!(host.hear().contains("c=chat,t=acme"));
+            host.say(then);
+            client.hears(then);
+            open.push((client, host));
+        } else {
+            assert!(client.hear().starts_with(then), "{then}");
+            client.hears("end");
+            assert!(hosts.accept_soon().is_none(), "{then}: sent on");
+        }
+    }
+    // By the names as they are now: nothing more may run twice, a tenant is unknown, and what is new is served.
+    let mut strict = asks_for(&node, "chat", "zeta");
+    let (_, mut host) = hosts.accept();
+    host.hear();
+    host.reset();
+    strict.hears("ERR");
+    assert!(hosts.accept_soon().is_none(), "sent on by what its name meant before");
+    asks_for(&node, "late", "acme").hears("ERR");
+    let mut new = asks_for(&node, "late", "omega");
+    let (_, mut host) = hosts.accept();
+    host.hear();
+    host.say("UP 3");
+    new.hears("UP 3");
+    open.push((new, host));
+    // Again with all but one taken away: nothing open is cut.
+    papers["settings"]["offerings"] = json!([class("seat", "single_shot", 0.0)]);
+    papers["settings"]["tenants"] = json!([{"name": "acme"}]);
+    reread(&node, &papers.to_string(), true);
+    for (client, host) in &mut open {
+        client.say("up 1");
+        host.hears("up 1");
+        host.say("down 1");
+        client.hears("down 1");
+    }
+    node.stop();
+    for (client, host) in &mut open {
+        client.hears("MOVE");
+        host.hears("end");
+    }
+}
--- a/node/tests/succession.rs
+++ b/node/tests/succession.rs
@@ -337,3 +337,67 @@
     }
     ended(&mut heir);
 }
+
+/// A process that comes as the next one, and speaks to the elder by its own words.
+struct Stranger {
+    budget: Budget,
+    line: reedferry_quay::Socket,
+}
+
+impl Stranger {
+    fn come(path: &Path) -> Self {
+        let budget = Budget::new(64);
+        let line = budget.call_at(path).unwrap();
+        // It says hello in this version.
+        line.send_with(&[0, 2], &[]).unwrap();
+        let one = Stranger { budget, line };
+        // The pieces of what the elder knows, to the last.
+        while one.hear().last() != Some(&1) {}
+        one
+    }
+
+    /// The next message, or nothing at the end.
+    fn hear(&self) -> Vec<u8> {
+        let (mut space, until) = (vec![0; 48 << 10], Instant::now() + Duration::from_secs(20));
+        loop {
+            match self.budget.receive_with(&self.line, &mut space) {
+                Ok((length, _given)) => return space[..length].to_vec(),
+                Err(e) if e.raw_os_error() == 11 => assert!(Instant::now() < until, "nothing comes"),
+                Err(_) => return Vec::new(),
+            }
+            std::thread::yield_now();
+        }
+    }
+
+    /// Is given a connection, and would not have it.
+    fn turns_down(&self) {
+        assert!(!self.hear().is_empty(), "none is given");
+        self.line.send_with(&[1, 0], &[]).unwrap();
+    }
+}
+
+/// Guards: a connection that the next process would not have, given to it again and again or held until the program is
+/// ended from outside, as it is neither passed on nor moved.
+#[test]
+fn a_connection_that_is_turned_down_is_moved_by_the_process_that_has_it() {
+    let site = Site::new(1);
+    let mut elder = site.start();
+    let mut open: Vec<_> = (0..5).map(|_| elder.served(&site.hosts)).collect();
+    let mut rests = Peer::connect(elder.address);
+    rests.say("PING");
+    rests.hears("PONG");
+    let stranger = Stranger::come(&site.folder.join("reedferry.next"));
+    elder.stop();
+    let asked = Instant::now();
+    // The one that has not asked too.
+    (0..6).for_each(|_| stranger.turns_down());
+    for (client, _, host) in &mut open {
+        client.hears("MOVE");
+        client.hears("end");
+        host.hears("end");
+    }
+    rests.hears("BUSY");
+    assert!(asked.elapsed() < Duration::from_millis(2700), "{:?}", asked.elapsed());
+    assert!(stranger.hear().is_empty(), "given again");
+    ended(&mut elder);
+}
