Read what a host has said before its attempt is given up or it is taken for silent

Forced in repeats.rs and closing.rs: the process stands still, 700 clients write first, the host answers, the attempt's time (or the 4.5 s of an open line) is up; one turn takes in 512 events and then looks at what is due, so that an answer that lay unread was given up: a further attempt for what may be done again, ERR for what may not, MOVE for an open connection. Now the socket is read first, while the client still waits. Both fail without it (BUSY in place of UP 7; MOVE in place of the line). Pinned without a fault: answers twice, of the wrong word, in pieces, and after their attempt was given up, sixteen cases, one answer each. Tried and thrown out: a second look at the poller after a signal, and reading a probe first, for neither of which a test failed.

--- a/node/src/connections/landing.rs
+++ b/node/src/connections/landing.rs
@@ -205,7 +205,21 @@
         {
             return;
         }
-        self.out_of_time(context, slot);
+        if landing.written && context.now <= connection.since + connection.waits {
+            self.read_answer(context, slot);
+        }
+        let out =
+            |c: &&Connection| c.owed() && c.landing.as_ref().is_some_and(|l| l.side.stamp == mark.stamp);
+        if self.slab.get(slot).filter(out).is_some() {
+            self.out_of_time(context, slot);
+        }
+    }
+
+    /// Reads what a host has said by now, whatever the poller has said so far. Guards: an answer that lies unread in its
+    /// socket while its attempt is given up, as one turn takes in no more than what is before it.
+    fn read_answer(&mut self, context: &mut Context, slot: usize) {
+        self.slab[slot].landing.iter_mut().for_each(|landing| landing.side.readable = true);
+        self.land_on(context, slot);
     }
 
     /// The hand-off that is out is waited for no longer.
--- a/node/src/connections/passage.rs
+++ b/node/src/connections/passage.rs
@@ -129,6 +129,13 @@
     pub(super) fn look_after(&mut self, context: &mut Context, slot: usize) {
         let now = context.now;
         let connection = &mut self.slab[slot];
+        let late = connection.asked.front().is_some_and(|&then| now >= then + SILENT_HOST);
+        if late && connection.moving.is_none() {
+            // Guards: a host taken for silent whose answer lies unread, as one turn takes in no more than what is before it.
+            connection.landing.iter_mut().for_each(|landing| landing.side.readable = true);
+            self.pass(context, slot);
+        }
+        let Some(connection) = self.slab.get_mut(slot).filter(|c| c.stage == Stage::Open) else { return };
         let Some(landing) = connection.landing.as_ref() else { return };
         if connection.client_ended.is_some_and(|t| now >= t + LAST_WORDS) {
             self.over(context, slot, Ending::CalledOff);
--- a/node/tests/closing.rs
+++ b/node/tests/closing.rs
@@ -196,3 +196,23 @@
     half.hears("end");
     assert!(hosts.accept_soon().is_none(), "sent on after its end");
 }
+
+/// Guards: a host taken for silent, and its client moved, though its answer lies unread behind more than one turn takes in.
+#[test]
+fn a_host_whose_answer_lies_unread_is_not_taken_for_silent() {
+    let hosts = Hosts::start(1);
+    let discovery = Discovery::start();
+    let node = start(&hosts, &discovery, |p| p["limits"]["sockets"] = json!(2048));
+    let mut crowd: Vec<Peer> = (0..700).map(|_| Peer::connect(node.address)).collect();
+    let (mut client, _, mut host) = node.served(&hosts);
+    client.say("up 1");
+    host.hears("up 1");
+    node.stand_still();
+    let since = Instant::now();
+    crowd.iter_mut().for_each(|other| other.write("O"));
+    host.say("down 1");
+    eventually("no time passes", || since.elapsed() > Duration::from_millis(4700));
+    node.go_on();
+    client.hears("down 1");
+    assert!(node.logged().iter().all(|line| !line.contains("silent, host")), "taken for silent");
+}
--- a/node/tests/repeats.rs
+++ b/node/tests/repeats.rs
@@ -135,3 +135,129 @@
         client.hears("UP 2");
     }
 }
+
+/// So that the node has one end: what it is told, and nothing behind it.
+fn hears_one(client: &mut Peer, wanted: &str, what: &str) {
+    let said = client.hear();
+    assert!(said.starts_with(wanted), "{what}: {said}");
+    if !wanted.starts_with("UP") {
+        client.hears("end");
+    }
+}
+
+/// Guards: two answers for one attachment, a further attempt beside one that was taken, or an answer taken for another's, where
+/// a host answers twice, with the wrong word, in pieces, or in the moment in which it is given up.
+#[test]
+fn an_answer_that_comes_twice_late_or_in_pieces_is_one() {
+    // What the host says at once, what right behind it, what the client hears, and whether another host is asked.
+    let cases = [
+        ("free", "UP 7\r\n", "UP 8\r\n", "UP 7", false),
+        ("free", "BUSY\r\n", "UP 8\r\n", "UP 2", true),
+        ("free", "ERR\r\n", "UP 8\r\n", "UP 2", true),
+        ("free", "WHAT 1\r\n", "UP 8\r\n", "UP 2", true),
+        ("single_shot", "BUSY\r\n", "UP 8\r\n", "UP 2", true),
+        ("single_shot", "ERR\r\n", "UP 8\r\n", "ERR", false),
+        ("single_shot", "WHAT 1\r\n", "UP 8\r\n", "ERR", false),
+        ("single_shot", "UP 7\r\n", "ERR\r\n", "UP 7", false),
+    ];
+    for ((effect, first, second, wanted, again), apart) in
+        cases.into_iter().flat_map(|c| [(c, false), (c, true)])
+    {
+        let what = format!("{effect}, {first:?} and {second:?}, apart {apart}");
+        let hosts = Hosts::start(2);
+        let discovery = Discovery::start();
+        let mut papers = papers_of(hosts.members(), discovery.address);
+        papers["settings"]["offerings"][0]["effect"] = json!(effect);
+        let node = Node::start(&papers);
+        let mut client = node.open(OPEN);
+        let (one, mut host) = hosts.accept();
+        host.hear();
+        // Both are there in one turn; or the first in two pieces, and the second once the node has read that.
+        if apart {
+            host.write(&first[..1]);
+            has_read(&node);
+            host.write(&first[1..]);
+            has_read(&node);
+            _ = std::io::Write::write_all(&mut host.stream, second.as_bytes());
+        } else {
+            node.stand_still();
+            host.write(first);
+            host.write(second);
+            node.go_on();
+        }
+        if again {
+            let (other, mut host) = hosts.accept();
+            assert_ne!(one, other, "{what}");
+            host.hear();
+            host.say("UP 2");
+            hears_one(&mut client, wanted, &what);
+        } else {
+            hears_one(&mut client, wanted, &what);
+        }
+        assert!(hosts.accept_soon().is_none(), "{what}: sent on again");
+        if wanted.starts_with("UP 7") {
+            // From there on the connection is the host's.
+            client.hears(second.trim_end());
+        }
+    }
+}
+
+/// Guards: an answer that is there while its attempt is given up: the node stands still over both and finds them in one turn,
+/// by itself or behind more than one turn takes in; and one that comes just after.
+#[test]
+fn an_answer_in_the_moment_in_which_its_attempt_is_given_up_is_the_only_one() {
+    for (effect, comes) in
+        ["free", "single_shot"].into_iter().flat_map(|e| ["with it", "behind", "after"].map(|c| (e, c)))
+    {
+        let what = format!("{effect}, {comes}");
+        let hosts = Hosts::start(2);
+        let discovery = Discovery::start();
+        let mut papers = papers_of(hosts.members(), discovery.address);
+        papers["settings"]["offerings"][0] = json!({"name": "chat", "contract_time": 400.0, "expiry": 2000.0,
+            "effect": effect, "group": "all", "payoff": 1.0});
+        papers["settings"]["policy_limits"]["most_hand_offs"] = json!(2);
+        papers["settings"]["round"] = json!(200.0);
+        papers["limits"]["sockets"] = json!(2048);
+        let node = Node::start(&papers);
+        let mut crowd: Vec<Peer> = match comes {
+            "behind" => (0..700).map(|_| Peer::connect(node.address)).collect(),
+            _ => Vec::new(),
+        };
+        has_read(&node);
+        let mut client = node.open(OPEN);
+        let (one, mut host) = hosts.accept();
+        let asked = Instant::now();
+        host.hear();
+        if comes == "after" {
+            // Given up: its connection has ended, and what it then says is nobody's.
+            host.hears("end");
+            _ = std::io::Write::write_all(&mut host.stream, b"UP 7\r\n");
+            if effect == "single_shot" {
+                hears_one(&mut client, "ERR", &what);
+            } else {
+                let (other, mut host) = hosts.accept();
+                assert_ne!(one, other, "{what}");
+                host.hear();
+                host.say("UP 2");
+                hears_one(&mut client, "UP 2", &what);
+            }
+        } else {
+            node.stand_still();
+            // What is irreversible is waited for as long as its client waits, less two rounds.
+            let up = Duration::from_millis(if effect == "single_shot" { 1650 } else { 700 });
+            crowd.iter_mut().for_each(|other| other.write("O"));
+            host.say("UP 7");
+            eventually("no time passes", || asked.elapsed() > up);
+            node.go_on();
+            hears_one(&mut client, "UP 7", &what);
+        }
+        assert!(hosts.accept_soon().is_none(), "{what}: sent on again");
+    }
+}
+
+/// Whoever answers this has read all that came before.
+fn has_read(node: &Node) {
+    let mut other = Peer::connect(node.address);
+    other.say("PING");
+    other.hears("PONG");
+}
