Read what a host has said before the last moment of a stop gives its attempt up

The same class as the answers that lay unread: at the last moment by which a stopping program holds anybody, an attempt was given up over an answer in its socket, ERR for what may not run twice though it had been taken. Forced in stopping.rs: SIGTERM, the process stands still over that moment, 700 clients write first, the host says UP; ERR without the read, UP and then MOVE with it. One place says now that an attempt's time is up, for timers and for the stop.

--- a/node/src/connections/landing.rs
+++ b/node/src/connections/landing.rs
@@ -205,11 +205,18 @@
         {
             return;
         }
+        self.time_is_up(context, slot);
+    }
+
+    /// The hand-off that is out has had its time, or all that is left: it is waited for no longer, unless its answer is there.
+    pub(super) fn time_is_up(&mut self, context: &mut Context, slot: usize) {
+        let Some(connection) = self.slab.get(slot) else { return };
+        let Some(landing) = connection.landing.as_ref() else { return };
+        let stamp = landing.side.stamp;
         if landing.written && context.now <= connection.since + connection.waits {
             self.read_answer(context, slot);
         }
-        let out =
-            |c: &&Connection| c.owed() && c.landing.as_ref().is_some_and(|l| l.side.stamp == mark.stamp);
+        let out = |c: &&Connection| c.owed() && c.landing.as_ref().is_some_and(|l| l.side.stamp == stamp);
         if self.slab.get(slot).filter(out).is_some() {
             self.out_of_time(context, slot);
         }
@@ -223,7 +230,7 @@
     }
 
     /// The hand-off that is out is waited for no longer.
-    pub(super) fn out_of_time(&mut self, context: &mut Context, slot: usize) {
+    fn out_of_time(&mut self, context: &mut Context, slot: usize) {
         let written = self.slab[slot].landing.as_ref().is_some_and(|l| l.written);
         self.fell_through(context, slot, if written { Ending::TimedOut } else { Ending::Unconnected });
     }
--- a/node/tests/stopping.rs
+++ b/node/tests/stopping.rs
@@ -194,3 +194,33 @@
     assert!(began.elapsed() < ended_outside(2000), "{:?}", began.elapsed());
     assert!(node.wait().success());
 }
+
+/// Guards: an answer that lies unread, behind more than one turn takes in, as the last moment comes by which anybody is held:
+/// what may have run failed though it had been taken.
+#[test]
+fn an_answer_that_lies_unread_at_the_last_moment_of_a_stop_is_passed_on() {
+    let hosts = Hosts::start(1);
+    let (mut node, _discovery) = start(&hosts, |p| {
+        of_expiry(p, 9000);
+        p["settings"]["offerings"][0]["effect"] = json!("single_shot");
+        p["limits"]["sockets"] = json!(2048);
+    });
+    let mut client = node.open(&OPEN.replace("d=2000", "d=9000"));
+    let (_, mut host) = hosts.accept();
+    host.hear();
+    let began = Instant::now();
+    node.stop();
+    eventually("no time passes", || began.elapsed() > ms(2900));
+    // They rest for less than two seconds by then, and write first.
+    let mut crowd: Vec<Peer> = (0..700).map(|_| Peer::connect(node.address)).collect();
+    has_read(&node);
+    node.stand_still();
+    crowd.iter_mut().for_each(|other| other.write("O"));
+    host.say("UP 7");
+    eventually("no time passes", || began.elapsed() > ended_outside(9000) - ms(170));
+    node.go_on();
+    client.hears("UP 7");
+    client.hears("MOVE");
+    client.hears("end");
+    assert!(node.wait().success());
+}
