Leave the crossings at a stop and at rest more time, and wait for the crowd by what it is answered

Read again: two new trials left 0.3 and 0.6 s for seven hundred clients to be taken in, which a slow machine may need. The one waits for the answer of a client behind them now, the other calls them 0.9 s earlier.

--- a/node/tests/closing.rs
+++ b/node/tests/closing.rs
@@ -178,7 +178,10 @@
     // hundreds of others have sent before it.
     let since = Instant::now();
     let mut crowd: Vec<Peer> = (0..700).map(|_| Peer::connect(node.address)).collect();
-    eventually("no time passes", || since.elapsed() > Duration::from_millis(1500));
+    // All of them have been taken in once one that came behind them is answered.
+    let mut last = Peer::connect(node.address);
+    last.say("PING");
+    last.hears("PONG");
     node.stand_still();
     eventually("no time passes", || since.elapsed() > Duration::from_millis(2600));
     crowd.iter_mut().for_each(|other| other.write("O"));
--- a/node/tests/stopping.rs
+++ b/node/tests/stopping.rs
@@ -210,7 +210,7 @@
     host.hear();
     let began = Instant::now();
     node.stop();
-    eventually("no time passes", || began.elapsed() > ms(2900));
+    eventually("no time passes", || began.elapsed() > ms(2000));
     // They rest for less than two seconds by then, and write first.
     let mut crowd: Vec<Peer> = (0..700).map(|_| Peer::connect(node.address)).collect();
     has_read(&node);
