Try a member of the fleet view that is woken late, by the core alone

The core's test wakes one member a period late twelve times: it waits four periods between two talks and shows a quarter of the pages, and is back at one and all when it is woken in time.

--- a/members/src/trials.rs
+++ b/members/src/trials.rs
@@ -387,6 +387,25 @@
     assert!(took <= 14.0 && net.wronged().is_empty(), "settled after {took} periods");
 }
 
+/// Guards: members of one busy machine that are late since all of them are, and keep each other so by what they send beside
+/// their rounds.
+#[test]
+fn a_member_that_is_woken_late_talks_less_until_it_is_woken_in_time() {
+    let mut net = Net::new(10, true, 3);
+    let mut one = net.nodes[0].take().unwrap();
+    let (period, mut talks) = (one.period, Vec::new());
+    for wake in 0..80 {
+        let before = one.next_talk;
+        let now = one.next() + if wake < 12 { period } else { 0 };
+        one.handle(now, Event::Wake, &mut Vec::new());
+        if one.next_talk != before {
+            talks.push((one.next_talk - now, one.pages));
+        }
+    }
+    assert!(talks.iter().any(|talk| *talk == (4 * period, PAGES / 4)), "{talks:?}");
+    assert_eq!(talks.last(), Some(&(period, PAGES)), "late for ever");
+}
+
 /// Guards: a member that leaves by its own word taken for one that died, and one whose state others do not learn.
 #[test]
 fn what_a_member_says_of_itself_is_known_to_all() {
