--- a/adapter/src/frames.rs
+++ b/adapter/src/frames.rs
@@ -132,7 +132,7 @@
             hosts.push(Listing {
                 id: host_at(entry, 0),
                 zone: u16_at(entry, 6),
-                cell: u16_at(entry, 9),
+                cell: u16_at(entry, 9).into(),
                 standing: match entry[11] {
                     0 => Standing::Gone,
                     1 => Standing::Ready,
--- a/link/src/duty.rs
+++ b/link/src/duty.rs
@@ -4,7 +4,7 @@
 //! hand-off that may have run.
 
 use crate::frames::{Asked, Past};
-use reedferry::{Arrival, Circle, Effect, Ending, HostId, Nanos, Offering};
+use reedferry::{permission, Arrival, Ending, HostId, Nanos, Offering};
 
 /// Hosts of past hand-offs that are remembered: more than any charter allows hand-offs.
 const MOST_TRIED: usize = 16;
@@ -79,21 +79,13 @@
 
     /// Whether there may be another hand-off, of at most `most`, as far as the offering allows it anywhere.
     pub fn may_go(&self, offering: &Offering, most: u32, now: Nanos) -> bool {
-        self.hand_offs < most
-            && match (offering.effect, self.ran) {
-                (Effect::Irreversible, Some(_)) => false,
-                (Effect::Labelled, Some((_, sent))) => now < sent.saturating_add(offering.window),
-                _ => true,
-            }
+        let first_sent = self.ran.map(|(_, sent)| sent);
+        self.hand_offs < most && permission::may_repeat(offering, first_sent, now).is_ok()
     }
 
     /// Whether it may be dismissed: a retry does no harm.
     pub fn harmless(&self, offering: &Offering) -> bool {
-        match offering.effect {
-            Effect::Redoable => true,
-            Effect::Labelled => self.ran.is_none() || offering.circle == Circle::All,
-            Effect::Irreversible => self.ran.is_none(),
-        }
+        permission::may_dismiss(offering, self.ran.is_some())
     }
 
     pub fn asked(&self, now: Nanos) -> Asked {
@@ -113,6 +105,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use reedferry::{Circle, Effect};
 
     fn offering(effect: Effect, circle: Circle) -> Offering {
         Offering { effect, circle, window: 100, ..Offering::default() }
--- a/link/src/forwarder.rs
+++ b/link/src/forwarder.rs
@@ -491,7 +491,7 @@
             | Event::Staying
             | Event::PassedOn(..)
             | Event::Renewed(..)
-            | Event::Heir(_)
+            | Event::Successor(_)
             | Event::Inherited(_) => {}
         }
     }
--- a/link/src/frames.rs
+++ b/link/src/frames.rs
@@ -139,7 +139,39 @@
     };
 }
 
-both_ways!(Came <-> Ending: Done Error Refused TimedOut Unconnected Broken CalledOff NeverSent PassedOn);
+impl From<Ending> for Came {
+    fn from(ending: Ending) -> Came {
+        match ending {
+            Ending::Done => Came::Done,
+            Ending::Error => Came::Error,
+            Ending::Refused => Came::Refused,
+            Ending::TimedOut => Came::TimedOut,
+            Ending::Unconnected => Came::Unconnected,
+            Ending::Broken => Came::Broken,
+            Ending::CalledOff => Came::CalledOff,
+            // The same to a planner, of which an older one knows no more.
+            Ending::NeverSent | Ending::Unroutable => Came::NeverSent,
+            Ending::PassedOn => Came::PassedOn,
+        }
+    }
+}
+
+impl From<Came> for Ending {
+    fn from(came: Came) -> Ending {
+        match came {
+            Came::Done => Ending::Done,
+            Came::Error => Ending::Error,
+            Came::Refused => Ending::Refused,
+            Came::TimedOut => Ending::TimedOut,
+            Came::Unconnected => Ending::Unconnected,
+            Came::Broken => Ending::Broken,
+            Came::CalledOff => Ending::CalledOff,
+            Came::NeverSent => Ending::NeverSent,
+            Came::PassedOn => Ending::PassedOn,
+        }
+    }
+}
+
 both_ways!(Stands <-> Standing: Ready Draining Gone);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/link/tests/tiers.rs
+++ b/link/tests/tiers.rs
@@ -202,8 +202,14 @@
         let standing = if it.drains { Standing::Draining } else { Standing::Ready };
         let cell = (host % 2) as u16;
         let id = host as u64 + 1;
-        let listing =
-            Listing { id: HostId(id), cell, standing, size: 1.0, started: it.started, ..Listing::default() };
+        let listing = Listing {
+            id: HostId(id),
+            cell: cell.into(),
+            standing,
+            size: 1.0,
+            started: it.started,
+            ..Listing::default()
+        };
         let address = Some(([127, 0, 0, 2], host as u16 + 1).into());
         (listing, HostLine { id, name: format!("s-{host}"), address, stands: Stands::from(standing), as_of })
     }
--- /dev/null
+++ b/node/src/connections/audit.rs
@@ -0,0 +1,96 @@
+//! The audit: run-time checks of the rules on what has just been done on a socket. It owns what is counted and logged as
+//! a violation, with the request's id and the figures. It must never prevent anything: what may be done is decided in
+//! `reedferry::permission` before; what is found here in spite of that is a fault of the program.
+
+use super::{Connection, Connections, Stage};
+use crate::context::Context;
+use crate::operators::counts::{Close, Count, Violation};
+use reedferry::permission::{may_dismiss, may_go_on, may_repeat};
+use reedferry::{Effect, Nanos, Offering, MILLI};
+use slog::{error, info};
+
+/// What the rules allow on sockets beyond each time limit.
+const SLACK: Nanos = 50 * MILLI;
+
+impl Connection {
+    /// By when its final answer has to be out.
+    pub(super) fn expiry(&self) -> Nanos {
+        self.since.saturating_add(self.waits)
+    }
+
+    /// Its id on the wire, for the log.
+    pub(super) fn id(&self) -> &str {
+        self.name.as_deref().unwrap_or("-")
+    }
+}
+
+impl Connections {
+    fn offering<'a>(&self, context: &'a Context, slot: usize) -> Option<&'a Offering> {
+        context.offerings.get(self.slab[slot].arrival.offering)
+    }
+
+    fn violated(&self, context: &mut Context, slot: usize, rule: Violation, figure: Nanos) {
+        context.tally.add(Count::Violated(rule));
+        let connection = &self.slab[slot];
+        error!(context.log, "rule violated"; "rule" => rule.name(), "id" => connection.id(),
+            "attempts" => connection.hand_offs, "ms" => figure / MILLI);
+    }
+
+    /// The last byte of an attempt has been written.
+    pub(super) fn audit_attempt(&self, context: &mut Context, slot: usize) {
+        let connection = &self.slab[slot];
+        let Some(landing) = connection.landing.as_ref().filter(|_| connection.stage == Stage::Held) else {
+            return;
+        };
+        let now = context.clock.read();
+        let expiry = connection.expiry();
+        if now > expiry + SLACK {
+            self.violated(context, slot, Violation::AttemptedLate, now - expiry);
+        }
+        if may_go_on(now, landing.by.saturating_add(SLACK)).is_err() {
+            self.violated(context, slot, Violation::RepeatedLate, now - landing.by);
+        }
+        let left = context.hosts.record(landing.host).left_since;
+        let grace = context.terms.drain_grace;
+        if let Some(late) = left.and_then(|left| now.checked_sub(left + grace + SLACK)) {
+            self.violated(context, slot, Violation::SentToLeavingHost, late);
+        }
+        let first_run = connection.may_have_run;
+        let again = self.offering(context, slot).is_some_and(|offering| {
+            offering.effect == Effect::Irreversible && may_repeat(offering, first_run, now).is_err()
+        });
+        if again {
+            self.violated(context, slot, Violation::RanTwice, now - first_run.unwrap_or(now));
+        }
+    }
+
+    /// The final answer of a request that is owed one goes out now.
+    pub(super) fn audit_answer(&self, context: &mut Context, slot: usize, dismissed: bool) {
+        let connection = &self.slab[slot];
+        if connection.stage != Stage::Held || connection.client.is_none() {
+            return;
+        }
+        let (now, expiry) = (context.clock.read(), connection.expiry());
+        if now > expiry + SLACK {
+            self.violated(context, slot, Violation::AnsweredLate, now - expiry);
+        }
+        let first_run = connection.may_have_run;
+        let harmless = self.offering(context, slot).is_none_or(|o| may_dismiss(o, first_run.is_some()));
+        if dismissed && !harmless {
+            self.violated(context, slot, Violation::DismissedAfterRun, now - first_run.unwrap_or(now));
+        }
+    }
+
+    /// A client's connection is given back now.
+    pub(super) fn audit_close(&self, context: &mut Context, slot: usize, why: Close) {
+        context.tally.add(Count::Closed(why));
+        let connection = &self.slab[slot];
+        if connection.owed() && connection.client.is_some() {
+            self.violated(context, slot, Violation::Unanswered, context.now - connection.since);
+        }
+        let ordinary = matches!(why, Close::Answered | Close::ClientEnded | Close::PassedOn);
+        if !ordinary && context.request_lines.room(context.now) {
+            info!(context.log, "closed"; "id" => connection.id(), "why" => why.name());
+        }
+    }
+}
--- a/node/src/connections/endings.rs
+++ b/node/src/connections/endings.rs
@@ -5,9 +5,10 @@
 use super::{Connections, Stage};
 use crate::connections::lane::{Flow, Lane};
 use crate::context::Context;
+use crate::operators::counts::Close;
 use crate::operators::tally::Outcome;
 use reedferry::{AttachmentId, Ending, Nanos, MILLI};
-use reedferry_quay::Errno;
+use reedferry_quay::errors::{on_connection, Trouble};
 
 /// How long the other side of an ended connection is waited for, and one that still sends, since it came.
 pub(super) const LINGER: Nanos = 900 * MILLI;
@@ -45,6 +46,7 @@
 
     /// Writes a last line to the client and ends its connection.
     pub(super) fn answer(&mut self, context: &mut Context, slot: usize, line: &[u8]) {
+        self.audit_answer(context, slot, line.starts_with(b"BUSY"));
         let connection = &mut self.slab[slot];
         if connection.owed() && connection.client.is_some() {
             let outcome = if line.starts_with(b"BUSY") { Outcome::Refused } else { Outcome::Failed };
@@ -53,15 +55,13 @@
         connection.letter = None;
         connection.landing = None;
         if connection.client.is_none() {
-            return self.remove(slot, false);
-        }
-        connection.down = Lane::default();
-        if let Some(mut buffer) = context.pool.take() {
-            buffer.put(line);
-            connection.down.buffer = Some(buffer);
-        } else if let Some(client) = &connection.client {
-            _ = client.socket.send(line);
+            return self.remove(context, slot, Close::ClientEnded);
         }
+        // Guards: an answer to a ping, of which a part is with the client, cut in the middle of its line.
+        let unsent = connection.down.buffer.take().filter(|_| connection.stage == Stage::Unasked);
+        let mut buffer = unsent.unwrap_or_else(|| context.pool.take_for_answer());
+        buffer.put(line);
+        connection.down = Lane { buffer: Some(buffer), ..Lane::default() };
         self.close(context, slot);
     }
 
@@ -80,12 +80,18 @@
 
     pub(super) fn see_off(&mut self, context: &mut Context, slot: usize) {
         let connection = &mut self.slab[slot];
-        let Some(client) = connection.client.as_mut() else { return self.remove(slot, false) };
+        let Some(client) = connection.client.as_mut() else {
+            return self.remove(context, slot, Close::ClientEnded);
+        };
         if !connection.down.ended {
             match connection.down.flush(client) {
                 Flow::Ended => client.socket.end_sending(),
                 Flow::Idle => return,
-                _ => return self.remove(slot, true),
+                Flow::Starved => {
+                    context.machine_trouble("send");
+                    return self.retry_soon(context, slot);
+                }
+                _ => return self.remove(context, slot, Close::ClientBroke),
             }
             connection.down.ended = true;
         }
@@ -94,27 +100,31 @@
         let Some(mut space) = context.pool.take() else { return };
         while client.readable && connection.wasted < WASTE && self.waste > 0 {
             match client.socket.discard(space.spare()) {
-                Ok(0) => return self.remove(slot, false),
+                Ok(0) => return self.remove(context, slot, Close::Answered),
                 Ok(count) => {
                     connection.wasted += count;
                     self.waste = self.waste.saturating_sub(count);
                     let by = (context.now + LINGER).min(connection.came + LONGEST_LINGER);
                     connection.stage = Stage::Closing(by);
                 }
-                Err(Errno::AGAIN) => client.readable = false,
-                Err(_) => return self.remove(slot, false),
+                Err(e) => match on_connection(e) {
+                    Trouble::NotReady => client.readable = false,
+                    Trouble::Machine => return self.retry_soon(context, slot),
+                    Trouble::Connection => return self.remove(context, slot, Close::Answered),
+                },
             }
         }
         if context.budget.tight() {
-            self.remove(slot, false);
+            self.remove(context, slot, Close::Answered);
         }
     }
 
     /// The one place where a connection's sockets and buffers are given back.
-    pub(super) fn remove(&mut self, slot: usize, reset: bool) {
+    pub(super) fn remove(&mut self, context: &mut Context, slot: usize, why: Close) {
+        self.audit_close(context, slot, why);
         self.free_name(slot);
         let connection = self.slab.remove(slot);
-        if let Some(client) = connection.client.filter(|_| reset) {
+        if let Some(client) = connection.client.filter(|_| why.resets()) {
             client.socket.reset();
         }
     }
--- a/node/src/connections/landing.rs
+++ b/node/src/connections/landing.rs
@@ -7,10 +7,13 @@
 use crate::connections::lines::{self, Word};
 use crate::context::{Context, HOST};
 use crate::listing::hosts::Hosts;
+use crate::operators::counts::{Close, Count};
 use crate::operators::tally::Outcome;
-use reedferry::{AttachmentId, Ending, Event, HostId, Nanos, SECOND};
-use reedferry_quay::{Buffer, Errno, Mark};
-use slog::warn;
+use reedferry::permission::{may_begin, may_go_on, Beginning, Refusal};
+use reedferry::{AttachmentId, Ending, Event, HostId, Nanos, MILLI, SECOND};
+use reedferry_quay::errors::{on_connect, NoConnection};
+use reedferry_quay::{Buffer, Mark};
+use slog::{info, warn};
 use std::collections::VecDeque;
 use std::rc::Rc;
 
@@ -29,11 +32,13 @@
     pub(super) _lease: Rc<()>,
     pub(super) number: u32,
     pub(super) since: Nanos,
-    /// By when its line's first byte must go out.
-    by: Nanos,
+    /// By when its line's last byte must go out.
+    pub(super) by: Nanos,
     /// Whether the connection stands, and the line's last byte is written.
     pub(super) connected: bool,
     pub(super) written: bool,
+    /// When that was.
+    written_at: Nanos,
     pub(super) said: Said,
 }
 
@@ -58,6 +63,7 @@
             by: since,
             connected: true,
             written: true,
+            written_at: since,
             said,
         }
     }
@@ -161,12 +167,21 @@
         }
         let (socket, connected) = match context.budget.connect(&address) {
             Ok(opened) => opened,
-            Err(Errno::MFILE | Errno::NFILE | Errno::ADDRNOTAVAIL | Errno::NOBUFS) => {
-                return Err(Ending::NeverSent)
+            Err(e) => {
+                return Err(match on_connect(e) {
+                    NoConnection::Machine => {
+                        context.machine_trouble("connect");
+                        Ending::NeverSent
+                    }
+                    NoConnection::Route => Ending::Unroutable,
+                    NoConnection::Peer => Ending::Unconnected,
+                })
             }
-            Err(_) => return Err(Ending::Unconnected),
         };
-        let mark = context.watch(&socket, HOST, slot).map_err(|_| Ending::NeverSent)?;
+        let mark = context.watch(&socket, HOST, slot).map_err(|_| {
+            context.machine_trouble("epoll_ctl");
+            Ending::NeverSent
+        })?;
         let side = Side { socket, stamp: mark.stamp, readable: false, writable: connected };
         connection.landing = Some(Landing {
             side,
@@ -177,6 +192,7 @@
             by,
             connected,
             written: false,
+            written_at: 0,
             said: Said::default(),
         });
         connection.down = Lane::default();
@@ -200,12 +216,20 @@
         let Some(landing) = connection.landing.as_ref().filter(|l| l.side.stamp == mark.stamp) else {
             return;
         };
-        if !matches!(connection.stage, Stage::Held | Stage::Returning(_))
-            || word == CONNECT && landing.connected
-        {
+        if !matches!(connection.stage, Stage::Held | Stage::Returning(_)) {
             return;
         }
-        self.time_is_up(context, slot);
+        // Guards: a host taken for one that can't be reached, as its connection came up while this process stood still or had
+        // much to do.
+        if !landing.connected && landing.side.socket.stands() {
+            self.slab[slot].landing.iter_mut().for_each(|landing| landing.side.writable = true);
+            self.land_on(context, slot);
+        }
+        let out = |landing: &&Landing| landing.side.stamp == mark.stamp;
+        let landing = self.slab.get(slot).and_then(|connection| connection.landing.as_ref().filter(out));
+        if landing.is_some_and(|landing| word != CONNECT || !landing.connected) {
+            self.time_is_up(context, slot);
+        }
     }
 
     /// The hand-off that is out has had its time, or all that is left: it is waited for no longer, unless its answer is there.
@@ -231,16 +255,34 @@
 
     /// The hand-off that is out is waited for no longer.
     fn out_of_time(&mut self, context: &mut Context, slot: usize) {
-        let written = self.slab[slot].landing.as_ref().is_some_and(|l| l.written);
-        self.fell_through(context, slot, if written { Ending::TimedOut } else { Ending::Unconnected });
+        let Some(landing) = self.slab[slot].landing.as_ref() else { return };
+        let ending = match (landing.written, landing.connected) {
+            (true, _) => Ending::TimedOut,
+            // Its line was not written for want of something at this machine: not the host's doing.
+            (false, true) => Ending::NeverSent,
+            (false, false) => Ending::Unconnected,
+        };
+        self.fell_through(context, slot, ending);
     }
 
     /// A hand-off that came to nothing.
     pub(super) fn fell_through(&mut self, context: &mut Context, slot: usize, ending: Ending) {
         let connection = &mut self.slab[slot];
         let Some(landing) = connection.landing.take() else { return };
+        let moved = context.hosts.record(landing.host).readdressed.is_some_and(|at| at > landing.since);
+        // Guards: a host avoided at its new address, as nobody is left at the old one.
+        let ending = if moved && ending == Ending::Unconnected { Ending::NeverSent } else { ending };
         (connection.up, connection.down) = (Lane::default(), Lane::default());
         connection.errors += u32::from(ending == Ending::Error);
+        if landing.written && !ending.never_ran() {
+            connection.may_have_run.get_or_insert(landing.written_at);
+        }
+        context.tally.add(Count::AttemptEnded(ending));
+        if context.request_lines.room(context.now) {
+            let took = context.now.saturating_sub(landing.since) / MILLI;
+            info!(context.log, "attempt ended"; "id" => connection.id(), "attempt" => landing.number,
+                "host" => &context.hosts.record(landing.host).name, "why" => ending.word(), "ms" => took);
+        }
         if connection.stage == Stage::Held {
             context.events.push(Event::Ended {
                 id: connection.arrival.id,
@@ -251,62 +293,131 @@
                 gauges: Vec::new(),
             });
             if connection.client.is_none() {
-                self.remove(slot, false);
+                self.remove(context, slot, Close::ClientEnded);
             }
         } else if !ending.never_ran() {
             self.answer(context, slot, b"ERR\r\n");
         }
     }
 
-    /// Brings a hand-off on: the connection, the line, the host's first word.
-    pub(super) fn land_on(&mut self, context: &mut Context, slot: usize) {
-        let Some(connection) = self.slab.get_mut(slot) else { return };
-        let Some(landing) = connection.landing.as_mut() else { return };
-        if !landing.connected {
-            if !landing.side.writable {
-                return;
-            }
-            if landing.side.socket.connected().is_err() {
-                return self.fell_through(context, slot, Ending::Unconnected);
+    /// Whether more of the attempt's line may be written now, by the clock of this moment: the turn's one reading may be
+    /// old, and the process may have stood still since the host's connection came up.
+    fn may_write(&mut self, context: &mut Context, slot: usize) -> Result<(), Refusal> {
+        let connection = &self.slab[slot];
+        let Some(landing) = connection.landing.as_ref() else { return Ok(()) };
+        if connection.stage != Stage::Held || landing.written {
+            return Ok(());
+        }
+        let (not_after, host, chosen) = (landing.by, landing.host, landing.since);
+        if connection.up.buffer.is_some() {
+            return may_go_on(context.clock.read(), not_after);
+        }
+        let expiry = (landing.since + connection.given).min(connection.expiry());
+        let repeats = connection.may_have_run.is_some();
+        // The client last: the process may be held up behind its reading of the clock, which the other limits allow for.
+        let now = context.clock.read();
+        let client_waits = self.waits(context, slot);
+        let record = context.hosts.record(host);
+        let since_then = |changed: Option<Nanos>| changed.is_some_and(|at| at > chosen);
+        may_begin(&Beginning {
+            now,
+            expiry,
+            not_after,
+            client_waits,
+            leaving_since: record.left_since,
+            drain_grace: context.terms.drain_grace,
+            list_unheard: context.deaf.contains(&now),
+            host_moved: since_then(record.readdressed),
+            group_changed: repeats && since_then(record.regrouped),
+        })
+    }
+
+    /// The attempt's line is not written, or not to its end, and so never ran.
+    fn not_written(&mut self, context: &mut Context, slot: usize, refusal: Refusal) {
+        context.tally.add(Count::NotBegun(refusal));
+        match refusal {
+            // What is left of it has been seen to already.
+            Refusal::ClientGone => {}
+            // Its connection came up too late, or it is leaving.
+            Refusal::HostLeaving | Refusal::OutsideWindow => {
+                self.fell_through(context, slot, Ending::Unconnected);
             }
-            landing.connected = true;
+            // Not the host's doing.
+            _ => self.fell_through(context, slot, Ending::NeverSent),
         }
-        let begins = connection.stage == Stage::Held && !landing.written && connection.up.buffer.is_none();
-        if begins && !self.waits(context, slot) {
+    }
+
+    /// Brings a hand-off on: the connection, the line, the host's first word.
+    pub(super) fn land_on(&mut self, context: &mut Context, slot: usize) {
+        if !self.came_up(context, slot) {
             return;
         }
-        let Some(connection) = self.slab.get_mut(slot) else { return };
-        let Some(landing) = connection.landing.as_mut() else { return };
-        if !landing.written {
-            if connection.up.buffer.is_none() {
-                // Guards: a line that starts late to a host that was told to be leaving meanwhile.
-                let left = context.hosts.record(landing.host).left_since;
-                let late = left.is_some_and(|t| context.now > t + context.terms.drain_grace);
-                if connection.stage == Stage::Held && context.deaf.contains(&context.now) {
-                    // Not the host's doing.
-                    return self.fell_through(context, slot, Ending::NeverSent);
-                }
-                if (late || context.now > landing.by) && connection.stage == Stage::Held {
-                    return self.fell_through(context, slot, Ending::Unconnected);
-                }
-                let (Some(letter), Some(mut out)) = (connection.letter.as_ref(), context.pool.take()) else {
-                    return self.fell_through(context, slot, Ending::NeverSent);
-                };
-                let wait = (landing.since + connection.given).saturating_sub(context.now);
-                let mut digits = String::new();
-                let line = &letter.waiting()[..connection.letter_length];
-                lines::onward(line, wait, &mut digits).iter().for_each(|piece| _ = out.put(piece));
-                connection.up.buffer = Some(out);
+        match self.may_write(context, slot) {
+            Ok(()) if self.write_line(context, slot) => self.hear_host(context, slot),
+            Ok(()) => {}
+            Err(refusal) => self.not_written(context, slot, refusal),
+        }
+    }
+
+    /// Whether the connection to the host stands.
+    fn came_up(&mut self, context: &mut Context, slot: usize) -> bool {
+        let Some(connection) = self.slab.get_mut(slot) else { return false };
+        let Some(landing) = connection.landing.as_mut() else { return false };
+        if landing.connected {
+            return true;
+        }
+        if !landing.side.writable {
+            return false;
+        }
+        if landing.side.socket.connected().is_err() {
+            self.fell_through(context, slot, Ending::Unconnected);
+            return false;
+        }
+        landing.connected = true;
+        true
+    }
+
+    /// Writes what it can of the attempt's line, and says whether the host has all of it.
+    fn write_line(&mut self, context: &mut Context, slot: usize) -> bool {
+        let Some(connection) = self.slab.get_mut(slot) else { return false };
+        let Some(landing) = connection.landing.as_mut() else { return false };
+        if landing.written {
+            return true;
+        }
+        if connection.up.buffer.is_none() {
+            let (Some(letter), Some(mut out)) = (connection.letter.as_ref(), context.pool.take()) else {
+                self.fell_through(context, slot, Ending::NeverSent);
+                return false;
+            };
+            let wait = (landing.since + connection.given).saturating_sub(context.now);
+            let mut digits = String::new();
+            let line = &letter.waiting()[..connection.letter_length];
+            lines::onward(line, wait, &mut digits).iter().for_each(|piece| _ = out.put(piece));
+            connection.up.buffer = Some(out);
+        }
+        match connection.up.flush(&mut landing.side) {
+            Flow::Ended => {}
+            Flow::Idle => return false,
+            Flow::Starved => {
+                context.machine_trouble("send");
+                self.retry_soon(context, slot);
+                return false;
             }
-            match connection.up.flush(&mut landing.side) {
-                Flow::Ended => {
-                    landing.written = true;
-                    context.tally.attempted();
-                }
-                Flow::Idle => return,
-                _ => return self.fell_through(context, slot, Ending::Unconnected),
+            _ => {
+                self.fell_through(context, slot, Ending::Unconnected);
+                return false;
             }
         }
+        (landing.written, landing.written_at) = (true, context.now);
+        context.tally.attempted();
+        self.audit_attempt(context, slot);
+        true
+    }
+
+    /// Reads the host's first word.
+    fn hear_host(&mut self, context: &mut Context, slot: usize) {
+        let Some(connection) = self.slab.get_mut(slot) else { return };
+        let Some(landing) = connection.landing.as_mut() else { return };
         let mut said = Vec::new();
         while landing.side.readable && said.is_empty() {
             match connection.down.fill(&context.pool, &mut landing.side, &mut |word| said.push(word)) {
@@ -314,7 +425,7 @@
                     return self.fell_through(context, slot, Ending::Broken);
                 }
                 Flow::Idle => {}
-                Flow::Starved => return self.starved.push(slot),
+                Flow::Starved => return self.retry_soon(context, slot),
                 Flow::Malformed => return self.fell_through(context, slot, Ending::Error),
                 _ => return self.fell_through(context, slot, Ending::Broken),
             }
@@ -340,7 +451,8 @@
         }
         let (id, host) = (connection.arrival.id, context.hosts.record(landing.host).id);
         if connection.stage == Stage::Held {
-            context.events.push(Event::Begun { id, took: context.now - landing.since });
+            let seen_from = context.hosts.stalls.moved_on(landing.since, context.now);
+            context.events.push(Event::Begun { id, took: context.now - seen_from });
         } else {
             context.events.push(Event::Standing(connection.arrival, host));
         }
--- a/node/src/connections/lane.rs
+++ b/node/src/connections/lane.rs
@@ -3,7 +3,8 @@
 //! receiver holds up its sender alone, nor keep a buffer while nothing flows.
 
 use crate::connections::lines::{Scanner, Word};
-use reedferry_quay::{Buffer, Errno, Pool, Socket};
+use reedferry_quay::errors::{on_connection, Trouble};
+use reedferry_quay::{Buffer, Pool, Socket};
 
 /// Buffers moved for one connection before the others have their turn.
 const TURN: usize = 8;
@@ -31,7 +32,7 @@
     Idle,
     /// There is more to do.
     More,
-    /// There is no buffer to do it with.
+    /// This machine is short of a buffer, or of memory: it has to be tried again soon.
     Starved,
     /// The sender has ended in order, and all that it sent is through.
     Ended,
@@ -71,8 +72,11 @@
             }
             match to.socket.send(buffer.waiting()) {
                 Ok(count) => buffer.sent(count),
-                Err(Errno::AGAIN) => to.writable = false,
-                Err(_) => return Flow::Refused,
+                Err(e) => match on_connection(e) {
+                    Trouble::NotReady => to.writable = false,
+                    Trouble::Machine => return Flow::Starved,
+                    Trouble::Connection => return Flow::Refused,
+                },
             }
         }
         // An idle connection holds no buffer.
@@ -102,8 +106,11 @@
                     }
                 }
             }
-            Err(Errno::AGAIN) => from.readable = false,
-            Err(_) => return Flow::Broken,
+            Err(e) => match on_connection(e) {
+                Trouble::NotReady => from.readable = false,
+                Trouble::Machine => return Flow::Starved,
+                Trouble::Connection => return Flow::Broken,
+            },
         }
         Flow::Idle
     }
--- a/node/src/connections/listener.rs
+++ b/node/src/connections/listener.rs
@@ -4,11 +4,13 @@
 
 use super::landing::STANDING_WITHIN;
 use super::{Connection, Connections, Stage};
-use crate::connections::lane::Side;
+use crate::connections::lane::{Flow, Side};
 use crate::connections::lines::{self, Opening, Request};
 use crate::context::{Context, CLIENT};
+use crate::operators::counts::Close;
 use reedferry::{Arrival, AttachmentId, Ending, Event, HostId, Nanos, MILLI, SECOND};
-use reedferry_quay::{Errno, Mark, Socket};
+use reedferry_quay::errors::{on_accept, on_connection, NotAccepted, Trouble};
+use reedferry_quay::{Mark, Socket};
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::rc::Rc;
 
@@ -25,6 +27,49 @@
 const STRUCK: usize = 1024;
 const STRIKES: u32 = 2;
 const ACCEPTS: usize = 256;
+/// Reads of what crosses the end of a connection that is closed for another.
+const MOST_CROSSING: usize = 16;
+
+/// Why a client that rests is sent away before its time.
+const NO_DESCRIPTORS: &str = "no descriptors for the silent";
+/// The final answers of this node's own.
+const COME_AGAIN: &[u8] = b"BUSY\r\n";
+const FAILED: &[u8] = b"ERR\r\n";
+
+/// What one call has sent of a line.
+enum Sent {
+    Whole,
+    /// So many bytes: the rest has to wait.
+    Part(usize),
+    /// Nothing more can be sent.
+    Broke,
+}
+
+fn send_once(client: &Side, line: &[u8]) -> Sent {
+    match client.socket.send(line) {
+        Ok(count) if count >= line.len() => Sent::Whole,
+        Ok(count) => Sent::Part(count),
+        Err(e) if on_connection(e) == Trouble::Connection => Sent::Broke,
+        Err(_) => Sent::Part(0),
+    }
+}
+
+/// How far a resting client has been told that it may come again.
+enum Farewell {
+    Said,
+    /// A part of it is sent; its record ends behind the rest.
+    UnderWay,
+    NotNow,
+}
+
+/// How a client has left its attachment.
+enum Left {
+    Gone,
+    /// It sends more than its first line.
+    Talking,
+    /// It has ended its sending, and still hears the rest of its answer.
+    Hears(&'static [u8]),
+}
 
 #[derive(Default)]
 pub(super) struct Listener {
@@ -53,13 +98,17 @@
             }
             let socket = match context.budget.accept(listener) {
                 Ok(socket) => socket,
-                Err(Errno::AGAIN | Errno::MFILE) => return,
-                // What failed before it was taken is no client any more.
-                Err(Errno::CONNABORTED | Errno::INTR) => continue,
-                Err(_) => return,
+                Err(e) => match on_accept(e) {
+                    NotAccepted::NoneWaiting => return,
+                    // What failed before it was taken is no client any more.
+                    NotAccepted::ThisOne => continue,
+                    // The next sweep asks again.
+                    NotAccepted::Machine => return context.machine_trouble("accept"),
+                },
             };
             let slot = self.slab.vacant_key();
-            let Ok(mark) = context.watch(&socket, CLIENT, slot) else { continue };
+            let mark = Mark { part: CLIENT, slot: slot as u32, stamp: context.stamp() };
+            self.watch(context, &socket, mark);
             let client = Side { socket, stamp: mark.stamp, readable: false, writable: true };
             self.listener.idle.push_back((slot, mark.stamp));
             self.slab.insert(Connection::new(client, slot, context.now));
@@ -96,17 +145,50 @@
                     continue;
                 }
             }
-            let connection = &mut self.slab[slot];
-            if let (Stage::Unasked, Some(client)) = (connection.stage, &connection.client) {
-                _ = client.socket.send(b"BUSY\r\n");
-                *self.listener.turned.entry("no descriptors for the silent").or_default() += 1;
+            match self.ends_at_once(context, slot) {
+                Farewell::Said => self.remove(context, slot, Close::MadeRoom),
+                Farewell::UnderWay => return !self.slab.contains(slot),
+                Farewell::NotNow => {
+                    // Whoever came after it may be told.
+                    self.listener.idle.rotate_left(1);
+                    return false;
+                }
             }
-            self.remove(slot, false);
             return true;
         }
         false
     }
 
+    /// Tells one that has not asked that it may come again, and reads what crosses that. Guards: its answer lost in the
+    /// reset that closing over unread bytes brings.
+    fn ends_at_once(&mut self, context: &mut Context, slot: usize) -> Farewell {
+        let connection = &mut self.slab[slot];
+        let (Stage::Unasked, Some(client)) = (connection.stage, &connection.client) else {
+            return Farewell::Said;
+        };
+        if connection.down.buffer.is_some() {
+            // It has a part of an answer to a ping.
+            return Farewell::NotNow;
+        }
+        match send_once(client, COME_AGAIN) {
+            Sent::Whole | Sent::Broke => client.socket.end_sending(),
+            Sent::Part(0) => return Farewell::NotNow,
+            Sent::Part(count) => {
+                *self.listener.turned.entry(NO_DESCRIPTORS).or_default() += 1;
+                self.answer(context, slot, &COME_AGAIN[count..]);
+                return Farewell::UnderWay;
+            }
+        }
+        let mut space = [0; 512];
+        for _ in 0..MOST_CROSSING {
+            if !matches!(client.socket.discard(&mut space), Ok(1..)) {
+                break;
+            }
+        }
+        *self.listener.turned.entry(NO_DESCRIPTORS).or_default() += 1;
+        Farewell::Said
+    }
+
     /// Reads what one that has not asked has sent by now, whatever the poller has said so far.
     fn read_again(&mut self, context: &mut Context, slot: usize) {
         self.slab[slot].client.iter_mut().for_each(|client| client.readable = true);
@@ -121,7 +203,7 @@
         self.read_again(context, slot);
         let still = |f: &&Connection| f.stage == Stage::Unasked && stamp(f) == before;
         let Some(connection) = self.slab.get(slot).filter(still) else { return };
-        if connection.letter.is_some() {
+        if connection.letter.as_ref().is_some_and(|letter| !letter.is_empty()) {
             return self.turn_away(context, slot, "no whole line in time");
         }
         *self.listener.turned.entry("nothing in time").or_default() += 1;
@@ -130,13 +212,13 @@
 
     /// Sends a client away that has not asked.
     pub(super) fn send_away(&mut self, context: &mut Context, slot: usize) {
-        self.answer(context, slot, b"BUSY\r\n");
+        self.answer(context, slot, COME_AGAIN);
     }
 
     /// Turns a client away that is not to be served.
     pub(super) fn turn_away(&mut self, context: &mut Context, slot: usize, why: &'static str) {
         *self.listener.turned.entry(why).or_default() += 1;
-        self.answer(context, slot, b"ERR\r\n");
+        self.answer(context, slot, FAILED);
     }
 
     /// Reads the client's first line.
@@ -147,14 +229,22 @@
             if connection.letter.is_none() {
                 connection.letter = context.pool.take();
             }
-            let Some(letter) = connection.letter.as_mut() else { return self.starved.push(slot) };
+            let Some(letter) = connection.letter.as_mut() else {
+                return self.retry_soon(context, slot);
+            };
             let mut ended = false;
             while client.readable && !ended && !letter.spare().is_empty() {
                 match client.socket.receive(letter.spare()) {
                     Ok(0) => ended = true,
                     Ok(count) => letter.filled(count),
-                    Err(Errno::AGAIN) => client.readable = false,
-                    Err(_) => return self.remove(slot, true),
+                    Err(e) => match on_connection(e) {
+                        Trouble::NotReady => client.readable = false,
+                        Trouble::Machine => {
+                            context.machine_trouble("receive");
+                            return self.retry_soon(context, slot);
+                        }
+                        Trouble::Connection => return self.remove(context, slot, Close::ClientBroke),
+                    },
                 }
             }
             // Guards: a flood of pings that holds up the loop, or that fills a connection nobody reads.
@@ -162,12 +252,21 @@
                 letter.sent(6);
                 connection.pings += 1;
                 let pong = if context.standby.is_some() { b"BUSY\r\n" } else { b"PONG\r\n" };
-                if client.socket.send(pong) != Ok(6) {
-                    return self.remove(slot, true);
+                let out = &mut connection.down.buffer;
+                out.get_or_insert_with(|| context.pool.take_for_answer()).put(pong);
+            }
+            // What follows waits until the client has those.
+            match connection.down.flush(client) {
+                Flow::Ended => {}
+                Flow::Idle => return,
+                Flow::Starved => {
+                    context.machine_trouble("send");
+                    return self.retry_soon(context, slot);
                 }
+                _ => return self.remove(context, slot, Close::ClientBroke),
             }
             match lines::first(letter.waiting()) {
-                Ok(None) if ended => return self.remove(slot, false),
+                Ok(None) if ended => return self.remove(context, slot, Close::ClientEnded),
                 Ok(None) if client.readable => continue,
                 Ok(None) => {}
                 Ok(Some((_, length))) if ended || letter.waiting().len() > length => {
@@ -239,18 +338,23 @@
         let connection = &mut self.slab[slot];
         let Some(client) = connection.client.as_mut().filter(|client| client.readable) else { return };
         // Guards: an end that is never seen behind a first line which fills its buffer.
-        let talks = match client.socket.receive(&mut [0; 64]) {
-            Err(Errno::AGAIN) => {
+        let left = match client.socket.receive(&mut [0; 64]) {
+            Err(e) if on_connection(e) == Trouble::NotReady => {
                 client.readable = false;
                 return;
             }
-            Ok(1..) => true,
-            // It may have ended its sending alone: then it still hears its answer.
-            Ok(0) => {
-                _ = client.socket.send(b"ERR\r\n");
-                false
+            // Whether it has gone can't be told now.
+            Err(e) if on_connection(e) == Trouble::Machine => {
+                context.machine_trouble("receive");
+                return self.retry_soon(context, slot);
             }
-            Err(_) => false,
+            Ok(1..) => Left::Talking,
+            // It may have ended its sending alone: then it still hears its answer.
+            Ok(0) => match send_once(client, FAILED) {
+                Sent::Part(count) => Left::Hears(&FAILED[count..]),
+                Sent::Whole | Sent::Broke => Left::Gone,
+            },
+            Err(_) => Left::Gone,
         };
         // The hand-off that is out ends when the module calls it off or it ends by itself.
         let (client, came) = (connection.client.take(), connection.came);
@@ -260,22 +364,35 @@
             context.events.push(Event::Left { id: connection.arrival.id });
         }
         if !held || connection.landing.is_none() {
-            self.remove(slot, false);
+            self.remove(context, slot, Close::ClientEnded);
         } else if connection.landing.as_ref().is_some_and(|landing| !landing.written) {
             // Guards: a line that begins for a client which had gone while its host's connection came up, where the
             // settings allow none to be called off: this one has not begun, or never ends.
             self.fell_through(context, slot, Ending::NeverSent);
         }
-        let Some(mut client) = client.filter(|_| talks) else { return };
-        // Guards: a client that sends hundreds of lines at once, served by its first one: it is parted from
-        // its attachment and turned away.
+        let Some(client) = client else { return };
+        // Guards: a client that sends hundreds of lines at once, served by its first one, and an answer that comes in part: it
+        // is parted from its attachment, and answered by itself.
+        match left {
+            Left::Gone => {}
+            Left::Talking => {
+                let slot = self.parted(context, client, came);
+                self.turn_away(context, slot, "more than one line before its answer");
+            }
+            Left::Hears(rest) => {
+                let slot = self.parted(context, client, came);
+                self.answer(context, slot, rest);
+            }
+        }
+    }
+
+    /// A record of its own for a client that has left its attachment.
+    fn parted(&mut self, context: &mut Context, mut client: Side, came: Nanos) -> usize {
         let slot = self.slab.vacant_key();
         let mark = Mark { part: CLIENT, slot: slot as u32, stamp: context.stamp() };
-        if context.poller.rewatch(&client.socket, mark).is_ok() {
-            client.stamp = mark.stamp;
-            self.slab.insert(Connection { came, ..Connection::new(client, slot, context.now) });
-            self.turn_away(context, slot, "more than one line before its answer");
-        }
+        self.watch(context, &client.socket, mark);
+        client.stamp = mark.stamp;
+        self.slab.insert(Connection { came, ..Connection::new(client, slot, context.now) })
     }
 
     /// Whether the client still waits, as its socket has it now, whatever the poller has said so far. Guards: an attempt
--- a/node/src/connections/mod.rs
+++ b/node/src/connections/mod.rs
@@ -5,6 +5,7 @@
 //! answer, nor answer an attachment twice or let it go without an answer, nor pass on what is no proper
 //! attachment: that is turned away here, whatever it sends or leaves unsent.
 
+mod audit;
 mod endings;
 mod landing;
 pub mod lane;
@@ -16,18 +17,22 @@
 pub mod wire;
 
 use crate::connections::lane::{Lane, Side};
-use crate::context::{Context, CLIENT};
+use crate::context::{self, Context, CLIENT};
+use crate::operators::counts::Close;
 use endings::MOST_WASTE;
 use landing::Landing;
 use listener::{Listener, SILENT_CLIENT};
-pub use passing::Passenger;
-use reedferry::{Action, Arrival, AttachmentId, Ending, HostId, Nanos, Offering, SECOND};
-use reedferry_quay::{Buffer, Readiness, Socket};
+pub use passing::HandedOver;
+use reedferry::{Action, Arrival, AttachmentId, Ending, HostId, Nanos, Offering, MILLI, SECOND};
+use reedferry_quay::{Buffer, Mark, Readiness, Socket};
 use slab::Slab;
 use slog::info;
 use std::collections::VecDeque;
 use std::rc::Rc;
 
+/// After which time what the machine was short of something for is tried again.
+pub const RETRY_AFTER: Nanos = 10 * MILLI;
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Stage {
     /// The first line has not come yet.
@@ -69,6 +74,8 @@
     up: Lane,
     down: Lane,
     hand_offs: u32,
+    /// When the first attempt that may have run was written.
+    may_have_run: Option<Nanos>,
     /// When the lines went that are not answered yet.
     asked: VecDeque<Nanos>,
     moving: Option<Nanos>,
@@ -100,6 +107,7 @@
             up: Lane::default(),
             down: Lane::default(),
             hand_offs: 0,
+            may_have_run: None,
             asked: VecDeque::new(),
             moving: None,
             ending: Ending::CalledOff,
@@ -127,8 +135,11 @@
     waste: usize,
     /// Those with more to do than a turn allows.
     more: Vec<usize>,
-    /// Those that wait for a buffer, until the next sweep.
+    /// Those that wait for what the machine is short of, until the next retry, and whether that is timed.
     starved: Vec<usize>,
+    retries: bool,
+    /// Sides that could not be watched: whose, and under which mark.
+    unwatched: Vec<Mark>,
 }
 
 impl Connections {
@@ -191,6 +202,53 @@
         }
     }
 
+    /// Goes on with this one soon, as the machine was short of something and nothing else will tell when to.
+    pub(super) fn retry_soon(&mut self, context: &mut Context, slot: usize) {
+        self.starved.push(slot);
+        self.time_retry(context);
+    }
+
+    fn time_retry(&mut self, context: &mut Context) {
+        if !std::mem::replace(&mut self.retries, true) {
+            context.poller.remind(context.now + RETRY_AFTER, context::mark(context::RETRY), 0);
+        }
+    }
+
+    /// Has a side watched under this mark, now or as soon as the machine lets it be.
+    pub(super) fn watch(&mut self, context: &mut Context, socket: &Socket, mark: Mark) {
+        if context.poller.watch_anyway(socket, mark).is_err() {
+            context.machine_trouble("epoll_ctl");
+            self.unwatched.push(mark);
+            self.time_retry(context);
+        }
+    }
+
+    /// Tries again what the machine was short of something for.
+    pub fn retry(&mut self, context: &mut Context) {
+        self.retries = false;
+        self.more.append(&mut self.starved);
+        for mark in std::mem::take(&mut self.unwatched) {
+            let slot = mark.slot as usize;
+            let Some(connection) = self.slab.get_mut(slot) else { continue };
+            let sides = connection
+                .client
+                .as_mut()
+                .into_iter()
+                .chain(connection.landing.as_mut().map(|l| &mut l.side));
+            let Some(side) = sides.into_iter().find(|side| side.stamp == mark.stamp) else { continue };
+            if context.poller.watch_anyway(&side.socket, mark).is_err() {
+                context.machine_trouble("epoll_ctl");
+                self.unwatched.push(mark);
+            }
+            // Watched or not, it is looked at.
+            (side.readable, side.writable) = (true, true);
+            self.more.push(slot);
+        }
+        if !self.unwatched.is_empty() {
+            self.time_retry(context);
+        }
+    }
+
     pub(super) fn go(&mut self, context: &mut Context, slot: usize) {
         let Some(connection) = self.slab.get(slot) else { return };
         match connection.stage {
@@ -222,7 +280,6 @@
     pub fn sweep(&mut self, context: &mut Context) {
         let now = context.now;
         let stopped = context.stopped_by.unwrap_or(Nanos::MAX);
-        self.more.append(&mut self.starved);
         self.waste = MOST_WASTE;
         let slots: Vec<usize> = self.slab.iter().map(|(slot, _)| slot).collect();
         for slot in slots {
@@ -237,7 +294,7 @@
                 Stage::Returning(next) if connection.landing.is_none() && now >= next => {
                     self.go_back(context, slot)
                 }
-                Stage::Closing(by) if now >= by => self.remove(slot, false),
+                Stage::Closing(by) if now >= by => self.remove(context, slot, Close::Answered),
                 Stage::Closing(_) => {
                     connection.wasted = 0;
                     self.see_off(context, slot);
@@ -246,6 +303,7 @@
                 _ => {}
             }
         }
+        context.say_left_out();
         let slab = &self.slab;
         let same = |f: &Connection, stamp| f.idles() && f.client.as_ref().is_some_and(|c| c.stamp == stamp);
         self.listener.idle.retain(|&(slot, stamp)| slab.get(slot).is_some_and(|f| same(f, stamp)));
--- a/node/src/connections/passage.rs
+++ b/node/src/connections/passage.rs
@@ -7,6 +7,7 @@
 use super::{Connections, Stage};
 use crate::connections::lane::Flow;
 use crate::context::{Context, LONGEST_MOVE};
+use crate::operators::counts::Close;
 use reedferry::{AttachmentId, Ending, Event, Nanos, MILLI, SECOND};
 use reedferry_quay::Buffer;
 use slog::{info, warn};
@@ -51,12 +52,12 @@
             }
             (Flow::Broken, _) => {
                 self.over(context, slot, broke);
-                return self.remove(slot, true);
+                return self.remove(context, slot, Close::HostBroke);
             }
             (Flow::Malformed, _) => {
                 info!(context.log, "cut off"; "why" => "a host's line that is too long");
                 self.over(context, slot, Ending::Broken);
-                return self.remove(slot, true);
+                return self.remove(context, slot, Close::Malformed);
             }
             (Flow::Refused, _) | (_, Flow::Broken) => {
                 return self.client_broke(context, slot);
@@ -72,7 +73,7 @@
             // The host takes no more: what it still says, or its end, comes down.
             (_, Flow::Refused) => connection.up.buffer = None,
             (Flow::More, _) | (_, Flow::More) => self.more.push(slot),
-            (Flow::Starved, _) | (_, Flow::Starved) => self.starved.push(slot),
+            (Flow::Starved, _) | (_, Flow::Starved) => self.retry_soon(context, slot),
             _ => {}
         }
         self.move_now(context, slot);
@@ -83,7 +84,7 @@
         if let Some(landing) = self.over(context, slot, Ending::CalledOff) {
             landing.side.socket.reset();
         }
-        self.remove(slot, true);
+        self.remove(context, slot, Close::ClientBroke);
     }
 
     /// Tells the module how an open connection ended, and takes its host's side off.
@@ -139,10 +140,10 @@
         let Some(landing) = connection.landing.as_ref() else { return };
         if connection.client_ended.is_some_and(|t| now >= t + LAST_WORDS) {
             self.over(context, slot, Ending::CalledOff);
-            return self.remove(slot, false);
+            return self.remove(context, slot, Close::ClientEnded);
         }
         if let Some(&then) = connection.asked.front() {
-            context.hosts.unanswered(landing.host, then);
+            context.hosts.unanswered(landing.host, then, now);
             if now >= then + SILENT_HOST && connection.moving.is_none() {
                 warn!(context.log, "silent"; "host" => &context.hosts.record(landing.host).name);
                 connection.moving = Some(now + LONGEST_MOVE);
@@ -165,7 +166,7 @@
         if connection.moving.is_some_and(|by| now >= (by + LINGER).min(empty)) {
             // The host has stopped in the middle of a line, and the client takes no other there.
             self.over(context, slot, Ending::Broken);
-            return self.remove(slot, true);
+            return self.remove(context, slot, Close::HostStalled);
         }
         self.move_now(context, slot);
     }
--- a/node/src/connections/passing.rs
+++ b/node/src/connections/passing.rs
@@ -1,5 +1,5 @@
 //! An attachment that goes on in another process: what that one must know of it, and how it is given and taken.
-//! It owns the form of a [`Passenger`]. It must never read or write on a connection that is being passed, nor
+//! It owns the form of a [`HandedOver`]. It must never read or write on a connection that is being passed, nor
 //! have two processes do so: who gives lets go first, and who takes says so before its first byte.
 
 use super::landing::{Landing, Said};
@@ -7,8 +7,9 @@
 use crate::connections::lane::{Lane, Side};
 use crate::connections::lines::Scanner;
 use crate::context::{Context, CLIENT, HOST};
-use reedferry::{AttachmentId, Ending, Event, HostId, Nanos, Offering};
-use reedferry_quay::Socket;
+use crate::operators::counts::Close;
+use reedferry::{AttachmentId, Ending, Event, Nanos, Offering};
+use reedferry_quay::{Mark, Socket};
 use reedferry_terms::renewal;
 use serde::{Deserialize, Serialize};
 use std::os::fd::{AsFd, BorrowedFd};
@@ -41,7 +42,9 @@
 
 /// A client with its attachment, or before it has sent one.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct Passenger {
+pub struct HandedOver {
+    /// How far the clock of these times is ahead of the machine's steady one.
+    clock_ahead: Nanos,
     came: Nanos,
     since: Nanos,
     pings: u32,
@@ -55,6 +58,21 @@
     open: Option<Open>,
 }
 
+impl HandedOver {
+    /// The same, with its times as a clock has them that is so far ahead of the machine's steady one.
+    fn timed_by(mut self, ahead: Nanos) -> HandedOver {
+        let before = std::mem::replace(&mut self.clock_ahead, ahead);
+        let timed = |time: Nanos| time.saturating_sub(before).saturating_add(ahead);
+        (self.came, self.since) = (timed(self.came), timed(self.since));
+        if let Some(open) = &mut self.open {
+            open.asked.iter_mut().for_each(|time| *time = timed(*time));
+            open.moving = open.moving.map(timed);
+            open.client_ended = open.client_ended.map(timed);
+        }
+        self
+    }
+}
+
 impl Flowing {
     fn of(lane: &Lane) -> Self {
         let waiting = lane.buffer.as_ref().map_or(Vec::new(), |b| b.waiting().to_vec());
@@ -89,7 +107,7 @@
     }
 
     /// Lets go of one that is passable, and says what the next process must know of it.
-    pub fn let_go(&mut self, context: &mut Context, slot: usize) -> (Passenger, AttachmentId) {
+    pub fn release(&mut self, context: &mut Context, slot: usize) -> (HandedOver, AttachmentId) {
         let connection = &mut self.slab[slot];
         let open = connection.stage == Stage::Open;
         connection.stage = Stage::Passing(open);
@@ -114,7 +132,8 @@
                 (context.terms.offerings.get(arrival.offering), context.offerings.get(arrival.offering));
             Some((name?.clone(), means?.clone()))
         });
-        let passenger = Passenger {
+        let handed_over = HandedOver {
+            clock_ahead: context.clock.ahead(),
             came: connection.came,
             since: connection.since,
             pings: connection.pings,
@@ -136,7 +155,7 @@
                 gauges: Vec::new(),
             });
         }
-        (passenger, arrival.id)
+        (handed_over, arrival.id)
     }
 
     /// The descriptors that go with it: its client's, and its host's.
@@ -151,38 +170,42 @@
     }
 
     /// The next process has it.
-    pub fn passed(&mut self, id: AttachmentId) {
+    pub fn passed(&mut self, context: &mut Context, id: AttachmentId) {
         if let Some(slot) = self.passing(id) {
-            self.remove(slot, false);
+            self.remove(context, slot, Close::PassedOn);
         }
     }
 
-    /// The next process is gone and never had it: this one goes on with it.
+    /// This process goes on with one that was being passed: the next one never had it, or it has come from the one before,
+    /// which was told so.
     pub fn keep(&mut self, context: &mut Context, id: AttachmentId) {
         let Some(slot) = self.passing(id) else { return };
         let connection = &mut self.slab[slot];
         connection.stage =
             if connection.stage == Stage::Passing(true) { Stage::Open } else { Stage::Unasked };
-        let mut watched = true;
-        for (part, side) in
-            [(CLIENT, connection.client.as_mut()), (HOST, connection.landing.as_mut().map(|l| &mut l.side))]
-        {
+        let sides =
+            [(CLIENT, connection.client.as_mut()), (HOST, connection.landing.as_mut().map(|l| &mut l.side))];
+        for (part, side) in sides {
             let Some(side) = side else { continue };
-            match context.watch(&side.socket, part, slot) {
-                Ok(mark) => side.stamp = mark.stamp,
-                Err(_) => watched = false,
+            let mark = Mark { part, slot: slot as u32, stamp: context.stamp() };
+            side.stamp = mark.stamp;
+            if context.poller.watch_anyway(&side.socket, mark).is_err() {
+                context.machine_trouble("epoll_ctl");
+                self.unwatched.push(mark);
             }
         }
-        if !watched {
-            return self.remove(slot, true);
-        }
         if let Some(landing) = &connection.landing {
             let host = context.hosts.record(landing.host).id;
-            context.events.push(Event::PassedOn(connection.arrival, host, connection.since));
+            let (arrival, load) = (connection.arrival, landing.said.load);
+            context.events.push(Event::PassedOn(arrival, host, connection.since));
+            context.events.extend(load.map(|load| Event::LoadNow { id: arrival.id, load }));
         } else if let Some(client) = &connection.client {
             self.listener.idle.push_back((slot, client.stamp));
         }
         self.more.push(slot);
+        if !self.unwatched.is_empty() {
+            self.time_retry(context);
+        }
     }
 
     /// The next process would not have it: this one goes on with it, and has it moved. Guards: one that is given and turned down
@@ -195,63 +218,73 @@
         }
     }
 
-    /// Goes on with one that the process before this one has let go of; false where that cannot be.
-    pub fn adopt(&mut self, context: &mut Context, passenger: Passenger, sockets: Vec<Socket>) -> bool {
+    /// Lets one be that was adopted, with nothing said on it: the process before goes on with it after all.
+    pub fn abandon(&mut self, context: &mut Context, id: AttachmentId) {
+        if let Some(slot) = self.passing(id) {
+            self.remove(context, slot, Close::PassedOn);
+        }
+    }
+
+    /// Takes in one that the process before this one has let go of, under this id; none where that cannot be. Nothing is read
+    /// or written on it before [`Connections::keep`]. Guards: bytes that are lost between two processes, as the one before
+    /// takes it back where it is not told in time.
+    pub fn adopt(
+        &mut self,
+        context: &mut Context,
+        handed_over: HandedOver,
+        sockets: Vec<Socket>,
+    ) -> Option<AttachmentId> {
+        let handed_over = handed_over.timed_by(context.clock.ahead());
         // Guards: one customer's connection that goes by another's terms, as its own are offered no more.
-        let goes_by = passenger.offering.as_ref().and_then(|(name, means)| {
+        let goes_by = handed_over.offering.as_ref().and_then(|(name, means)| {
             renewal::place((&context.offerings, &context.terms.offerings), name, means)
         });
-        if passenger.open.is_some() && goes_by.is_none() {
-            return false;
+        if handed_over.open.is_some() && goes_by.is_none() {
+            return None;
         }
         let slot = self.slab.vacant_key();
         let mut sockets = sockets.into_iter();
-        let Some(client) = sockets.next() else { return false };
-        let Ok(mark) = context.watch(&client, CLIENT, slot) else { return false };
-        let client = Side { socket: client, stamp: mark.stamp, readable: false, writable: true };
-        let mut connection = Connection::new(client, slot, passenger.came);
-        (connection.since, connection.pings) = (passenger.since, passenger.pings);
-        match passenger.open {
+        let client = sockets.next()?;
+        let client = Side { socket: client, stamp: context.stamp(), readable: false, writable: true };
+        let mut connection = Connection::new(client, slot, handed_over.came);
+        (connection.since, connection.pings) = (handed_over.since, handed_over.pings);
+        match handed_over.open {
             Some(open) => {
-                let Some(host) = sockets.next() else { return false };
+                let host = sockets.next()?;
                 let (Some(up), Some(down)) = (open.up.lane(context), open.down.lane(context)) else {
-                    return false;
+                    return None;
                 };
-                let Ok(mark) = context.watch(&host, HOST, slot) else { return false };
-                let side = Side { socket: host, stamp: mark.stamp, readable: false, writable: true };
+                let side = Side { socket: host, stamp: context.stamp(), readable: false, writable: true };
                 let index = context.hosts.adopt(context.now, &open.host);
                 let record = context.hosts.record(index);
                 let said = Said { bye: open.bye, moved: open.moved, load: open.load };
                 connection.landing =
-                    Some(Landing::stood(side, index, record.lease.clone(), passenger.since, said));
+                    Some(Landing::stood(side, index, record.lease.clone(), handed_over.since, said));
                 (connection.up, connection.down) = (up, down);
                 (connection.asked, connection.moving, connection.client_ended) =
                     (open.asked.into(), open.moving, open.client_ended);
                 connection.ending = if open.broken { Ending::Broken } else { Ending::CalledOff };
-                connection.stage = Stage::Open;
+                connection.stage = Stage::Passing(true);
                 connection.arrival.offering = goes_by.unwrap_or_default();
-                (connection.arrival.key, connection.arrival.group) = (passenger.key, passenger.group);
-                connection.arrival.usual_load = passenger.usual_load;
-                if let Some(name) = passenger.name {
+                (connection.arrival.key, connection.arrival.group) = (handed_over.key, handed_over.group);
+                connection.arrival.usual_load = handed_over.usual_load;
+                if let Some(name) = handed_over.name {
                     let name = std::rc::Rc::from(name);
                     self.listener.names.insert(std::rc::Rc::clone(&name));
                     connection.name = Some(name);
                 }
-                let (arrival, id): (_, HostId) = (connection.arrival, record.id);
-                context.events.push(Event::PassedOn(arrival, id, passenger.since));
-                context.events.extend(open.load.map(|load| Event::LoadNow { id: arrival.id, load }));
             }
             None => {
-                if !passenger.letter.is_empty() {
-                    let Some(mut letter) = context.pool.take() else { return false };
-                    letter.put(&passenger.letter);
+                connection.stage = Stage::Passing(false);
+                if !handed_over.letter.is_empty() {
+                    let mut letter = context.pool.take()?;
+                    letter.put(&handed_over.letter);
                     connection.letter = Some(letter);
                 }
-                self.listener.idle.push_back((slot, mark.stamp));
             }
         }
+        let id = connection.arrival.id;
         self.slab.insert(connection);
-        self.more.push(slot);
-        true
+        Some(id)
     }
 }
--- a/node/src/connections/probe.rs
+++ b/node/src/connections/probe.rs
@@ -48,14 +48,24 @@
         Self::tell(context, probe.host, ending, gauges);
     }
 
+    /// A probe has had its time. Guards: a host taken for silent, and full, as its answer lies unread in a process that stood
+    /// still.
     pub fn due(&mut self, context: &mut Context, mark: Mark) {
         let slot = mark.slot as usize;
-        if let Some(probe) = self.slab.get(slot).filter(|p| p.stamp == mark.stamp) {
+        if self.out(mark).is_some_and(|probe| probe.asked) {
+            self.read(context, slot);
+        }
+        if let Some(probe) = self.out(mark) {
             let ending = if probe.asked { Ending::TimedOut } else { Ending::Unconnected };
             self.end(context, slot, ending, Vec::new());
         }
     }
 
+    /// The probe of this mark, while it is out.
+    fn out(&self, mark: Mark) -> Option<&Probe> {
+        self.slab.get(mark.slot as usize).filter(|probe| probe.stamp == mark.stamp)
+    }
+
     pub fn ready(&mut self, context: &mut Context, ready: Readiness) {
         let slot = ready.mark.slot as usize;
         let Some(probe) = self.slab.get_mut(slot).filter(|p| p.stamp == ready.mark.stamp) else { return };
@@ -66,9 +76,14 @@
             }
             probe.asked = true;
         }
-        if !ready.read || !probe.asked {
-            return;
+        if ready.read && probe.asked {
+            self.read(context, slot);
         }
+    }
+
+    /// Reads what its host has said by now.
+    fn read(&mut self, context: &mut Context, slot: usize) {
+        let probe = &mut self.slab[slot];
         let Some(mut heard) = probe.heard.take().or_else(|| context.pool.take()) else {
             return self.end(context, slot, Ending::NeverSent, Vec::new());
         };
--- a/node/src/connections/wire.rs
+++ b/node/src/connections/wire.rs
@@ -1,6 +1,7 @@
 //! Wires: the connections of the link on their sockets, at either end. They own the sockets and what was
 //! last heard of their readiness. It must never read more in a turn than its share, nor know what passes.
 
+use reedferry_quay::errors::{on_connection, Trouble};
 use reedferry_quay::{Errno, Readiness, Socket};
 use std::collections::BTreeMap;
 
@@ -58,8 +59,11 @@
                     left -= count;
                     each(&space[..count]);
                 }
-                Err(Errno::AGAIN) => self.readable = false,
-                Err(_) => return Err("broken"),
+                Err(e) => match on_connection(e) {
+                    Trouble::NotReady => self.readable = false,
+                    Trouble::Machine => return Ok(true),
+                    Trouble::Connection => return Err("broken"),
+                },
             }
         }
         Ok(false)
@@ -74,8 +78,12 @@
         while self.writable && self.stands && sent < bytes.len() {
             match self.socket.send(&bytes[sent..]) {
                 Ok(count) => sent += count,
-                Err(Errno::AGAIN) => self.writable = false,
-                Err(_) => return Err("broken"),
+                Err(e) => match on_connection(e) {
+                    Trouble::NotReady => self.writable = false,
+                    // The next turn goes on.
+                    Trouble::Machine => return Ok(sent),
+                    Trouble::Connection => return Err("broken"),
+                },
             }
         }
         Ok(sent)
--- a/node/src/context.rs
+++ b/node/src/context.rs
@@ -1,18 +1,21 @@
 //! What the parts of the node share while they work: the clock's one reading for this turn, the poller,
 //! the budgets, the hosts, and the events gathered for who decides. It must never act by itself.
 
-use crate::listing::hosts::Hosts;
+use crate::listing::hosts::{Hosts, Source};
 use crate::listing::list::Reader;
+use crate::operators::counts::Count;
 use crate::operators::papers::Papers;
 use crate::operators::tally::Tally;
 use crate::AtStart;
 use reedferry::{Event, Nanos, Offering, MILLI, SECOND};
-use reedferry_quay::log::Backlog;
+use reedferry_quay::errors::patiently;
+use reedferry_quay::log::{Backlog, LineLimit};
 use reedferry_quay::{log, pool, Budget, Clock, Errno, Mark, Poller, Pool, Socket};
 use reedferry_terms::Terms;
 use slog::{info, warn, Logger};
 use std::net::SocketAddr;
 use std::ops::Range;
+use std::time::Duration;
 
 /// The parts that marks are dealt out to.
 pub const MODULE: u8 = 0;
@@ -34,13 +37,17 @@
 pub const OPS_LISTENER: u8 = 13;
 pub const OPS: u8 = 14;
 /// Where the next process calls, its line, and that of the one before.
-pub const HEIR_LISTENER: u8 = 15;
-pub const HEIR: u8 = 16;
-pub const ELDER: u8 = 17;
+pub const SUCCESSOR_LISTENER: u8 = 15;
+pub const SUCCESSOR: u8 = 16;
+pub const PREDECESSOR: u8 = 17;
 /// The fleet view's next turn.
 pub const FLEET: u8 = 18;
 /// The time of what waits for a ward.
 pub const WARDS: u8 = 19;
+/// The time of what failed for a moment's trouble of this machine.
+pub const RETRY: u8 = 20;
+/// The same between one process and the next.
+pub const CHANNEL_RETRY: u8 = 21;
 
 /// After a call to stop, for how long the front still deals out connections to this program, and the
 /// longest that it is granted beyond what it needs.
@@ -52,6 +59,10 @@
 const LAST_ENDS: Nanos = 200 * MILLI;
 /// How long the end of a line is waited for before a client is moved, where its host stands between two lines.
 pub const LONGEST_MOVE: Nanos = 800 * MILLI;
+/// For how long a start waits for what the machine is short of: nine in ten are to be ready within 10 s.
+pub const START_WITHIN: Duration = Duration::from_secs(5);
+/// Log lines on single requests in a second.
+const MOST_REQUEST_LINES: u32 = 20;
 /// How long after operators ask for it a node that stands by holds no client any more.
 const EMPTY_WITHIN: Nanos = 4 * SECOND;
 
@@ -61,8 +72,12 @@
 
 pub struct Context {
     pub now: Nanos,
+    /// For what has to be judged by the moment itself, not by the turn's one reading.
+    pub clock: Clock,
     /// When the node started.
     pub start: Nanos,
+    /// The last turn that saw to all that was ready.
+    caught_up: Nanos,
     pub poller: Poller,
     pub budget: Budget,
     pub pool: Pool,
@@ -80,6 +95,8 @@
     /// The same where the program has been asked to stop.
     pub stopped_by: Option<Nanos>,
     pub tally: Tally,
+    /// Log lines on single requests are bounded.
+    pub request_lines: LineLimit,
     /// Whether new work was last held off for want of descriptors or buffers.
     pub scarce: bool,
     /// From when to when nothing new may go to hosts, unless the list service is heard before.
@@ -90,15 +107,18 @@
     /// What every role starts with, and the log that its loop drains.
     pub fn open(papers: &Papers, clock: &Clock, start: &AtStart) -> Result<(Context, Backlog), String> {
         let (log, backlog) = log::logger(&papers.name);
-        let poller = Poller::new().map_err(|e| format!("cannot poll: {e}"))?;
-        poller.watch(&start.stop, mark(STOP)).map_err(|e| format!("cannot poll: {e}"))?;
-        poller.watch(&start.reread, mark(REREAD)).map_err(|e| format!("cannot poll: {e}"))?;
+        let wrong = |e| format!("cannot poll: {e}");
+        let poller = patiently(START_WITHIN, Poller::new).map_err(wrong)?;
+        patiently(START_WITHIN, || poller.watch(&start.stop, mark(STOP))).map_err(wrong)?;
+        patiently(START_WITHIN, || poller.watch(&start.reread, mark(REREAD))).map_err(wrong)?;
         let now = clock.read();
         let mut tally = Tally::default();
         tally.offers(&papers.terms.offerings);
         let context = Context {
             now,
+            clock: clock.clone(),
             start: now,
+            caught_up: now,
             poller,
             budget: Budget::new(papers.sockets),
             // A quarter of the memory; the rest is the program's own and a reserve.
@@ -113,24 +133,38 @@
             standby: None,
             stopped_by: None,
             tally,
+            request_lines: LineLimit::new(MOST_REQUEST_LINES),
             scarce: false,
             deaf: Nanos::MAX..Nanos::MAX,
         };
         Ok((context, backlog))
     }
 
+    /// The clock's reading for the turn that begins now, after a wait from `waited` on; gives the one of the turn before.
+    /// `behind` where that left something that was ready.
+    pub fn look_round(&mut self, waited: Nanos, now: Nanos, behind: bool) -> Nanos {
+        let before = std::mem::replace(&mut self.now, now);
+        if !behind {
+            self.caught_up = before;
+        }
+        self.hosts.stalls.looked(self.caught_up, waited, now);
+        before
+    }
+
     /// Listens, and watches who calls.
     pub fn listen(&mut self, address: &SocketAddr, part: u8) -> Result<Socket, String> {
-        let listener = self.budget.listen(address).map_err(|e| format!("cannot listen on {address}: {e}"))?;
-        self.poller.watch(&listener, mark(part)).map_err(|e| format!("cannot poll: {e}"))?;
+        let listener = patiently(START_WITHIN, || self.budget.listen(address))
+            .map_err(|e| format!("cannot listen on {address}: {e}"))?;
+        patiently(START_WITHIN, || self.poller.watch(&listener, mark(part)))
+            .map_err(|e| format!("cannot poll: {e}"))?;
         Ok(listener)
     }
 
     /// Takes in those who call at a listener that the platform holds open.
     pub fn inherit(&mut self, number: i32) -> Result<Socket, String> {
         let wrong = |e: Errno| format!("GW_ACCEPT_FD {number} is no listener: {e}");
-        let listener = self.budget.inherit(number).map_err(wrong)?;
-        self.poller.watch(&listener, mark(LISTENER)).map_err(wrong)?;
+        let listener = patiently(START_WITHIN, || self.budget.inherit(number)).map_err(wrong)?;
+        patiently(START_WITHIN, || self.poller.watch(&listener, mark(LISTENER))).map_err(wrong)?;
         Ok(listener)
     }
 
@@ -143,11 +177,18 @@
         let known = reader.feed(&papers.known).and_then(|()| reader.finish());
         let known = known.map_err(|e| format!("known: {e}"))?;
         let revision = known.revision;
-        let event = self.hosts.told(self.now, known, true, &self.log);
+        let event = self.hosts.told(self.now, known, Source::Kept, &self.log);
         self.events.push(event);
         Ok(Some(revision))
     }
 
+    /// Says how many lines on single requests were left out.
+    pub fn say_left_out(&mut self) {
+        if let Some(count) = self.request_lines.left_out(self.now) {
+            info!(self.log, "request lines left out"; "count" => count);
+        }
+    }
+
     /// Says so when there are descriptors to spare again.
     pub fn spare(&mut self) {
         if self.scarce && self.budget.room(8) {
@@ -197,6 +238,11 @@
         self.stamps
     }
 
+    /// One more system call failed for a moment's trouble of this machine.
+    pub fn machine_trouble(&mut self, call: &'static str) {
+        self.tally.add(Count::MachineTrouble(call));
+    }
+
     /// Watches a socket under a fresh stamp.
     pub fn watch(&mut self, socket: &Socket, part: u8, slot: usize) -> Result<Mark, Errno> {
         let mark = Mark { part, slot: slot as u32, stamp: self.stamp() };
--- a/node/src/listing/discovery.rs
+++ b/node/src/listing/discovery.rs
@@ -5,10 +5,14 @@
 
 use crate::context::{Context, DISCOVERY};
 use crate::listing::hearing::{Failure, Hearing};
+use crate::listing::hosts::Source;
 use crate::listing::http::Answer;
 use crate::listing::list::{List, Reader};
+use crate::listing::starts::Learned;
 use crate::listing::versions::{Versions, Worth};
+use reedferry::permission::usable_grace;
 use reedferry::{Charter, Event, Nanos, RollKind, MILLI, SECOND};
+use reedferry_quay::errors::{on_connect, on_connection, NoConnection, Trouble};
 use reedferry_quay::{Errno, Mark, Readiness, Socket};
 use slog::{info, warn};
 use std::net::SocketAddr;
@@ -16,6 +20,8 @@
 /// How soon a call over a connection that had served before may break for the other side to have closed it in between.
 const CLOSED_BETWEEN: Nanos = SECOND / 4;
 const MOST_BODY: usize = 32 << 20;
+/// How soon an answer comes that waits for nothing.
+const IN_TIME: Nanos = SECOND / 5;
 
 const WATCH: usize = 0;
 const ASK: usize = 1;
@@ -48,6 +54,8 @@
     versions: Versions,
     calls: [Call; 3],
     following: bool,
+    /// When this service's last list came.
+    heard_at: Option<Nanos>,
     hearing: Hearing,
     /// When the watch is taken up again without being asked for.
     next: Option<Nanos>,
@@ -68,7 +76,8 @@
             versions: Versions::new(revision),
             calls: Default::default(),
             following: false,
-            hearing: Hearing::new(charter, grace, now),
+            heard_at: None,
+            hearing: Hearing::new(charter, usable_grace(grace), now),
             next: Some(0).filter(|_| !charter.roll_on_request),
             shut: false,
         }
@@ -80,7 +89,7 @@
     pub fn go_over(&mut self, context: &mut Context, address: SocketAddr) {
         let asked = self.calls[ASK].out;
         self.calls = Default::default();
-        (self.address, self.following, self.next) = (address, false, None);
+        (self.address, self.following, self.next, self.heard_at) = (address, false, None, None);
         self.versions = Versions::default();
         self.hearing.moved(context.now);
         self.call(context, WATCH, 0);
@@ -91,7 +100,7 @@
 
     /// Goes by other settings from the next call on.
     pub fn retune(&mut self, charter: &Charter, grace: Nanos) {
-        self.hearing.retune(charter, grace);
+        self.hearing.retune(charter, usable_grace(grace));
         if self.hearing.unasked() && !self.calls[WATCH].out {
             self.next.get_or_insert(0);
         }
@@ -162,7 +171,7 @@
             match opened {
                 Ok(line) => call.line = Some(line),
                 // What this machine is short of says nothing of the service.
-                Err(e @ (Errno::MFILE | Errno::NFILE | Errno::ADDRNOTAVAIL | Errno::NOBUFS)) => {
+                Err(e) if on_connect(e) != NoConnection::Peer => {
                     self.ended(context, which, Failure::Refused, &format!("connect: {e}"));
                 }
                 Err(e) => self.fail(context, which, Failure::Broken, &format!("connect: {e}")),
@@ -193,7 +202,9 @@
         while call.out && call.written < call.request.len() {
             match socket.send(&call.request[call.written..]) {
                 Ok(count) => call.written += count,
-                Err(Errno::AGAIN | Errno::NOTCONN) => return,
+                Err(Errno::NOTCONN) => return,
+                // The next sweep goes on where the poller does not.
+                Err(e) if on_connection(e) != Trouble::Connection => return,
                 Err(e) => return self.broken(context, which, &format!("send: {e}")),
             }
         }
@@ -214,7 +225,7 @@
                     return self.broken(context, which, "ended");
                 }
                 Ok(count) => count,
-                Err(Errno::AGAIN) => return,
+                Err(e) if on_connection(e) != Trouble::Connection => return,
                 Err(e) => return self.broken(context, which, &e.to_string()),
             };
             buffer.filled(count);
@@ -270,7 +281,11 @@
         if !self.take(context, which, list) {
             return self.fail(context, which, Failure::Unread, "a revision that runs backwards");
         }
-        if which == WATCH {
+        self.hearing.answered(context.now, since, hold);
+        if which != WATCH {
+            self.hearing.heard_late(since);
+            self.wait_on(context);
+        } else {
             if !self.following {
                 info!(context.log, "watch begun"; "at" => %self.address, "revision" => self.revision());
             }
@@ -287,6 +302,27 @@
         }
     }
 
+    /// Goes by what another call's answer has just told of the service: how long the watch is waited for, and until when the
+    /// node may not have heard.
+    fn wait_on(&mut self, context: &mut Context) {
+        let watch = &mut self.calls[WATCH];
+        if watch.out && !watch.came {
+            watch.until = watch.until.max(self.hearing.silent_at(watch.since, watch.hold));
+        }
+        context.deaf = self.hearing.deaf();
+    }
+
+    /// What the answer to a call that has just come says of when its news is from.
+    fn learned(&self, which: usize, now: Nanos) -> Learned {
+        let waited = self.calls[which].hold > IN_TIME && now > self.calls[which].since + IN_TIME;
+        match self.heard_at {
+            None => Learned::WithWholeList,
+            // News comes at once to a call that waits for it.
+            Some(_) if waited => Learned::AsNews { heard_until: now },
+            Some(heard_until) => Learned::AsNews { heard_until },
+        }
+    }
+
     /// Whether the list counts, if only as no news.
     fn take(&mut self, context: &mut Context, which: usize, mut list: List) -> bool {
         match self.versions.told(which == WATCH, list.revision, list.complete) {
@@ -306,7 +342,10 @@
             Worth::News => {}
         }
         let now = context.now;
-        let event = context.hosts.told(now, list, false, &context.log);
+        let source =
+            Source::Told { learned: self.learned(which, now), counts_from: self.hearing.counts_from(now) };
+        self.heard_at = Some(now);
+        let event = context.hosts.told(now, list, source, &context.log);
         context.events.push(event);
         true
     }
@@ -378,7 +417,10 @@
     /// Ends calls that nothing answers, and takes the watch up again where that is due.
     pub fn sweep(&mut self, context: &mut Context) {
         for which in ALL {
-            // What came while no buffer was to be had.
+            // What came, or was to go, while this machine was short of a buffer or of memory.
+            if self.calls[which].line.is_some() {
+                self.write(context, which);
+            }
             if self.calls[which].line.is_some() {
                 self.read(context, which);
             }
--- a/node/src/listing/hearing.rs
+++ b/node/src/listing/hearing.rs
@@ -11,6 +11,7 @@
 //! | the service is not there at all | 6 s after the try before the last, as it may have been back since; while that is all that is seen |
 //! | what came could not be read | at once: it counts as told when it was written |
 //! | the node was led to another service | 4 s after that |
+//! | a process has begun, lists are pushed, and the first call is out | at once: what its agent has counts as told then |
 //!
 //! Of two that hold the earlier counts: the 6 s after a call that failed go before what a wait would leave.
 
@@ -30,6 +31,10 @@
 /// to call again; of one that does not wait, so late that it keeps its turn at a busy service.
 const SILENT_AFTER_WAIT: Nanos = TOLD_AFTER_WAIT / 4;
 const SILENT: Nanos = TOLD / 3;
+/// The longest that an answer is waited for beyond its wait, at a service which is known to be slow, and how much longer
+/// than its last answer took.
+const MOST_PATIENCE: Nanos = 4 * SECOND;
+const PATIENCE_OVER_LATENCY: f64 = 1.5;
 /// Within how long at the most the nodes whose watches ended in the same moment call again, in turn.
 const TURNS: Nanos = TOLD / 2;
 /// What a try waits after one that came to nothing, where lists are pushed and time is not short, and the least that it
@@ -68,6 +73,8 @@
     pause: Nanos,
     /// The watch is kept up without being asked for.
     unasked: bool,
+    /// A list has come, or the first call for one has failed.
+    begun: bool,
     /// Up to when all that the service had to tell has been heard, as far as calls have ended.
     sure: Nanos,
     /// When the node was last seen awake, with nothing amiss.
@@ -80,10 +87,14 @@
     reached: bool,
     /// When it was last tried and was not there.
     gone: Nanos,
+    /// When what it is held to came about.
+    failed_at: Nanos,
     /// Calls that failed since it heard.
     failures: u32,
     /// Watches in a row that ended at once with nothing.
     idle: u32,
+    /// How long the service took beyond the wait of the last call of which that can be told.
+    latency: Nanos,
 }
 
 impl Hearing {
@@ -98,6 +109,7 @@
             grace,
             pause,
             unasked,
+            begun: false,
             sure,
             awake,
             since,
@@ -105,8 +117,10 @@
             held,
             reached,
             gone,
+            failed_at: now,
             failures,
             idle,
+            latency: 0,
         };
         hearing.retune(charter, grace);
         hearing
@@ -146,12 +160,35 @@
 
     /// A watch goes out that waits so long.
     pub fn out(&mut self, now: Nanos, hold: Nanos) {
-        (self.since, self.lease) = (now, Some(now + TOLD.max(hold + TOLD_AFTER_WAIT)));
+        let told = now + TOLD.max(hold + TOLD_AFTER_WAIT);
+        // Guards: new work for hosts that drain, by a new process that waits for its first pushed list.
+        let first = self.unasked && !self.begun;
+        (self.since, self.lease) = (now, Some(if first { self.sure } else { told }));
     }
 
-    /// When a call that began at `since` and may wait so long counts as silent.
+    /// When a call that began at `since` and may wait so long counts as silent: later where the service is known to be slow.
     pub fn silent_at(&self, since: Nanos, hold: Nanos) -> Nanos {
-        since + hold + if hold > SILENT { SILENT_AFTER_WAIT } else { SILENT }
+        let usual = if hold > SILENT { SILENT_AFTER_WAIT } else { SILENT };
+        let known = (self.latency as f64 * PATIENCE_OVER_LATENCY) as Nanos;
+        since + hold + known.clamp(usual, MOST_PATIENCE)
+    }
+
+    /// A call that began at `since` and might wait so long has been answered, in time or not. One answered within its wait
+    /// tells nothing of how slow the service is.
+    pub fn answered(&mut self, now: Nanos, since: Nanos, hold: Nanos) {
+        if let Some(latency) = now.checked_sub(since + hold) {
+            self.latency = latency;
+        }
+    }
+
+    /// A call that was taken for silent, or another beside the watch, has been answered after all: all that there was when it
+    /// began is heard. Guards: a node that hears all a slow service has to tell, and is shut as if it did not.
+    pub fn heard_late(&mut self, since: Nanos) {
+        if since <= self.sure || self.held.is_some_and(|_| since < self.failed_at) {
+            return;
+        }
+        self.sure = since;
+        self.held = self.held.map(|held| held.max(since + TOLD));
     }
 
     /// When one whose answer began to come now does.
@@ -163,6 +200,7 @@
     pub fn heard(&mut self, now: Nanos) {
         (self.sure, self.awake) = (now, now);
         (self.lease, self.held, self.reached, self.failures) = (None, None, false, 0);
+        self.begun = true;
     }
 
     /// When the next watch goes out after one that began at `since`, might wait so long and has been answered: at once,
@@ -177,6 +215,13 @@
     pub fn moved(&mut self, now: Nanos) {
         let told = now + TOLD_AFTER_MOVE;
         (self.held, self.lease) = (Some(self.held.map_or(told, |held| held.min(told))), None);
+        self.latency = 0;
+    }
+
+    /// From when what a list tells that comes now counts as told: before now where the node was held to it already. Guards: the
+    /// grace of a drain given once more to a node that heard of it late.
+    pub fn counts_from(&self, now: Nanos) -> Nanos {
+        self.held.or(self.lease).map_or(now, |told| told.min(now))
     }
 
     /// From when to when nothing new may go out, as the node may be held to a drain that it has not heard of: from the
@@ -208,10 +253,15 @@
 
     /// The watch failed. Says when to call again.
     pub fn failed(&mut self, now: Nanos, how: Failure) -> Nanos {
-        let lease = self.lease.take();
+        // An agent that says nothing, or is down, tells nothing that counts from the start on.
+        let lease = self.lease.take().filter(|_| self.begun || !self.unasked);
+        self.begun = true;
         let told = self.told(now, how, lease);
         self.gone = if how == Failure::Broken { self.since.max(self.sure) } else { self.gone };
         let first = self.failures == 0 && self.held.is_none();
+        if self.held.is_none() || how == Failure::Unread {
+            self.failed_at = now;
+        }
         (self.held, self.reached) = (Some(told), self.reached || how != Failure::Broken);
         self.failures += 1;
         // Steps that differ between nodes, and between one node's tries.
--- a/node/src/listing/hearing_tests.rs
+++ b/node/src/listing/hearing_tests.rs
@@ -25,6 +25,7 @@
         let mut hearing = one(node, nodes, pushed);
         let since = rng.random_range(0..200 * MILLI);
         let (hold, fell) = (hearing.hold(), since + rng.random_range(0..2 * SECOND));
+        hearing.heard(since);
         hearing.out(since, hold);
         let noticed = hearing.silent_at(since, hold) + rng.random_range(0..LOOK);
         next.push(Reverse((noticed, node as usize, 0)));
@@ -332,3 +333,66 @@
     }
     assert!((4..30).contains(&tries), "{tries}");
 }
+
+/// Guards: a service that is known to be slow given up before it can answer, and any other waited for as long.
+#[test]
+fn a_slow_service_is_waited_for_as_long_as_it_takes_within_bounds() {
+    let mut hearing = one(0, 1, false);
+    let usual = (hearing.silent_at(0, 0), hearing.silent_at(0, 10 * SECOND));
+    for (took, wanted) in [
+        (100 * MILLI, usual),
+        (2 * SECOND, (3 * SECOND, 13 * SECOND)),
+        (60 * SECOND, (MOST_PATIENCE, 10 * SECOND + MOST_PATIENCE)),
+        (0, usual),
+    ] {
+        hearing.answered(10 * SECOND + took, 10 * SECOND, 0);
+        assert_eq!((hearing.silent_at(0, 0), hearing.silent_at(0, 10 * SECOND)), wanted, "{took}");
+    }
+    // News tells nothing of that; another service has a pace of its own.
+    hearing.answered(15 * SECOND, 10 * SECOND, 0);
+    hearing.answered(31 * SECOND, 30 * SECOND, 20 * SECOND);
+    assert_eq!(hearing.silent_at(0, 0), MOST_PATIENCE);
+    hearing.moved(40 * SECOND);
+    assert_eq!(hearing.silent_at(0, 0), usual.0);
+}
+
+/// Guards: a node shut though it hears late; one that is open though what it heard is from before what it missed.
+#[test]
+fn what_is_heard_late_counts_from_when_its_call_began() {
+    let mut hearing = one(0, 1, false);
+    let at = noticed(&mut hearing);
+    let held = hearing.deaf().start;
+    hearing.out(at, 0);
+    // The answer of the call that fell silent says no more than was known when it went out.
+    hearing.heard_late(10 * SECOND);
+    assert_eq!(hearing.deaf().start, held);
+    hearing.failed(at + 2 * SECOND, Failure::Silent);
+    hearing.heard_late(at);
+    assert_eq!(hearing.deaf().start, at + TOLD + GRACE);
+    // What came garbled counts as told when it was written, whatever an earlier call brings.
+    let garbled = at + 3 * SECOND;
+    hearing.failed(garbled, Failure::Unread);
+    assert_eq!(hearing.deaf().start, garbled + GRACE);
+    hearing.heard_late(garbled - MILLI);
+    assert_eq!(hearing.deaf().start, garbled + GRACE);
+    hearing.heard_late(garbled);
+    assert_eq!(hearing.deaf().start, garbled + TOLD + GRACE);
+}
+
+/// Guards: new work for hosts that drain while the first pushed list is on its way; a new process that is shut for long where
+/// its agent is down or silent.
+#[test]
+fn a_new_process_is_shut_from_its_grace_on_until_its_first_pushed_list_or_its_failure() {
+    for (pushed, first) in [(true, GRACE), (false, HOLD + TOLD_AFTER_WAIT + GRACE)] {
+        for how in [Failure::Silent, Failure::Broken, Failure::Refused] {
+            let mut hearing = one(0, 1, pushed);
+            hearing.out(0, HOLD);
+            assert_eq!(hearing.deaf().start, first);
+            hearing.failed(2 * SECOND, how);
+            assert!(hearing.deaf().start >= TOLD + GRACE, "{how:?}: {:?}", hearing.deaf());
+            hearing.heard(3 * SECOND);
+            hearing.out(3 * SECOND, HOLD);
+            assert_eq!(hearing.deaf().start, 3 * SECOND + HOLD + TOLD_AFTER_WAIT + GRACE);
+        }
+    }
+}
--- a/node/src/listing/hosts.rs
+++ b/node/src/listing/hosts.rs
@@ -4,6 +4,8 @@
 
 use crate::connections::lines;
 use crate::listing::list::{List, Member};
+use crate::listing::starts::{self, Learned};
+use crate::stalls::Stalls;
 use reedferry::{Event, HostId, Listing, Nanos, RollKind, Standing, MILLI, SECOND};
 use reedferry_link::HostLine;
 use slog::{info, Logger};
@@ -16,6 +18,9 @@
     pub id: HostId,
     pub address: Option<SocketAddr>,
     pub left_since: Option<Nanos>,
+    /// When the list last put it into another group, and at another address.
+    pub regrouped: Option<Nanos>,
+    pub readdressed: Option<Nanos>,
     /// What the list says of it, and what it said last of one that is gone.
     said: Option<Member>,
     was: Option<Member>,
@@ -43,6 +48,8 @@
             id,
             address: None,
             left_since: None,
+            regrouped: None,
+            readdressed: None,
             said: None,
             was: None,
             lease: Rc::new(()),
@@ -125,6 +132,31 @@
     }
 }
 
+/// Where a list comes from.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Source {
+    /// It was kept by this process or another, or given at the start.
+    Kept,
+    /// The list service has just told it; from when it counts as told.
+    Told { learned: Learned, counts_from: Nanos },
+}
+
+impl Source {
+    fn learned(self) -> Learned {
+        match self {
+            Source::Kept => Learned::WithWholeList,
+            Source::Told { learned, .. } => learned,
+        }
+    }
+
+    fn counts_from(self, now: Nanos) -> Nanos {
+        match self {
+            Source::Kept => now,
+            Source::Told { counts_from, .. } => counts_from,
+        }
+    }
+}
+
 #[derive(Default)]
 pub struct Hosts {
     all: Vec<HostRecord>,
@@ -134,14 +166,27 @@
     others: HashMap<String, u16>,
     /// Grows with every list.
     pub lists: u64,
+    /// When this process could not see what hosts did.
+    pub stalls: Stalls,
     /// Message time from which the module is told.
     long: Nanos,
 }
 
+/// How far the lines of one list have been taken in.
+#[derive(Default)]
+struct Progress {
+    /// No record before this one serves again.
+    searched: usize,
+    /// Hosts named for the first time.
+    named: usize,
+}
+
 /// How long the record of a host that is gone is kept.
 const KEPT: Nanos = 3600 * SECOND;
 /// Zones that lists alone name and that are told apart; as many places are left to the settings.
 const MOST_ZONES: usize = 1 << 15;
+/// Hosts of one list that are logged one by one. Guards: a log that drops what is said next, as thousands are named at once.
+const MOST_NAMED: usize = 64;
 /// Samples kept a host between two looks.
 const MOST_TIMES: usize = 64;
 
@@ -187,22 +232,26 @@
     }
 
     /// Takes a list in, and gives what the module is to be told.
-    pub fn told(&mut self, now: Nanos, list: List, cached: bool, log: &Logger) -> Event {
-        let kind = match (cached, list.complete) {
-            (true, _) => RollKind::Cached,
+    pub fn told(&mut self, now: Nanos, list: List, source: Source, log: &Logger) -> Event {
+        let kind = match (source, list.complete) {
+            (Source::Kept, _) => RollKind::Cached,
             (_, true) => RollKind::Full,
             _ => RollKind::Changes,
         };
         if list.complete {
             let named: HashSet<HostId> = list.members.iter().map(|m| HostId(lines::hash(&m.name))).collect();
             for record in self.all.iter_mut().filter(|b| !named.contains(&b.id)) {
-                record.left_since.get_or_insert(now);
+                record.left_since.get_or_insert(source.counts_from(now));
                 record.was = record.said.take().or(record.was.take());
             }
         }
         self.lists += 1;
-        let mut searched = 0;
-        let hosts = list.members.into_iter().map(|m| self.listed(now, m, &mut searched, log)).collect();
+        let mut progress = Progress::default();
+        let hosts =
+            list.members.into_iter().map(|m| self.listed((now, source), m, &mut progress, log)).collect();
+        if progress.named > MOST_NAMED {
+            info!(log, "more hosts listed"; "count" => progress.named - MOST_NAMED);
+        }
         Event::Roll { kind, hosts }
     }
 
@@ -215,9 +264,9 @@
             let (name, address, standing) = (line.name, line.address, line.stands.into());
             let (zone, size) = (String::new(), 1.0);
             self.listed(
-                now,
-                Member { name, address, zone, cell: 0, standing, size, started: None },
-                &mut 0,
+                (now, Source::Kept),
+                Member { name, address, zone, cell: 0, standing, size, started: None, believed: Some(None) },
+                &mut Progress::default(),
                 log,
             );
         }
@@ -267,52 +316,69 @@
         }
     }
 
-    /// One line of a list; no record before `searched` serves again.
-    fn listed(&mut self, now: Nanos, member: Member, searched: &mut usize, log: &Logger) -> Listing {
+    /// One line of a list.
+    fn listed(
+        &mut self,
+        (now, source): (Nanos, Source),
+        member: Member,
+        progress: &mut Progress,
+        log: &Logger,
+    ) -> Listing {
         let id = HostId(lines::hash(&member.name));
         let host = self.index(id).unwrap_or_else(|| {
             // The record of a host long gone serves again: a node runs for months.
             let old = |b: &HostRecord| {
                 b.left_since.is_some_and(|t| now > t + KEPT) && Rc::strong_count(&b.lease) == 1
             };
-            let spare = self.all.iter().skip(*searched).position(old);
-            let spare = spare.map_or(self.all.len(), |n| *searched + n);
-            *searched = spare;
-            info!(log, "host listed"; "name" => &member.name, "hash" => format!("{:x}", id.0));
+            let spare = self.all.iter().skip(progress.searched).position(old);
+            let spare = spare.map_or(self.all.len(), |n| progress.searched + n);
+            progress.searched = spare;
+            progress.named += 1;
+            if progress.named <= MOST_NAMED {
+                info!(log, "host listed"; "name" => &member.name, "hash" => format!("{:x}", id.0));
+            }
             self.put(spare, HostRecord::new(member.name.clone(), id, now));
             spare
         });
         let record = &mut self.all[host];
-        record.address = member.address.or(record.address);
+        let address = member.address.or(record.address);
+        if record.address.is_some() && record.address != address {
+            record.readdressed = Some(now);
+        }
+        record.address = address;
         let before = record.said.take().or(record.was.take());
+        let in_group = |was: &Member| was.zone == member.zone && was.cell == member.cell;
+        if member.standing != Standing::Gone && before.as_ref().is_some_and(|was| !in_group(was)) {
+            record.regrouped = Some(now);
+        }
         // Guards: a repeat matched against the circle of a host that is gone, of which no more than that was said.
         let member = match (member.standing, before) {
             (Standing::Gone, Some(was)) => Member { standing: Standing::Gone, ..was },
+            (_, Some(was)) if was.started == member.started => {
+                Member { believed: member.believed.or(was.believed), ..member }
+            }
             _ => member,
         };
+        let started =
+            member.believed.unwrap_or_else(|| starts::believed(member.started, source.learned(), now));
+        let member = Member { believed: Some(started), ..member };
         match member.standing {
             Standing::Gone => record.was = Some(member.clone()),
             _ => record.said = Some(member.clone()),
         }
         match member.standing {
             Standing::Ready => record.left_since = None,
-            _ => _ = record.left_since.get_or_insert(now),
+            _ => _ = record.left_since.get_or_insert(source.counts_from(now)),
         }
         let zone = self.zone(&member.zone);
-        Listing {
-            id,
-            zone,
-            cell: member.cell,
-            standing: member.standing,
-            size: member.size,
-            started: member.started,
-        }
+        Listing { id, zone, cell: member.cell, standing: member.standing, size: member.size, started }
     }
 
     /// A line that went at `sent` has been answered.
     pub fn answered(&mut self, host: usize, sent: Nanos, now: Nanos) {
+        // Guards: hosts taken for slow, and clients refused, for what lay unread while this process was held up.
+        let time = now.saturating_sub(self.stalls.moved_on(sent, now));
         let record = &mut self.all[host];
-        let time = now.saturating_sub(sent);
         record.shortest = record.shortest.min(time);
         record.latest = Some((sent, time));
         if time <= self.long.saturating_add(record.shortest) {
@@ -329,7 +395,8 @@
     }
 
     /// A line that went at `sent` is not answered yet.
-    pub fn unanswered(&mut self, host: usize, sent: Nanos) {
+    pub fn unanswered(&mut self, host: usize, sent: Nanos, now: Nanos) {
+        let sent = self.stalls.moved_on(sent, now);
         let oldest = &mut self.all[host].oldest;
         *oldest = Some(oldest.map_or(sent, |then| then.min(sent)));
         self.all[host].waiting += 1;
--- a/node/src/listing/hosts_tests.rs
+++ b/node/src/listing/hosts_tests.rs
@@ -9,7 +9,7 @@
     let text = br#"{"revision":1,"complete":true,"members":[{"id":"a","phase":"active"}]}"#;
     let mut reader = crate::listing::list::Reader::default();
     reader.feed(text).unwrap();
-    hosts.told(T, reader.finish().unwrap(), true, &Logger::root(slog::Discard, slog::o!()));
+    hosts.told(T, reader.finish().unwrap(), Source::Kept, &Logger::root(slog::Discard, slog::o!()));
     hosts.answered(0, T + 100 * MILLI, T + 102 * MILLI);
     hosts
 }
@@ -29,10 +29,10 @@
     // Sent 200 ms after the last good one and 200 ms late: one sent now is to take twice that.
     hosts.answered(0, T + 300 * MILLI, T + 500 * MILLI);
     assert!((395..=400).contains(&look(&mut hosts, T + 500 * MILLI).unwrap()));
-    hosts.unanswered(0, T + 300 * MILLI);
+    hosts.unanswered(0, T + 300 * MILLI, T + 10_000 * MILLI);
     assert_eq!(look(&mut hosts, T + 600 * MILLI), None, "told again within the second");
-    hosts.unanswered(0, T + 300 * MILLI);
-    hosts.unanswered(0, T + 320 * MILLI);
+    hosts.unanswered(0, T + 300 * MILLI, T + 10_000 * MILLI);
+    hosts.unanswered(0, T + 320 * MILLI, T + 10_000 * MILLI);
     assert_eq!(look(&mut hosts, T + 1600 * MILLI), Some(1298));
     hosts.answered(0, T + 1700 * MILLI, T + 1705 * MILLI);
     assert_eq!(look(&mut hosts, T + 2600 * MILLI), Some(3), "and once more when it is over");
@@ -44,21 +44,21 @@
 fn a_host_that_answers_none_of_several_is_told_as_hung_and_once() {
     let mut hosts = one();
     for (now, wanted) in [(640, None), (660, Some(998)), (760, None), (1660, Some(1998))] {
-        hosts.unanswered(0, T + 250 * MILLI);
-        hosts.unanswered(0, T + 300 * MILLI);
+        hosts.unanswered(0, T + 250 * MILLI, T + 10_000 * MILLI);
+        hosts.unanswered(0, T + 300 * MILLI, T + 10_000 * MILLI);
         assert_eq!(look(&mut hosts, T + now * MILLI), wanted, "at {now}");
     }
     // One line alone may be lost, and one older than what is answered is.
     let mut hosts = one();
-    hosts.unanswered(0, T + 250 * MILLI);
+    hosts.unanswered(0, T + 250 * MILLI, T + 10_000 * MILLI);
     assert_eq!(look(&mut hosts, T + 660 * MILLI), None);
-    hosts.unanswered(0, T + 250 * MILLI);
+    hosts.unanswered(0, T + 250 * MILLI, T + 10_000 * MILLI);
     assert!(look(&mut hosts, T + 2800 * MILLI).unwrap() > 2500);
     let mut hosts = one();
     for now in [700, 1700, 2700, 3700] {
         hosts.answered(0, T + (now - 100) * MILLI, T + (now - 98) * MILLI);
-        hosts.unanswered(0, T + 250 * MILLI);
-        hosts.unanswered(0, T + 300 * MILLI);
+        hosts.unanswered(0, T + 250 * MILLI, T + 10_000 * MILLI);
+        hosts.unanswered(0, T + 300 * MILLI, T + 10_000 * MILLI);
         assert_eq!(look(&mut hosts, T + now * MILLI), None, "at {now}");
     }
 }
@@ -66,7 +66,7 @@
 #[test]
 fn a_pause_is_not_told_and_steady_lateness_is_once_a_second() {
     let mut hosts = one();
-    hosts.unanswered(0, T + 300 * MILLI);
+    hosts.unanswered(0, T + 300 * MILLI, T + 10_000 * MILLI);
     assert_eq!(look(&mut hosts, T + 390 * MILLI), None);
     for n in 0..5 {
         hosts.answered(0, T + 400 * MILLI, T + (440 + n) * MILLI);
@@ -84,7 +84,12 @@
 fn told(hosts: &mut Hosts, text: &str) -> Vec<Listing> {
     let mut reader = crate::listing::list::Reader::default();
     reader.feed(text.as_bytes()).unwrap();
-    match hosts.told(T, reader.finish().unwrap(), false, &Logger::root(slog::Discard, slog::o!())) {
+    match hosts.told(
+        T,
+        reader.finish().unwrap(),
+        Source::Told { learned: Learned::WithWholeList, counts_from: T },
+        &Logger::root(slog::Discard, slog::o!()),
+    ) {
         Event::Roll { hosts, .. } => hosts,
         other => panic!("{other:?}"),
     }
@@ -131,7 +136,7 @@
     assert!(hosts.members().is_empty() && hosts.ids().next().is_none());
     hosts.renew(vec!["b".to_string()], 48 * MILLI);
     let former = List { revision: 3, complete: true, members: hosts.former() };
-    let event = hosts.told(T, former, true, &Logger::root(slog::Discard, slog::o!()));
+    let event = hosts.told(T, former, Source::Kept, &Logger::root(slog::Discard, slog::o!()));
     let Event::Roll { hosts: listings, .. } = event else { panic!("{event:?}") };
     assert_eq!(listings.iter().map(|l| (l.zone, l.cell)).collect::<Vec<_>>(), [(0, 3), (0, 4)]);
     assert!(listings.iter().all(|l| l.standing == Standing::Gone));
--- a/node/src/listing/list.rs
+++ b/node/src/listing/list.rs
@@ -1,6 +1,7 @@
 //! The roll of hosts as discovery writes it, in JSON, read as it arrives. It owns what has been read of
 //! one list. It must never take more than it has bounds for, nor believe a list before its last byte.
 
+use crate::connections::lines::hash;
 use reedferry::{Nanos, Standing, MILLI};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -15,11 +16,14 @@
     pub name: String,
     pub address: Option<SocketAddr>,
     pub zone: String,
-    pub cell: u16,
+    /// By its number, or by a hash of what it is called; a host of which none is told is in one of its own.
+    pub cell: u64,
     pub standing: Standing,
     pub size: f64,
-    /// Unix time.
+    /// Unix time, as the host's machine has it.
     pub started: Option<Nanos>,
+    /// What was made of that by the node, once it was judged.
+    pub believed: Option<Option<Nanos>>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -68,6 +72,8 @@
     outer: String,
     field: String,
     member: Option<Member>,
+    /// The cell of that member, once it is told.
+    cell: Option<u64>,
     revised: bool,
     list: List,
 }
@@ -81,6 +87,7 @@
         standing: Standing::Gone,
         size: 1.0,
         started: None,
+        believed: None,
     }
 }
 
@@ -96,6 +103,7 @@
             outer: String::new(),
             field: String::new(),
             member: None,
+            cell: None,
             revised: false,
             list: List::default(),
         }
@@ -214,7 +222,7 @@
                 self.within.push(object);
                 self.expect = if object { Expect::KeyOrEnd } else { Expect::ValueOrEnd };
                 if object && self.in_member() {
-                    self.member = Some(blank());
+                    (self.member, self.cell) = (Some(blank()), None);
                 }
             }
             b'}' if self.within.last() == Some(&true)
@@ -267,13 +275,14 @@
     }
 
     fn add(&mut self) -> Told {
-        let Some(member) = self.member.take() else { return Ok(()) };
+        let Some(mut member) = self.member.take() else { return Ok(()) };
         if member.name.is_empty() {
             return Err("a member without an id");
         }
         if self.list.members.len() >= MOST_MEMBERS {
             return Err("too many members");
         }
+        member.cell = self.cell.take().unwrap_or_else(|| hash(&member.name));
         self.list.members.push(member);
         Ok(())
     }
@@ -304,7 +313,9 @@
                 member.address = Some(text.parse().map_err(|_| "a wild address")?);
             }
             ("locality", Value::Text(text) | Value::Bare(text)) => member.zone = text.to_string(),
-            ("cell", Value::Bare(text)) => member.cell = text.parse().unwrap_or(0),
+            ("cell", Value::Bare("null")) => self.cell = None,
+            ("cell", Value::Bare(text)) => self.cell = Some(text.parse().unwrap_or_else(|_| hash(text))),
+            ("cell", Value::Text(text)) => self.cell = Some(hash(text)),
             ("phase", Value::Text(text)) => {
                 member.standing = match text {
                     "active" => Standing::Ready,
--- a/node/src/listing/mod.rs
+++ b/node/src/listing/mod.rs
@@ -6,4 +6,5 @@
 pub mod hosts;
 pub mod http;
 pub mod list;
+pub mod starts;
 pub mod versions;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,6 +8,7 @@
 mod operators;
 mod peers;
 mod roles;
+mod stalls;
 
 use clap::{Args, Parser, Subcommand};
 use reedferry::{Nanos, MILLI};
--- a/node/src/operators/articles.rs
+++ b/node/src/operators/articles.rs
@@ -3,6 +3,7 @@
 //! file that is not in order throughout: whatever is wrong is one line that names the place and what
 //! would be right.
 
+use crate::operators::files;
 use crate::operators::papers::Papers;
 use crate::peers::fleet::FleetTerms;
 use crate::peers::wards::WardTerms;
@@ -245,8 +246,8 @@
     /// # Errors
     /// One line with the file, the line and what would be right there.
     pub fn read(path: &Path) -> Result<Articles, String> {
-        let text =
-            std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+        let text = String::from_utf8(files::read(path)?)
+            .map_err(|_| format!("cannot read {}: no text", path.display()))?;
         Articles::decode(path, &text)
     }
 
@@ -258,7 +259,7 @@
         })?;
         let at = sheet.papers.span();
         let papers_at = path.parent().unwrap_or(Path::new(".")).join(sheet.papers.into_inner());
-        let papers = Papers::read_at(&papers_at).map_err(|e| text.wrong(at.clone(), e))?;
+        let papers = Papers::read_at(&papers_at).map_err(|e| text.wrong(at.clone(), String::from(e)))?;
         let planners = Self::planners(&text, &sheet.planner)?;
         let grace = papers.terms.drain_grace;
         let mut roles: Vec<Span> = [
--- a/node/src/operators/ops.rs
+++ b/node/src/operators/ops.rs
@@ -3,9 +3,10 @@
 //! anything, wait for a caller, or look into the module: a whole call is given to the loop, which has it
 //! answered.
 
-use crate::context::{mark, Context, OPS, OPS_LISTENER};
+use crate::context::{mark, Context, OPS, OPS_LISTENER, START_WITHIN};
 use reedferry::{Nanos, SECOND};
-use reedferry_quay::{Budget, Buffer, Errno, Pool, Readiness, Socket};
+use reedferry_quay::errors::{on_accept, on_connection, patiently, NotAccepted, Trouble};
+use reedferry_quay::{Budget, Buffer, Errno, Mark, Pool, Readiness, Socket};
 use slab::Slab;
 use slog::info;
 use std::net::SocketAddr;
@@ -153,6 +154,8 @@
     stamp: u32,
     since: Nanos,
     stage: Stage,
+    /// The poller tells of it.
+    watched: bool,
 }
 
 pub struct Ops {
@@ -169,8 +172,9 @@
     pub fn open(context: &mut Context, address: &SocketAddr) -> Result<Ops, String> {
         let wrong = |e: Errno| format!("cannot listen for operators on {address}: {e}");
         let budget = context.budget.set_aside(CALLERS + 1);
-        let listener = budget.listen(address).map_err(wrong)?;
-        context.poller.watch(&listener, mark(OPS_LISTENER)).map_err(wrong)?;
+        let listener = patiently(START_WITHIN, || budget.listen(address)).map_err(wrong)?;
+        let watch = || context.poller.watch(&listener, mark(OPS_LISTENER));
+        patiently(START_WITHIN, watch).map_err(wrong)?;
         let at = listener.address().unwrap_or(*address);
         info!(context.log, "operators"; "at" => %at);
         Ok(Ops { listener, budget, pool: Pool::new(CALLERS), lines: Slab::new(), calls: Vec::new() })
@@ -184,17 +188,17 @@
             }
             let socket = match self.budget.accept(&self.listener) {
                 Ok(socket) => socket,
-                Err(Errno::CONNABORTED | Errno::INTR) => continue,
-                Err(_) => return,
+                Err(e) => match on_accept(e) {
+                    NotAccepted::NoneWaiting => return,
+                    NotAccepted::ThisOne => continue,
+                    // The next sweep asks again.
+                    NotAccepted::Machine => return context.machine_trouble("accept"),
+                },
             };
             let (Some(head), slot) = (self.pool.take(), self.lines.vacant_key()) else { continue };
-            let Ok(mark) = context.watch(&socket, OPS, slot) else { continue };
-            self.lines.insert(Line {
-                socket,
-                stamp: mark.stamp,
-                since: context.now,
-                stage: Stage::Head(head),
-            });
+            let (stamp, stage) = (context.stamp(), Stage::Head(head));
+            self.lines.insert(Line { socket, stamp, since: context.now, stage, watched: false });
+            self.watch(context, slot);
             // What has come with it is read at once. Guards: a caller put out by those behind it, unread.
             self.read(context, slot);
         }
@@ -202,6 +206,29 @@
         _ = context.poller.rewatch(&self.listener, mark(OPS_LISTENER));
     }
 
+    /// Has one watched, now or at the next sweep.
+    fn watch(&mut self, context: &mut Context, slot: usize) {
+        let line = &mut self.lines[slot];
+        let mark = Mark { part: OPS, slot: slot as u32, stamp: line.stamp };
+        line.watched = context.poller.watch(&line.socket, mark).is_ok();
+        if !line.watched {
+            context.machine_trouble("epoll_ctl");
+        }
+    }
+
+    /// Goes on with calls of which the poller may not tell: they are not watched, or a read or write failed for a moment's
+    /// trouble of this machine.
+    fn go_on(&mut self, context: &mut Context) {
+        let slots: Vec<usize> = self.lines.iter().map(|(slot, _)| slot).collect();
+        for slot in slots {
+            if !self.lines[slot].watched {
+                self.watch(context, slot);
+            }
+            self.write(context, slot);
+            self.read(context, slot);
+        }
+    }
+
     /// Puts the one out that has its answer, or else the one that has taken longest over its call.
     fn make_room(&mut self) {
         let answered = |line: &Line| matches!(line.stage, Stage::Ending);
@@ -257,7 +284,8 @@
                     }
                 },
                 Ok(count) => count,
-                Err(Errno::AGAIN) => return,
+                // The next sweep goes on where the poller does not.
+                Err(e) if on_connection(e) != Trouble::Connection => return,
                 Err(_) => {
                     self.lines.remove(slot);
                     return;
@@ -294,7 +322,7 @@
         while *written < answer.len() {
             match line.socket.send(&answer[*written..]) {
                 Ok(count) => *written += count,
-                Err(Errno::AGAIN) => return,
+                Err(e) if on_connection(e) != Trouble::Connection => return,
                 Err(_) => {
                     self.lines.remove(slot);
                     return;
@@ -308,6 +336,7 @@
     /// Ends what has taken too long.
     pub fn sweep(&mut self, context: &mut Context) {
         let now = context.now;
+        self.go_on(context);
         let late: Vec<usize> =
             self.lines.iter().filter(|(_, l)| now >= l.since + WITHIN).map(|l| l.0).collect();
         for slot in late {
--- a/node/src/operators/papers.rs
+++ b/node/src/operators/papers.rs
@@ -2,6 +2,7 @@
 //! it is asked to read them afresh. Whatever is missing or malformed is one plain line: no node starts
 //! with it, and one that runs keeps what it has.
 
+use crate::operators::files::{self, NotRead};
 use reedferry::Charter;
 use reedferry_terms::Terms;
 use serde::Deserialize;
@@ -61,7 +62,7 @@
 }
 
 impl Papers {
-    pub fn read() -> Result<Papers, String> {
+    pub fn read() -> Result<Papers, NotRead> {
         let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG is not set".to_string())?;
         let mut papers = Papers::read_at(Path::new(&path))?;
         if let (None, Ok(ops)) = (papers.ops, std::env::var("GW_OPS")) {
@@ -71,10 +72,9 @@
         Ok(papers)
     }
 
-    pub fn read_at(path: &Path) -> Result<Papers, String> {
-        let shown = path.display();
-        let text = std::fs::read(path).map_err(|e| format!("cannot read {shown}: {e}"))?;
-        Papers::decode(&text).map_err(|e| format!("{shown}: {e}"))
+    pub fn read_at(path: &Path) -> Result<Papers, NotRead> {
+        let text = files::read(path)?;
+        Ok(Papers::decode(&text).map_err(|e| format!("{}: {e}", path.display()))?)
     }
 
     /// Of the lists whose places stand for names on the link.
--- a/node/src/operators/tally.rs
+++ b/node/src/operators/tally.rs
@@ -2,6 +2,7 @@
 //! what was counted and the form in which that is told. It must never count what nobody saw happen on a
 //! socket, nor count an attachment twice or backwards.
 
+use crate::operators::counts::{Count, Counts};
 use std::fmt::Write;
 
 /// What became of the attachments of one offering.
@@ -36,6 +37,7 @@
     /// Attempts whose last byte was written to a host.
     attempts: u64,
     reloads: (u64, u64),
+    counts: Counts,
 }
 
 /// A name as a part of a figure's: what separates parts there, or would end the line, is an underscore.
@@ -64,6 +66,11 @@
         }
     }
 
+    /// One more of its kind.
+    pub fn add(&mut self, count: Count) {
+        self.counts.add(count);
+    }
+
     pub fn attempted(&mut self) {
         self.attempts += 1;
     }
@@ -92,7 +99,7 @@
         line("hosts_excluded", now.hosts_excluded as u64, "g");
         line("reloads_ok", self.reloads.0, "c");
         line("reloads_failed", self.reloads.1, "c");
-        text
+        text + &self.counts.text()
     }
 }
 
@@ -117,6 +124,6 @@
             app.requests.a_b_c_d_e.served:0|c\napp.requests.a_b_c_d_e.refused:0|c\n\
             app.requests.a_b_c_d_e.failed:1|c\napp.attempts:1|c\napp.in_flight:14|g\napp.hosts_known:9|g\n\
             app.hosts_excluded:2|g\napp.reloads_ok:1|c\napp.reloads_failed:1|c\n";
-        assert_eq!(text, wanted);
+        assert_eq!(text, wanted.to_string() + &Counts::default().text());
     }
 }
--- a/node/src/peers/fleet.rs
+++ b/node/src/peers/fleet.rs
@@ -2,17 +2,19 @@
 //! that socket, the log lines on members, bounded when hundreds change at once, and the view as operators see it. It
 //! must never decide who is alive, nor take in more of a flood than a turn's worth.
 
-use crate::context::{mark, Context, FLEET, PEERS};
+use crate::context::{mark, Context, FLEET, PEERS, START_WITHIN};
 use crate::operators::papers::Papers;
 use crate::peers::wards::WardTerms;
 use reedferry::{Event, HostId, Nanos, SECOND};
 use reedferry_members::{self as members, Action, Members, Role, State, Who, LONGEST_LETTER};
+use reedferry_quay::errors::patiently;
+use reedferry_quay::log::LineLimit;
 use reedferry_quay::{Errno, Socket};
 use serde_json::json;
 use slog::{info, warn};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Datagrams read in one turn.
 const A_TURN: usize = 256;
@@ -47,8 +49,7 @@
     /// The moment at which the core is woken next.
     reminded: Option<Nanos>,
     /// Lines in this second, and what was left out.
-    lines: (Nanos, u32),
-    left_out: u32,
+    lines: LineLimit,
     /// How often what odd thing came since it was last said.
     odd: BTreeMap<&'static str, (Nanos, u32)>,
     /// What the module was told last: whose turns are its own, and which hosts it looks at, by which view and list.
@@ -76,7 +77,7 @@
         let FleetTerms { seeds, period, most, .. } = terms.clone();
         let core_terms = members::Terms { period, seeds, most, fleet };
         let core = Members::new(who, core_terms, context.now, unix, papers.seed ^ unix);
-        let (lines, odd) = ((0, 0), BTreeMap::new());
+        let (lines, odd) = (LineLimit::new(MOST_LINES), BTreeMap::new());
         let (shares, looks) = (Vec::new(), Vec::new());
         let mut fleet = Fleet {
             core,
@@ -84,7 +85,6 @@
             socket: None,
             reminded: None,
             lines,
-            left_out: 0,
             odd,
             shares,
             looks,
@@ -92,15 +92,16 @@
             lending: false,
             letters: Vec::new(),
         };
-        match fleet.bind(context) {
+        match fleet.bind(context, START_WITHIN) {
             Ok(()) | Err(Errno::ADDRINUSE) => Ok(fleet),
             Err(e) => Err(format!("cannot take letters on {}: {e}", terms.listen)),
         }
     }
 
-    fn bind(&mut self, context: &mut Context) -> Result<(), Errno> {
-        let socket = context.budget.datagrams(&self.terms.listen)?;
-        context.poller.watch(&socket, mark(PEERS))?;
+    /// Takes letters, or tries to for so long.
+    fn bind(&mut self, context: &mut Context, within: Duration) -> Result<(), Errno> {
+        let socket = patiently(within, || context.budget.datagrams(&self.terms.listen))?;
+        patiently(within, || context.poller.watch(&socket, mark(PEERS)))?;
         let (seeds, period) = (self.terms.seeds.len(), self.terms.period / 1_000_000);
         info!(context.log, "fleet"; "address" => %self.terms.address, "seeds" => seeds, "period_ms" => period);
         self.socket = Some(socket);
@@ -117,14 +118,15 @@
                     // Whom it can't reach is found out by its silence.
                     self.socket.iter().for_each(|socket| _ = socket.send_to(&bytes, &to));
                 }
-                Action::Changed { name, address, before, state } if self.room(context.now) => {
+                Action::Changed { name, address, before, state } if self.lines.room(context.now) => {
                     let before = before.map_or("unknown", State::word);
                     info!(context.log, "member {}", state.word(); "name" => name, "address" => %address, "before" => before);
                 }
-                Action::Moved { name, from, to } if self.room(context.now) => {
+                Action::Moved { name, from, to } if self.lines.room(context.now) => {
                     info!(context.log, "member moved"; "name" => name, "from" => %from, "to" => %to);
                 }
-                Action::Changed { .. } | Action::Moved { .. } => self.left_out += 1,
+                // Counted by the limit.
+                Action::Changed { .. } | Action::Moved { .. } => {}
                 Action::WasGone => warn!(context.log, "others held this node gone"),
                 Action::StoodStill(span) => {
                     warn!(context.log, "stood still"; "ms" => span / 1_000_000);
@@ -143,15 +145,6 @@
         }
     }
 
-    /// Whether one more line is said in this second.
-    fn room(&mut self, now: Nanos) -> bool {
-        if now >= self.lines.0 + SECOND {
-            self.lines = (now, 0);
-        }
-        self.lines.1 += 1;
-        self.lines.1 <= MOST_LINES
-    }
-
     /// Each kind of odd thing is said once a minute, with how often it came since.
     fn odd(&mut self, context: &Context, why: &'static str, from: SocketAddr) {
         let (said, count) = self.odd.entry(why).or_insert((0, 0));
@@ -213,7 +206,7 @@
         }
         let shares = self.core.shares(context.now);
         if shares != self.shares {
-            if self.room(context.now) {
+            if self.lines.room(context.now) {
                 info!(context.log, "turns"; "of" => format!("{shares:?}"));
             }
             context.events.push(Event::Turns(shares.clone()));
@@ -293,10 +286,10 @@
 
     pub fn sweep(&mut self, context: &mut Context) {
         if self.socket.is_none() {
-            _ = self.bind(context);
+            _ = self.bind(context, Duration::ZERO);
         }
-        if self.left_out > 0 && context.now >= self.lines.0 + SECOND {
-            info!(context.log, "members changed beside"; "count" => std::mem::take(&mut self.left_out));
+        if let Some(count) = self.lines.left_out(context.now) {
+            info!(context.log, "members changed beside"; "count" => count);
         }
     }
 
--- a/node/src/peers/words.rs
+++ b/node/src/peers/words.rs
@@ -2,10 +2,11 @@
 //! alone, known by their addresses. It owns that socket. It must never take in what a stranger sends or what
 //! is longer than a message, hold a turn up over a flood, nor care whether a message arrives.
 
-use crate::context::{mark, Context, PEERS};
+use crate::context::{mark, Context, PEERS, START_WITHIN};
 use crate::peers::fleet::FleetTerms;
 use reedferry::word::LONGEST;
 use reedferry::Event;
+use reedferry_quay::errors::patiently;
 use reedferry_quay::{Errno, Socket};
 use slog::{info, warn};
 use std::net::SocketAddr;
@@ -32,8 +33,9 @@
 impl Peers {
     pub fn open(context: &mut Context, correspondence: &Correspondence) -> Result<Peers, String> {
         let wrong = |e: Errno| format!("cannot take messages on {}: {e}", correspondence.at);
-        let socket = context.budget.datagrams(&correspondence.at).map_err(wrong)?;
-        context.poller.watch(&socket, mark(PEERS)).map_err(wrong)?;
+        let socket =
+            patiently(START_WITHIN, || context.budget.datagrams(&correspondence.at)).map_err(wrong)?;
+        patiently(START_WITHIN, || context.poller.watch(&socket, mark(PEERS))).map_err(wrong)?;
         let at = socket.address().unwrap_or(correspondence.at);
         info!(context.log, "messages"; "at" => %at, "peers" => correspondence.peers.len());
         Ok(Peers { socket, peers: correspondence.peers.clone(), warned: false })
--- a/node/src/roles/alone.rs
+++ b/node/src/roles/alone.rs
@@ -4,25 +4,31 @@
 
 use crate::connections::probe::Probes;
 use crate::connections::Connections;
-use crate::context::{self, mark, Context};
+use crate::context::{self, mark, Context, START_WITHIN};
 use crate::listing::discovery::Discovery;
+use crate::listing::hosts::Source;
 use crate::listing::list::List;
 use crate::operators::articles::{self, Articles, Role};
+use crate::operators::files::{self, NotRead};
 use crate::operators::ops::{Call, Ops, Reply};
 use crate::operators::papers::Papers;
 use crate::operators::tally::Now;
 use crate::peers::fleet::Fleet;
 use crate::peers::wards::Wards;
 use crate::peers::words::{Correspondence, Peers};
-use crate::roles::succession::{Estate, Succession};
+use crate::roles::succession::{Knowledge, Succession};
 use crate::{AtStart, BEYOND_EXPIRY, SWEEP};
-use reedferry::{Action, Balancer, Charter, Effect, Event};
+use reedferry::{Action, Balancer, Charter, Effect, Event, Nanos, MILLI};
 use reedferry_members::State;
-use reedferry_quay::{Clock, Errno, Signal, Socket};
+use reedferry_quay::{merged, Clock, Errno, Readiness, Signal, Socket};
 use reedferry_terms::renewal;
 use slog::{info, warn};
 use std::path::Path;
 
+/// How long one turn goes on with what is ready. Guards: an answer that is due, and waits for hundreds of writes each of which
+/// the system may hold up.
+const LONGEST_TURN: Nanos = 50 * MILLI;
+
 /// Where a node finds its papers.
 pub enum Told<'a> {
     /// In the file that the environment names, as the platform has it.
@@ -32,7 +38,7 @@
 }
 
 impl Told<'_> {
-    fn papers(&self) -> Result<(Papers, Option<Correspondence>), String> {
+    fn papers(&self) -> Result<(Papers, Option<Correspondence>), NotRead> {
         match self {
             Told::Environment => {
                 let papers = Papers::read()?;
@@ -42,7 +48,7 @@
             Told::Operator(path) => match Articles::read(path)? {
                 Articles { papers, role: Role::Node(correspondence), .. } => Ok((papers, correspondence)),
                 Articles { role, .. } => {
-                    Err(format!("{} is for `reedferry {}`", path.display(), role.word()))
+                    Err(format!("{} is for `reedferry {}`", path.display(), role.word()).into())
                 }
             },
         }
@@ -66,23 +72,27 @@
     ops: Option<Ops>,
     stop: Signal,
     reread: Signal,
+    /// Its papers could not be read for a moment when they were to be.
+    unread: bool,
     papers: Papers,
     actions: Vec<Action>,
+    /// What was ready in the turn before and had no time left.
+    put_off: Vec<Readiness>,
     /// Whether every event and action of the module is logged.
     trace: bool,
 }
 
 pub fn run(told: Told, start: AtStart) -> Result<(), String> {
-    let (mut papers, correspondence) = told.papers()?;
+    let (mut papers, correspondence) = files::read_at_start(START_WITHIN, || told.papers())?;
     let clock = Clock::start();
     let (mut context, backlog) = Context::open(&papers, &clock, &start)?;
     let mut succession = Succession::open(&mut context, &papers)?;
-    let mut estate = succession.begin(&mut context, &clock);
-    if let Some(estate) = &mut estate {
-        renewal::keep((&mut papers.charter, &mut papers.terms), std::mem::take(&mut estate.held));
+    let mut knowledge = succession.begin(&mut context, &clock);
+    if let Some(knowledge) = &mut knowledge {
+        renewal::keep((&mut papers.charter, &mut papers.terms), std::mem::take(&mut knowledge.held));
         (context.terms, context.offerings) = (papers.terms.clone(), papers.charter.offerings.clone());
     }
-    let estate = estate.map(|e| e.in_terms_of(&papers.terms.offerings));
+    let knowledge = knowledge.map(|e| e.in_terms_of(&papers.terms.offerings));
     let ops = papers.ops.map(|at| Ops::open(&mut context, &at)).transpose()?;
     let (now, log) = (context.now, context.log.clone());
     let mut actions = Vec::new();
@@ -97,10 +107,10 @@
     let peers = peers.map(|correspondence| Peers::open(&mut context, correspondence)).transpose()?;
     let module = Balancer::new(papers.charter.clone(), papers.seed, now, &mut actions);
     let mut revision = context.known(&papers)?;
-    if let Some(Estate { discovery, revision: reached, members, legacy, .. }) = estate {
+    if let Some(Knowledge { discovery, revision: reached, members, legacy, .. }) = knowledge {
         // What another process was told last is newer than what this one was started with.
         let roll = List { revision: reached.unwrap_or(0), complete: true, members };
-        let event = context.hosts.told(context.now, roll, true, &context.log);
+        let event = context.hosts.told(context.now, roll, Source::Kept, &context.log);
         context.events.extend([event, Event::Inherited(Box::new(legacy))]);
         revision = reached.filter(|_| discovery == papers.discovery);
     }
@@ -126,8 +136,10 @@
         ops,
         stop,
         reread,
+        unread: false,
         papers,
         actions,
+        put_off: Vec::new(),
         trace: std::env::var_os("REEDFERRY_TRACE").is_some(),
     };
     // Guards: clients handed to hosts that drain, by a process that asks for a pushed list only when it first looks round:
@@ -153,10 +165,14 @@
 impl Node<'_> {
     /// Gathers what has come since the last turn.
     fn gather(&mut self, clock: &Clock) -> Result<(), Errno> {
+        let left = std::mem::take(&mut self.put_off);
+        let behind = !left.is_empty();
         let mut ready = Vec::new();
-        let at_once = !self.context.events.is_empty() || self.connections.busy();
-        self.context.poller.wait(clock.read(), at_once, &mut ready)?;
-        let before = std::mem::replace(&mut self.context.now, clock.read());
+        let at_once = behind || !self.context.events.is_empty() || self.connections.busy();
+        let waited = clock.read();
+        self.context.poller.wait(waited, at_once, &mut ready)?;
+        let before = self.context.look_round(waited, clock.read(), behind);
+        let mut ready = merged(left, ready);
         self.fleet.iter_mut().for_each(|fleet| fleet.mind(&mut self.context));
         // Guards: an operator who waits behind a crowd of clients; clients handed to a host that drains, by the word
         // of a list that came before them, while the process stood still.
@@ -168,7 +184,12 @@
         if self.context.now > before + 2 * SWEEP {
             self.discovery.look(&mut self.context);
         }
-        for one in ready {
+        let mut ready = ready.into_iter();
+        while let Some(one) = ready.next() {
+            if clock.read() > self.context.now + LONGEST_TURN {
+                self.put_off = std::iter::once(one).chain(ready).collect();
+                break;
+            }
             let context = &mut self.context;
             match one.mark.part {
                 context::LISTENER => self.connections.accept(context, self.succession.listener()),
@@ -178,7 +199,7 @@
                 context::PROBE => self.probes.ready(context, one),
                 context::OPS_LISTENER => self.ops.iter_mut().for_each(|ops| ops.accept(context)),
                 context::OPS => self.ops.iter_mut().for_each(|ops| ops.ready(context, one)),
-                context::HEIR_LISTENER | context::HEIR | context::ELDER => {
+                context::SUCCESSOR_LISTENER | context::SUCCESSOR | context::PREDECESSOR => {
                     self.succession.ready(context, &mut self.connections, one);
                 }
                 context::PEERS => {
@@ -201,6 +222,8 @@
                 context::MODULE => context.events.push(Event::Timer { mark: word }),
                 context::HOST => self.connections.due(context, mark, word),
                 context::PROBE => self.probes.due(context, mark),
+                context::RETRY => self.connections.retry(context),
+                context::CHANNEL_RETRY => self.succession.retry(context, &mut self.connections),
                 context::WARDS => self.wards.iter_mut().for_each(|wards| wards.due(context)),
                 context::FLEET => self.fleet.iter_mut().for_each(|fleet| fleet.due(context)),
                 _ => self.sweep(),
@@ -218,20 +241,21 @@
     fn pass_on(&mut self) {
         let context = &mut self.context;
         if self.succession.wanted() {
-            let estate = Estate {
+            let knowledge = Knowledge {
                 discovery: self.papers.discovery,
+                clock_ahead: context.clock.ahead(),
                 revision: self.discovery.revision(),
                 members: context.hosts.members(),
                 offerings: context.terms.offerings.clone(),
                 held: self.connections.held(context),
                 legacy: self.module.leave(),
             };
-            self.succession.leave(context, &mut self.connections, &estate);
+            self.succession.leave(context, &mut self.connections, &knowledge);
         }
         if context.leaving.is_some() {
             self.succession.pass_on(context, &mut self.connections);
         }
-        if !self.succession.has_heir() {
+        if !self.succession.has_successor() {
             context.events.extend(self.parting.take());
         }
     }
@@ -292,11 +316,15 @@
     }
 
     fn sweep(&mut self) {
+        // Whatever the poller has said of them.
+        self.part();
+        self.read_again();
         let context = &mut self.context;
         self.ops.iter_mut().for_each(|ops| ops.sweep(context));
         self.connections.accept(context, self.succession.listener());
         self.connections.sweep(context);
         context.spare();
+        self.succession.sweep(context, &mut self.connections);
         self.discovery.sweep(context);
         let (shares, looks) = (self.module.shares_turns(context.now), self.papers.charter.probe_for_gauges);
         if let Some(fleet) = &mut self.fleet {
@@ -367,10 +395,21 @@
 
     /// Takes the papers up afresh: discovery and settings may change in a node that runs.
     fn read_again(&mut self) {
-        if !self.reread.came() {
+        if !self.reread.came() && !std::mem::take(&mut self.unread) {
             return;
         }
-        let fresh = self.told.papers();
+        let fresh = match self.told.papers() {
+            // Guards: settings that are never taken up, as their file could not be read for a moment.
+            Err(NotRead::Moment(why)) => {
+                self.context.machine_trouble("open");
+                if self.context.request_lines.room(self.context.now) {
+                    warn!(self.context.log, "papers are read again soon"; "why" => why);
+                }
+                self.unread = true;
+                return;
+            }
+            other => other.map_err(String::from),
+        };
         // Guards: a node ended or led astray by papers that are half written or wrong.
         let checked = fresh.and_then(|fresh| self.papers.whole_in(&fresh.0).map(|()| fresh));
         self.context.tally.reread(checked.is_ok());
@@ -421,7 +460,7 @@
             // repeat matched against the zone that now has the place of the one in which it may have run.
             let members = [context.hosts.members(), context.hosts.former()].concat();
             let roll = List { revision: self.discovery.revision().unwrap_or(0), complete: true, members };
-            let event = context.hosts.told(context.now, roll, true, &context.log);
+            let event = context.hosts.told(context.now, roll, Source::Kept, &context.log);
             context.events.push(event);
         }
     }
--- a/node/src/roles/forward.rs
+++ b/node/src/roles/forward.rs
@@ -94,8 +94,9 @@
         }
         let mut ready = Vec::new();
         let at_once = !self.context.events.is_empty() || self.connections.busy() || self.wires.more;
-        self.context.poller.wait(clock.read(), at_once, &mut ready)?;
-        self.context.now = clock.read();
+        let waited = clock.read();
+        self.context.poller.wait(waited, at_once, &mut ready)?;
+        self.context.look_round(waited, clock.read(), false);
         for one in ready {
             let context = &mut self.context;
             match one.mark.part {
@@ -113,6 +114,7 @@
             match mark.part {
                 context::HOST => self.connections.due(&mut self.context, mark, word),
                 context::SWEEP => self.sweep(),
+                context::RETRY => self.connections.retry(&mut self.context),
                 _ => {}
             }
         }
@@ -120,6 +122,9 @@
     }
 
     fn sweep(&mut self) {
+        // Whatever the poller has said of them.
+        self.part();
+        self.read_again();
         let context = &mut self.context;
         self.connections.accept(context, Some(&self.listener));
         self.connections.sweep(context);
--- a/node/src/roles/plan.rs
+++ b/node/src/roles/plan.rs
@@ -127,6 +127,8 @@
             let Ok(socket) = context.budget.accept(&self.listener) else { return };
             let stamp = context.stamp();
             if context.poller.watch(&socket, Mark { part: LINK, slot: 0, stamp }).is_err() {
+                // The forwarder calls again.
+                context.machine_trouble("epoll_ctl");
                 continue;
             }
             self.wires.all.insert(stamp, Wire::new(socket, stamp, true));
--- a/node/src/roles/succession.rs
+++ b/node/src/roles/succession.rs
@@ -1,55 +1,65 @@
 //! One process in place of another. It owns the listener that the platform holds open for both, who of them takes
 //! in new clients, and the channel over which the one that ends leaves the next what it knows and its
-//! connections. It must never trust what it finds, nor wait long for it: without an elder a node starts as
-//! ever, and without an heir it moves its clients as ever.
+//! connections. It must never trust what it finds, nor wait long for it: without a predecessor a node starts as
+//! ever, and without a successor it moves its clients as ever.
 
-use crate::connections::{Connections, Passenger};
-use crate::context::{self, Context, ELDER, HEIR, HEIR_LISTENER};
+use crate::connections::{Connections, HandedOver, RETRY_AFTER};
+use crate::context::{self, Context, PREDECESSOR, SUCCESSOR, SUCCESSOR_LISTENER};
 use crate::listing::list::Member;
 use crate::operators::papers::Papers;
 use reedferry::{AttachmentId, Event, Legacy, Nanos, Offering, MILLI};
+use reedferry_quay::errors::{on_connection, patiently, Trouble};
 use reedferry_quay::{channel, Clock, Errno, Mark, Readiness, Socket};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
-/// Both speak the same version, or the heir starts without.
-const VERSION: u16 = 2;
+/// Both speak the same version, or the successor starts without.
+const VERSION: u16 = 3;
 const FILE: &str = "reedferry.next";
-/// How long an heir waits for what its elder knows.
-const ESTATE_WITHIN: Nanos = 1500 * MILLI;
-/// The longest estate, and what of it goes with one message.
-const MOST_ESTATE: usize = 4 << 20;
+/// How long a successor waits for what its predecessor knows.
+const KNOWLEDGE_WITHIN: Nanos = 1500 * MILLI;
+/// How long it tries to say that it is there.
+const HELLO_WITHIN: Duration = Duration::from_millis(200);
+/// The longest knowledge, and what of it goes with one message.
+const MOST_KNOWLEDGE: usize = 4 << 20;
 const PIECE: usize = 32 << 10;
-/// Connections that are on their way to the heir at a time; how long it may take to say that it has one.
+/// Connections that are on their way to the successor at a time; how long it may take to say that it has one.
 const WINDOW: usize = 32;
 const TAKEN_WITHIN: Nanos = 1500 * MILLI;
-/// Connections taken from an elder in one turn.
+/// How long before nobody is held any more nothing is passed on, and what is on its way is taken back.
+const TIME_TO_MOVE: Nanos = 400 * MILLI;
+/// The pause between two tries to be there for the next process.
+const EXPECT_AGAIN: Nanos = 1000 * MILLI;
+/// Connections taken from a predecessor in one turn.
 const A_TURN: usize = 64;
 
-/// What an heir says.
+/// What a successor says.
 #[derive(Debug, Serialize, Deserialize)]
-enum FromHeir {
+enum FromSuccessor {
     Hello(u16),
     /// It goes on with the next connection of those on their way; or cannot.
     Has(bool),
 }
 
-/// What an elder says.
+/// What a predecessor says.
 #[derive(Debug, Serialize, Deserialize)]
-enum FromElder {
-    /// Of its estate, in order; the last of it.
+enum FromPredecessor {
+    /// Of its knowledge, in order; the last of it.
     Piece(Vec<u8>, bool),
-    Passenger(Box<Passenger>),
+    HandedOver(Box<HandedOver>),
 }
 
-/// What an elder knows.
+/// What a predecessor knows.
 #[derive(Serialize, Deserialize)]
-pub struct Estate {
+pub struct Knowledge {
     /// Which service it followed, and how far; the hosts that it lists.
     pub discovery: SocketAddr,
+    /// How far its clock is ahead of the machine's steady one.
+    pub clock_ahead: Nanos,
     pub revision: Option<u64>,
     pub members: Vec<Member>,
     /// The names of the offerings, in the order in which the rest speaks of them.
@@ -59,9 +69,9 @@
     pub legacy: Legacy,
 }
 
-impl Estate {
+impl Knowledge {
     /// The same, as one speaks of it to whom these offerings are named in this order.
-    pub fn in_terms_of(mut self, offerings: &[String]) -> Estate {
+    pub fn in_terms_of(mut self, offerings: &[String]) -> Knowledge {
         let usual = |name: &String| {
             let place = self.offerings.iter().position(|o| o == name)?;
             self.legacy.usual.get(place).copied().flatten()
@@ -72,13 +82,15 @@
     }
 }
 
-struct Heir {
+struct Successor {
     line: Socket,
     stamp: u32,
     /// Messages that the line has not taken yet.
     out: VecDeque<Vec<u8>>,
     /// Those on their way, the first first, and since when.
     going: VecDeque<(AttachmentId, Nanos)>,
+    /// It took too long: nothing it says from now on can reach this process, what it has said is still read.
+    given_up: bool,
 }
 
 #[derive(Default)]
@@ -87,12 +99,18 @@
     /// Other processes take in clients there too.
     shared: bool,
     /// Where the next process calls, and by which path.
-    heirs: Option<Socket>,
+    successor_listener: Option<Socket>,
     path: PathBuf,
-    heir: Option<Heir>,
-    elder: Option<(Socket, u32)>,
-    /// An heir wants what this one knows.
+    successor: Option<Successor>,
+    predecessor: Option<(Socket, u32)>,
+    /// What the predecessor has not been told yet of the connection that came last: which it is here, where it was adopted.
+    owed: Option<Option<AttachmentId>>,
+    /// A successor wants what this one knows.
     wanted: bool,
+    /// When it tries to be there for the next process again, where it could not.
+    expected_again: Nanos,
+    /// A retry of what failed for a moment's trouble of this machine is timed.
+    retries: bool,
 }
 
 fn message(of: &impl Serialize) -> Vec<u8> {
@@ -116,63 +134,117 @@
     }
 
     /// Asks the process before this one for what it knows, if there is one, and is there for the next.
-    pub fn begin(&mut self, context: &mut Context, clock: &Clock) -> Option<Estate> {
+    pub fn begin(&mut self, context: &mut Context, clock: &Clock) -> Option<Knowledge> {
         self.path = PathBuf::from(std::env::var_os("TMPDIR").filter(|_| self.shared)?).join(FILE);
-        let estate = match context.budget.call_at(&self.path) {
+        let knowledge = match context.budget.call_at(&self.path) {
             Ok(line) => self.ask(context, clock, line),
             Err(_) => None,
         };
+        if let Some(knowledge) = &knowledge {
+            // Guards: times that pass between both, where the wall clock was stepped in between.
+            clock.go_by(knowledge.clock_ahead);
+            (context.now, context.start) = (clock.read(), clock.read());
+        }
         self.expect(context);
-        estate
+        knowledge
+    }
+
+    /// Is there for the next process after all, where that could not be before. Guards: clients moved where they could have
+    /// been passed on, for a moment in which the folder took nothing.
+    pub fn sweep(&mut self, context: &mut Context, connections: &mut Connections) {
+        self.go_on(context, connections);
+        if self.shared
+            && self.successor_listener.is_none()
+            && context.leaving.is_none()
+            && context.now >= self.expected_again
+        {
+            self.expect(context);
+        }
+    }
+
+    /// Goes on with whatever the poller has said of. Guards: words that could not be sent or read for a moment, of which it
+    /// tells no more.
+    fn go_on(&mut self, context: &mut Context, connections: &mut Connections) {
+        self.called(context, connections);
+        if self.predecessor.is_some() {
+            self.take(context, connections);
+        }
+        if self.successor.is_some() {
+            self.write(context, connections);
+            self.hear(context, connections);
+        }
+    }
+
+    /// Tries again what failed for a moment's trouble of this machine.
+    pub fn retry(&mut self, context: &mut Context, connections: &mut Connections) {
+        self.retries = false;
+        self.go_on(context, connections);
+    }
+
+    /// Has what failed so tried again soon.
+    fn retry_soon(&mut self, context: &mut Context, error: Errno, call: &'static str) {
+        if on_connection(error) != Trouble::Machine {
+            return;
+        }
+        context.machine_trouble(call);
+        if !std::mem::replace(&mut self.retries, true) {
+            context.poller.remind(context.now + RETRY_AFTER, context::mark(context::CHANNEL_RETRY), 0);
+        }
     }
 
     /// Is there for the next process, in place of whoever was.
     fn expect(&mut self, context: &Context) {
         match context.budget.listen_at(&self.path) {
-            Ok(heirs) if context.poller.watch(&heirs, context::mark(HEIR_LISTENER)).is_ok() => {
-                self.heirs = Some(heirs)
+            Ok(successor_listener)
+                if context.poller.watch(&successor_listener, context::mark(SUCCESSOR_LISTENER)).is_ok() =>
+            {
+                self.successor_listener = Some(successor_listener)
             }
             other => {
+                self.expected_again = context.now + EXPECT_AGAIN;
                 let why = other.err().map_or("cannot poll".into(), |e| e.to_string());
                 warn!(context.log, "no process can follow this one"; "why" => why);
             }
         }
     }
 
-    fn ask(&mut self, context: &mut Context, clock: &Clock, line: Socket) -> Option<Estate> {
-        line.send_with(&message(&FromHeir::Hello(VERSION)), &[]).ok()?;
-        let until = clock.read() + ESTATE_WITHIN;
+    fn ask(&mut self, context: &mut Context, clock: &Clock, line: Socket) -> Option<Knowledge> {
+        patiently(HELLO_WITHIN, || line.send_with(&message(&FromSuccessor::Hello(VERSION)), &[])).ok()?;
+        let until = clock.read() + KNOWLEDGE_WITHIN;
         let (mut space, mut bytes) = (vec![0; channel::LONGEST], Vec::new());
-        let mut estate = None;
-        while estate.is_none() {
+        let mut knowledge = None;
+        while knowledge.is_none() {
             let left = until.saturating_sub(clock.read());
             if left == 0 || !line.readable_within(left) {
                 warn!(context.log, "no word from the process before in time");
                 break;
             }
             let length = match context.budget.receive_with(&line, &mut space) {
-                Err(Errno::AGAIN) => continue,
+                Err(e) if on_connection(e) != Trouble::Connection => continue,
                 // It ends, or speaks another version.
                 Ok((0, _)) | Err(_) => return None,
                 Ok((length, _)) => length,
             };
-            let Ok(FromElder::Piece(piece, last)) = postcard::from_bytes(&space[..length]) else {
+            let Ok(FromPredecessor::Piece(piece, last)) = postcard::from_bytes(&space[..length]) else {
                 return None;
             };
             bytes.extend(piece);
-            if bytes.len() > MOST_ESTATE {
+            if bytes.len() > MOST_KNOWLEDGE {
                 return None;
             }
             if last {
-                estate = Some(postcard::from_bytes(&bytes).ok()?);
+                knowledge = Some(postcard::from_bytes(&bytes).ok()?);
             }
         }
         // What is still to come is read from here on.
-        let mark = Mark { part: ELDER, slot: 0, stamp: context.stamp() };
-        context.poller.watch(&line, mark).ok()?;
-        self.elder = Some((line, mark.stamp));
-        info!(context.log, "in the place of another process"; "knows" => estate.is_some());
-        estate
+        let mark = Mark { part: PREDECESSOR, slot: 0, stamp: context.stamp() };
+        if context.poller.watch(&line, mark).is_err() {
+            // The sweep looks at it.
+            context.machine_trouble("epoll_ctl");
+        }
+        self.predecessor = Some((line, mark.stamp));
+        info!(context.log, "in the place of another process"; "knows" => knowledge.is_some());
+        knowledge
     }
 
     /// The process is asked to stop: whoever still comes to a listener that is shared is the next one's.
@@ -185,151 +257,225 @@
     }
 
     /// Whether another process goes on with what this one lets go of.
-    pub fn has_heir(&self) -> bool {
-        self.heir.is_some()
+    pub fn has_successor(&self) -> bool {
+        self.successor.is_some()
     }
 
     /// Whether nobody comes any more, nor anything to be passed on.
     pub fn over(&self) -> bool {
-        self.shared && self.listener.is_none() && self.elder.is_none()
+        self.shared && self.listener.is_none() && self.predecessor.is_none()
     }
 
-    /// Whether an heir wants to know what this one knows.
+    /// Whether a successor wants to know what this one knows.
     pub fn wanted(&mut self) -> bool {
         std::mem::take(&mut self.wanted)
     }
 
-    pub fn leave(&mut self, context: &mut Context, connections: &mut Connections, estate: &Estate) {
-        let bytes = message(estate);
-        let Some(heir) = self.heir.as_mut() else { return };
+    pub fn leave(&mut self, context: &mut Context, connections: &mut Connections, knowledge: &Knowledge) {
+        let bytes = message(knowledge);
+        let Some(successor) = self.successor.as_mut() else { return };
         let pieces = bytes.chunks(PIECE);
         let last = pieces.len().saturating_sub(1);
         for (n, piece) in pieces.enumerate() {
-            heir.out.push_back(message(&FromElder::Piece(piece.to_vec(), n == last)));
+            successor.out.push_back(message(&FromPredecessor::Piece(piece.to_vec(), n == last)));
         }
-        context.events.push(Event::Heir(true));
+        context.events.push(Event::Successor(true));
         info!(context.log, "another process comes"; "bytes" => bytes.len());
         self.write(context, connections);
     }
 
     fn write(&mut self, context: &mut Context, connections: &mut Connections) {
-        while let Some(heir) = self.heir.as_mut() {
-            let Some(next) = heir.out.front() else { return };
-            match heir.line.send_with(next, &[]) {
-                Ok(()) => _ = heir.out.pop_front(),
-                Err(Errno::AGAIN) => return,
-                Err(_) => self.alone_again(context, connections),
+        while let Some(successor) = self.successor.as_mut() {
+            let Some(next) = successor.out.front() else { return };
+            match successor.line.send_with(next, &[]) {
+                Ok(()) => _ = successor.out.pop_front(),
+                Err(e) if on_connection(e) != Trouble::Connection => {
+                    return self.retry_soon(context, e, "sendmsg");
+                }
+                Err(_) => return self.give_up(context, connections),
             }
         }
     }
 
     pub fn ready(&mut self, context: &mut Context, connections: &mut Connections, ready: Readiness) {
         match ready.mark.part {
-            HEIR_LISTENER => self.called(context, connections),
-            HEIR if self.heir.as_ref().is_some_and(|h| h.stamp == ready.mark.stamp) => {
+            SUCCESSOR_LISTENER => self.called(context, connections),
+            SUCCESSOR if self.successor.as_ref().is_some_and(|h| h.stamp == ready.mark.stamp) => {
                 self.write(context, connections);
                 self.hear(context, connections);
             }
-            ELDER if self.elder.as_ref().is_some_and(|e| e.1 == ready.mark.stamp) => {
+            PREDECESSOR if self.predecessor.as_ref().is_some_and(|e| e.1 == ready.mark.stamp) => {
                 self.take(context, connections)
             }
             _ => {}
         }
     }
 
-    /// Another process calls: the last that does is the heir.
+    /// Another process calls: the last that does is the successor.
     fn called(&mut self, context: &mut Context, connections: &mut Connections) {
-        while let Some(Ok(line)) = self.heirs.as_ref().map(|heirs| context.budget.called(heirs)) {
-            self.alone_again(context, connections);
-            let mark = Mark { part: HEIR, slot: 0, stamp: context.stamp() };
-            if context.poller.watch(&line, mark).is_ok() {
-                self.heir =
-                    Some(Heir { line, stamp: mark.stamp, out: VecDeque::new(), going: VecDeque::new() });
+        while let Some(Ok(line)) = self
+            .successor_listener
+            .as_ref()
+            .map(|successor_listener| context.budget.called(successor_listener))
+        {
+            self.give_up(context, connections);
+            if self.successor.is_some() {
+                warn!(context.log, "a process is not followed, as another's words can't be read now");
+                continue;
+            }
+            let mark = Mark { part: SUCCESSOR, slot: 0, stamp: context.stamp() };
+            if context.poller.watch(&line, mark).is_err() {
+                // The sweep looks at it.
+                context.machine_trouble("epoll_ctl");
             }
+            self.successor = Some(Successor {
+                line,
+                stamp: mark.stamp,
+                out: VecDeque::new(),
+                going: VecDeque::new(),
+                given_up: false,
+            });
         }
     }
 
     fn hear(&mut self, context: &mut Context, connections: &mut Connections) {
-        let mut space = [0; 64];
-        while let Some(heir) = self.heir.as_mut() {
-            let length = match context.budget.receive_with(&heir.line, &mut space) {
+        let (mut space, mut broke) = ([0; 64], false);
+        while let Some(successor) = self.successor.as_mut() {
+            let length = match context.budget.receive_with(&successor.line, &mut space) {
                 Ok((length @ 1.., _)) => length,
-                Err(Errno::AGAIN) => return,
-                _ => return self.alone_again(context, connections),
+                Err(e) if on_connection(e) != Trouble::Connection => {
+                    return self.retry_soon(context, e, "recvmsg");
+                }
+                // Guards: words that lie behind the error which tells that it is gone.
+                Err(_) if !std::mem::replace(&mut broke, true) => continue,
+                _ => return self.lose_successor(context, connections),
             };
             match postcard::from_bytes(&space[..length]) {
-                Ok(FromHeir::Hello(VERSION)) if !self.wanted => self.wanted = true,
-                Ok(FromHeir::Has(goes_on)) => {
-                    if let Some((id, _)) = heir.going.pop_front() {
+                Ok(FromSuccessor::Hello(VERSION)) if !self.wanted => self.wanted = true,
+                Ok(FromSuccessor::Has(goes_on)) => {
+                    if let Some((id, _)) = successor.going.pop_front() {
                         match goes_on {
-                            true => connections.passed(id),
+                            true => connections.passed(context, id),
                             false => connections.turned_down(context, id),
                         }
                     }
                 }
-                _ => return self.alone_again(context, connections),
+                _ => return self.give_up(context, connections),
             }
         }
     }
 
-    /// The heir is gone, if there was one: this process goes on with what it had not taken.
-    fn alone_again(&mut self, context: &mut Context, connections: &mut Connections) {
-        let Some(heir) = self.heir.take() else { return };
-        warn!(context.log, "the process that came is gone"; "kept" => heir.going.len());
-        heir.going.into_iter().for_each(|(id, _)| connections.keep(context, id));
+    /// Waits for the successor no longer: what it has not said by now it can't say any more. Guards: connections that both go on
+    /// with, as its word comes in the moment in which this process gives up, or lies unread.
+    fn give_up(&mut self, context: &mut Context, connections: &mut Connections) {
+        let Some(successor) = self.successor.as_mut().filter(|successor| !successor.given_up) else { return };
+        successor.given_up = true;
+        successor.out.clear();
+        successor.line.end_receiving();
+        self.hear(context, connections);
+    }
+
+    /// The successor is gone, if there was one: this process goes on with what it had not taken.
+    fn lose_successor(&mut self, context: &mut Context, connections: &mut Connections) {
+        let Some(successor) = self.successor.take() else { return };
+        warn!(context.log, "the process that came is gone"; "kept" => successor.going.len());
+        successor.going.into_iter().for_each(|(id, _)| connections.keep(context, id));
         self.wanted = false;
-        context.events.push(Event::Heir(false));
+        context.events.push(Event::Successor(false));
         // Guards: a next try that calls where the one that died would have listened.
         if context.leaving.is_none() {
             self.expect(context);
         }
     }
 
-    /// Passes on what can be, as much at a time as the heir takes.
+    /// Passes on what can be, as much at a time as the successor takes.
     pub fn pass_on(&mut self, context: &mut Context, connections: &mut Connections) {
-        let Some(heir) = self.heir.as_mut().filter(|heir| heir.out.is_empty()) else { return };
         // Guards: clients of a process that ends, left with one that stands still.
-        if heir.going.front().is_some_and(|(_, since)| context.now >= since + TAKEN_WITHIN) {
-            return self.alone_again(context, connections);
+        if self.overdue(context) {
+            return self.give_up(context, connections);
         }
+        let ready = |successor: &&mut Successor| successor.out.is_empty() && !successor.given_up;
+        let Some(successor) = self.successor.as_mut().filter(ready) else { return };
         for slot in connections.passable() {
-            if heir.going.len() >= WINDOW {
+            if successor.going.len() >= WINDOW {
                 return;
             }
-            let (passenger, id) = connections.let_go(context, slot);
-            let bytes = message(&FromElder::Passenger(Box::new(passenger)));
-            match heir.line.send_with(&bytes, &connections.descriptors(slot)) {
-                Ok(()) => heir.going.push_back((id, context.now)),
+            let (handed_over, id) = connections.release(context, slot);
+            let bytes = message(&FromPredecessor::HandedOver(Box::new(handed_over)));
+            match successor.line.send_with(&bytes, &connections.descriptors(slot)) {
+                Ok(()) => successor.going.push_back((id, context.now)),
                 // The line is full, and tells when it is not; or broken, and tells that.
-                Err(_) => return connections.keep(context, id),
+                Err(e) => {
+                    connections.keep(context, id);
+                    return self.retry_soon(context, e, "sendmsg");
+                }
             }
         }
     }
 
-    /// Goes on with what the elder has let go of.
+    /// Whether the successor takes too long to say that it has a connection, or those that it has not are to be moved now.
+    fn overdue(&self, context: &Context) -> bool {
+        let Some(successor) = &self.successor else { return false };
+        let first = successor.going.front();
+        let late = first.is_some_and(|(_, since)| context.now >= since + TAKEN_WITHIN);
+        late || context.stopped_by.is_some_and(|by| context.now + TIME_TO_MOVE >= by)
+    }
+
+    /// Goes on with what the predecessor has let go of.
     fn take(&mut self, context: &mut Context, connections: &mut Connections) {
         let mut space = vec![0; channel::LONGEST];
-        let Some((line, stamp)) = &self.elder else { return };
         for _ in 0..A_TURN {
+            if !self.answer_predecessor(context, connections) {
+                return;
+            }
+            let Some((line, _)) = &self.predecessor else { return };
             let (length, sockets) = match context.budget.receive_with(line, &mut space) {
                 Ok((length @ 1.., sockets)) => (length, sockets),
-                Err(Errno::AGAIN) => return,
+                Err(e) if on_connection(e) != Trouble::Connection => {
+                    return self.retry_soon(context, e, "recvmsg");
+                }
                 _ => {
                     info!(context.log, "the process before is gone"; "connections" => connections.count());
-                    return self.elder = None;
+                    return self.predecessor = None;
                 }
             };
-            let goes_on = match postcard::from_bytes(&space[..length]) {
+            let adopted = match postcard::from_bytes(&space[..length]) {
                 // What it knows comes too late.
-                Ok(FromElder::Piece(..)) => continue,
-                Ok(FromElder::Passenger(passenger)) => connections.adopt(context, *passenger, sockets),
-                Err(_) => false,
+                Ok(FromPredecessor::Piece(..)) => continue,
+                Ok(FromPredecessor::HandedOver(handed_over)) => {
+                    connections.adopt(context, *handed_over, sockets)
+                }
+                Err(_) => None,
             };
-            if line.send_with(&message(&FromHeir::Has(goes_on)), &[]).is_err() {
-                return self.elder = None;
-            }
+            self.owed = Some(adopted);
+        }
+        if !self.answer_predecessor(context, connections) {
+            return;
         }
-        let mark = Mark { part: ELDER, slot: 0, stamp: *stamp };
+        let Some((line, stamp)) = &self.predecessor else { return };
+        let mark = Mark { part: PREDECESSOR, slot: 0, stamp: *stamp };
         _ = context.poller.rewatch(line, mark);
     }
+
+    /// Tells the predecessor what has become of the connection that came last; false where that has to wait, or it is gone.
+    fn answer_predecessor(&mut self, context: &mut Context, connections: &mut Connections) -> bool {
+        let (Some((line, _)), Some(adopted)) = (&self.predecessor, self.owed) else { return true };
+        match line.send_with(&message(&FromSuccessor::Has(adopted.is_some())), &[]) {
+            Ok(()) => {
+                self.owed = None;
+                adopted.into_iter().for_each(|id| connections.keep(context, id));
+                true
+            }
+            Err(e) if on_connection(e) != Trouble::Connection => {
+                self.retry_soon(context, e, "sendmsg");
+                false
+            }
+            // Guards: a connection that two processes go on with: the predecessor keeps what it was not told of.
+            Err(_) => {
+                (self.predecessor, self.owed) = (None, None);
+                adopted.into_iter().for_each(|id| connections.abandon(context, id));
+                false
+            }
+        }
+    }
 }
--- a/node/tests/closing.rs
+++ b/node/tests/closing.rs
@@ -219,3 +219,27 @@
     client.hears("down 1");
     assert!(node.logged().iter().all(|line| !line.contains("silent, host")), "taken for silent");
 }
+
+/// Guards: the rest of an answer to a ping, of which a client took a part, lost as it is ended for resting.
+#[test]
+fn the_rest_of_a_pings_answer_goes_out_before_the_end() {
+    use reedferry_rig::syscalls::{Call, Fault, Outcome, Spoiler};
+    use rustix::io::Errno;
+    let (hosts, discovery, spoiler) = (Hosts::start(1), Discovery::start(), Spoiler::default());
+    let node = Node::start_spoilt(&papers(&hosts, discovery.address), &spoiler);
+    let mut client = Peer::connect(node.address);
+    // One byte of each answer goes out, and then none for a while.
+    let short = Fault { call: Call::Send, outcome: Outcome::Short, every: 1 };
+    let fails = Fault { call: Call::Send, outcome: Outcome::Fails(Errno::NOBUFS), every: 2 };
+    spoiler.set(&[fails, short]);
+    client.write("PING\r\nPING\r\n");
+    assert_eq!(client.bytes(1), b"P");
+    spoiler.set(&[Fault { every: 1, ..fails }]);
+    std::thread::sleep(std::time::Duration::from_millis(2300));
+    spoiler.clear();
+    let mut heard = vec!["P".to_string() + &client.hear()];
+    while heard.last().is_some_and(|line| line != "end" && line != "reset") {
+        heard.push(client.hear());
+    }
+    assert_eq!(heard, ["PONG", "PONG", "BUSY", "end"]);
+}
--- /dev/null
+++ b/node/tests/pause.rs
@@ -0,0 +1,228 @@
+//! A process that stands still for a while, or is held up again and again, as its machine is, blames no host for what it did
+//! not see meanwhile.
+
+use reedferry_rig::syscalls::{Call, Fault, Outcome, Spoiler};
+use reedferry_rig::*;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const HOSTS: usize = 4;
+/// How long a probe waits for its answer, by the settings of trials.
+const PROBE_WITHIN: Duration = Duration::from_millis(500);
+const OPEN_CONNECTIONS: usize = 12;
+const PAUSE: Duration = Duration::from_millis(2500);
+/// How long clients come behind the pause, one after the other.
+const BEHIND: Duration = Duration::from_secs(3);
+
+/// Open connections that send one line after the other all the time, as their answers come, until then.
+struct Talking(Vec<thread::JoinHandle<()>>);
+
+impl Talking {
+    fn start(open: Vec<Peer>, until: Instant) -> Talking {
+        let talk = |mut client: Peer| {
+            thread::spawn(move || {
+                while Instant::now() < until {
+                    client.say("hello");
+                    if client.hear() != "hello" {
+                        return;
+                    }
+                    thread::sleep(Duration::from_millis(20));
+                }
+            })
+        };
+        Talking(open.into_iter().map(talk).collect())
+    }
+
+    fn end(self) {
+        self.0.into_iter().for_each(|one| one.join().unwrap());
+    }
+}
+
+struct Site {
+    node: Node,
+    spoiler: Spoiler,
+    _discovery: Discovery,
+}
+
+impl Site {
+    fn start() -> Site {
+        let (referee, discovery) = (acting::Referee::default(), Discovery::start());
+        let hosts = acting::Hosts::start(HOSTS, &referee);
+        let mut papers = program::papers_of(hosts.members(), discovery.address);
+        papers["settings"]["offerings"][0]["name"] = serde_json::json!("free");
+        let spoiler = Spoiler::default();
+        let node = Node::start_spoilt(&papers, &spoiler);
+        discovery.calls(1);
+        Site { node, spoiler, _discovery: discovery }
+    }
+
+    /// One client more: its connection, and its answer.
+    fn ask(&self, number: usize) -> (Peer, String) {
+        let mut client = Peer::connect(self.node.address);
+        client.say(&format!("OPEN c{number} {number:x} c=free,t=acme,d=2000"));
+        let said = client.hear();
+        (client, said)
+    }
+
+    fn talking(&self) -> Talking {
+        let one = |number| {
+            let (client, said) = self.ask(number);
+            assert!(said.starts_with("UP"), "{said}");
+            client
+        };
+        let open = (0..OPEN_CONNECTIONS).map(one).collect();
+        Talking::start(open, Instant::now() + PAUSE + Duration::from_millis(1500))
+    }
+
+    /// Nine in ten of those that come now are served.
+    fn serves(&self) {
+        let from = Instant::now();
+        let (mut served, mut heard) = (0, Vec::new());
+        while from.elapsed() < BEHIND {
+            let (_client, said) = self.ask(1000 + heard.len());
+            served += usize::from(said.starts_with("UP"));
+            heard.push(said);
+            thread::sleep(Duration::from_millis(20));
+        }
+        let log = self.node.logged();
+        assert!(served * 10 >= heard.len() * 9, "{served} of {} served: {log:#?}", heard.len());
+    }
+}
+
+/// Guards: hosts taken for slow, and every client refused for long, as answers lay unread while the process stood still.
+#[test]
+fn clients_are_served_right_after_the_process_stood_still() {
+    let site = Site::start();
+    let talking = site.talking();
+    thread::sleep(Duration::from_millis(500));
+    site.node.stand_still();
+    thread::sleep(PAUSE);
+    site.node.go_on();
+    site.serves();
+    talking.end();
+}
+
+/// Guards: the same where each turn of the process takes long.
+#[test]
+fn clients_are_served_right_after_the_process_was_held_up_again_and_again() {
+    let site = Site::start();
+    let talking = site.talking();
+    let held = Outcome::HeldUp(Duration::from_millis(140));
+    site.spoiler.set(&[Fault { call: Call::Send, outcome: held, every: 2 }]);
+    let until = Instant::now() + PAUSE;
+    let mut clients = Vec::new();
+    while Instant::now() < until {
+        let mut client = Peer::connect(site.node.address);
+        client.say(&format!("OPEN h{0} {0:x} c=free,t=acme,d=2000", clients.len()));
+        clients.push(client);
+        thread::sleep(Duration::from_millis(40));
+    }
+    site.spoiler.clear();
+    site.serves();
+    talking.end();
+}
+
+/// Guards: an answer that is due while a turn goes on with hundreds of others, each of which may hold it up.
+#[test]
+fn what_is_due_is_answered_in_time_though_each_turn_has_much_to_do() {
+    const TALKING: usize = 60;
+    let (hosts, discovery, spoiler) = (Hosts::start(1), Discovery::start(), Spoiler::default());
+    let mut papers = papers(&hosts, discovery.address);
+    papers["settings"]["offerings"][0]["contract_time"] = serde_json::json!(2000.0);
+    let node = Node::start_spoilt(&papers, &spoiler);
+    let mut open: Vec<_> = (0..TALKING).map(|_| node.served(&hosts)).collect();
+    // Its host says nothing.
+    let mut waits = node.open(&OPEN.replace("d=2000", "d=1000"));
+    let asked = Instant::now();
+    let (_, mut silent) = hosts.accept();
+    assert!(silent.hear().starts_with("OPEN"));
+    let held = Outcome::HeldUp(Duration::from_millis(100));
+    spoiler.set(&[Fault { call: Call::Send, outcome: held, every: 2 }]);
+    // All their lines lie ready in the moment in which the answer is due.
+    while asked.elapsed() < Duration::from_millis(900) {
+        thread::sleep(Duration::from_millis(10));
+    }
+    open.iter_mut().for_each(|(client, ..)| client.say("hello"));
+    let said = waits.hear();
+    let took = asked.elapsed();
+    assert!(said == "ERR" || said.starts_with("BUSY"), "{said}");
+    // One turn more, its own sending, and what the first turn had begun.
+    assert!(took < Duration::from_millis(1450), "{said} after {took:?}");
+    spoiler.clear();
+    for (_, _, host) in &mut open {
+        host.hears("hello");
+    }
+}
+
+fn interrupt_waits(spoiler: &Spoiler) {
+    let outcome = Outcome::Fails(rustix::io::Errno::INTR);
+    spoiler.set(&[Fault { call: Call::EpollWait, outcome, every: 1 }]);
+}
+
+/// The process goes on; its waits are interrupted at first, so that what is due is seen before what is ready.
+fn go_on_by_what_is_due(node: &Node, spoiler: &Spoiler) {
+    interrupt_waits(spoiler);
+    node.go_on();
+    thread::sleep(Duration::from_millis(300));
+    spoiler.clear();
+}
+
+/// Guards: a host taken for one that can't be reached, as the connection to it came up while the process stood still.
+#[test]
+fn a_connection_that_came_up_while_the_process_stood_still_is_used() {
+    let (listener, first) = jammed();
+    let discovery = Discovery::start();
+    let late = member(5, &listener.local_addr().unwrap().to_string(), "active");
+    let mut papers = program::papers_of(serde_json::json!([late]), discovery.address);
+    // The system asks for a connection again a second after the first time.
+    papers["settings"]["policy_limits"]["connect_timeout"] = serde_json::json!(1500.0);
+    papers["settings"]["offerings"][0]["expiry"] = serde_json::json!(6000.0);
+    papers["settings"]["offerings"][0]["contract_time"] = serde_json::json!(6000.0);
+    let spoiler = Spoiler::default();
+    let node = Node::start_spoilt(&papers, &spoiler);
+    discovery.calls(1);
+    let mut client = node.open(&OPEN.replace("d=2000", "d=6000"));
+    let mut other = Peer::connect(node.address);
+    for _ in 0..2 {
+        other.say("PING");
+        other.hears("PONG");
+    }
+    node.stand_still();
+    drop(first);
+    drop(listener.accept().unwrap());
+    let (stream, _) = listener.accept().unwrap();
+    thread::sleep(Duration::from_millis(1000));
+    go_on_by_what_is_due(&node, &spoiler);
+    let mut host = Peer::new(stream);
+    let line = host.hear();
+    assert!(line.starts_with("OPEN"), "{line}");
+    host.say("UP 1");
+    client.hears("UP 1");
+}
+
+/// Guards: a host taken for silent, and full, as its answer to a probe lies unread in a process that stood still.
+#[test]
+fn a_probe_that_was_answered_while_the_process_stood_still_counts_as_answered() {
+    let (hosts, discovery) = (Hosts::start(1), Discovery::start());
+    let mut papers = papers(&hosts, discovery.address);
+    papers["settings"]["reporting"] = serde_json::json!({"fields": ["util", "x0"], "via": "pull"});
+    let spoiler = Spoiler::default();
+    let node = Node::start_spoilt(&papers, &spoiler);
+    let (_, mut probe) = hosts.accept();
+    probe.hears("STATS");
+    interrupt_waits(&spoiler);
+    node.stand_still();
+    probe.say("PONG util=0.2,x0=0.2");
+    thread::sleep(2 * PROBE_WITHIN);
+    go_on_by_what_is_due(&node, &spoiler);
+    let mut client = node.open(OPEN);
+    let mut asked = false;
+    while let Some((_, mut host)) = hosts.accept_soon().filter(|_| !asked) {
+        asked = host.hear().starts_with("OPEN");
+        if asked {
+            host.say("UP 1");
+            client.hears("UP 1");
+        }
+    }
+    assert!(asked, "{}", client.hear());
+}
--- a/node/tests/repeats.rs
+++ b/node/tests/repeats.rs
@@ -136,6 +136,52 @@
     }
 }
 
+/// Guards: hosts taken for ones of the same cell, as theirs are no small numbers or are not told at all.
+#[test]
+fn a_repeat_goes_by_cells_of_any_form() {
+    for (first, second, same) in [
+        (json!("x"), json!("y"), false),
+        (json!("x"), json!("x"), true),
+        (json!(70_000), json!(70_001), false),
+        (json!(70_000), json!(70_000), true),
+        (json!(0), json!(null), false),
+        (json!(null), json!(null), false),
+    ] {
+        let hosts = Hosts::start(2);
+        let discovery = Discovery::start();
+        let named = |host: usize, cell: &serde_json::Value| {
+            let mut member = member(host, &hosts.addresses[host].to_string(), "active");
+            member["cell"] = cell.clone();
+            if cell.is_null() {
+                member.as_object_mut().unwrap().remove("cell");
+            }
+            member
+        };
+        let mut papers = papers_of(json!([named(0, &first)]), discovery.address);
+        papers["settings"]["offerings"][0] = json!({"name": "chat", "contract_time": 1500.0, "expiry": 6000.0,
+            "effect": "guarded", "group": "cell", "payoff": 1.0, "repeat_window": 6000.0});
+        let node = Node::start(&papers);
+        discovery.calls(1);
+        let mut client = node.open(&OPEN.replace("d=2000", "d=6000"));
+        let (_, mut host) = hosts.accept();
+        host.hear();
+        // The change has been taken in once the next call has come.
+        discovery.change(named(1, &second));
+        discovery.calls(2);
+        host.reset();
+        let again = hosts.accept_soon();
+        assert_eq!(again.is_some(), same, "{first} and {second}");
+        match again {
+            Some((_, mut host)) => {
+                host.hear();
+                host.say("UP 2");
+                client.hears("UP 2");
+            }
+            None => client.hears("ERR"),
+        }
+    }
+}
+
 /// So that the node has one end: what it is told, and nothing behind it.
 fn hears_one(client: &mut Peer, wanted: &str, what: &str) {
     let said = client.hear();
--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -445,3 +445,86 @@
     let _node = Node::start(&papers);
     assert!(service.accept().is_ok(), "not called");
 }
+
+/// Guards: a node that hears all a slow service has to tell, a few seconds late, and refuses everybody for as long as its
+/// settings leave it to ask.
+#[test]
+fn a_service_that_takes_longer_to_answer_than_is_waited_for_is_heard_all_the_same() {
+    let service = Discovery::start();
+    service.bound(0.4, Duration::from_secs(600));
+    let site = Site::with(service, "on_request", 1, 1000, 60_000.0);
+    // The watch is silent beyond its wait, as its answer comes late by what the service takes.
+    site.nodes[0].logs("discovery call failed");
+    let until = Instant::now() + ms(12_000);
+    site.drain(0);
+    let drained = Instant::now();
+    site.load(until);
+    let reached = site.referee.reached();
+    let second = |after: u64| drained + ms(1000 * after)..drained + ms(1000 * (after + 1));
+    for after in 0..12 {
+        let count = reached.iter().filter(|one| second(after).contains(&one.at)).count();
+        assert!(count > 0, "nothing reached any host {after} s after the watch failed");
+    }
+    let late = reached.iter().filter(|one| one.host == 0 && one.at > drained + TOLD + GRACE + SOCKETS + BUSY);
+    assert_eq!(late.count(), 0, "a host that had drained");
+}
+
+/// Guards: clients handed to a host that drains, by a new process that waits for a pushed list longer than the grace: what
+/// its agent has counts as told from the process's first moment.
+#[test]
+fn a_new_process_waits_for_a_pushed_list_before_it_hands_anything_off() {
+    let service = Discovery::start();
+    // Each call takes it a second.
+    service.bound(1.0, Duration::from_secs(60));
+    let referee = Referee::default();
+    let hosts = Hosts::start(HOSTS, &referee);
+    // All but the last drain.
+    (0..HOSTS - 1).for_each(|host| service.change(hosts.member(host, "leaving")));
+    service.change(hosts.member(HOSTS - 1, "active"));
+    let mut papers = papers_of(hosts.members(), service.address);
+    papers["settings"]["registry_mode"] = json!("pushed");
+    papers["settings"]["offerings"][0]["name"] = json!("free");
+    let node = Node::start(&papers);
+    // Not from before it was started: a busy machine takes its time with that.
+    let started = Instant::now();
+    let mut clients = Clients::new(vec![node.address], &referee, 1);
+    clients.load(60.0, ms(2500), &[0], ms(20));
+    clients.end();
+    let reached = referee.reached();
+    let late = |one: &&Reached| one.at > started + GRACE + SOCKETS + BUSY;
+    let to_drained: Vec<_> = reached.iter().filter(late).filter(|one| one.host < HOSTS - 1).collect();
+    let after: Vec<Duration> = to_drained.iter().map(|one| one.at - started).collect();
+    assert!(after.is_empty(), "hosts that drained before the process began: {after:?}, {:?}", node.logged());
+    assert_eq!(referee.broken(ms(60_000)), Vec::<String>::new());
+    let served = reached.iter().filter(|one| one.at > started + ms(1500)).count();
+    assert!(served > 30, "{served} once the list had come");
+}
+
+/// Guards: a new process of no use for as long as the agent that has its list is down or says nothing.
+#[test]
+fn a_new_process_serves_soon_though_its_pushed_list_does_not_come() {
+    for hangs in [false, true] {
+        let service = Discovery::start();
+        match hangs {
+            true => service.hang(false),
+            false => service.go_down(),
+        }
+        let referee = Referee::default();
+        let hosts = Hosts::start(HOSTS, &referee);
+        let mut papers = papers_of(hosts.members(), service.address);
+        papers["settings"]["registry_mode"] = json!("pushed");
+        papers["settings"]["offerings"][0]["name"] = json!("free");
+        let started = Instant::now();
+        let node = Node::start(&papers);
+        let mut clients = Clients::new(vec![node.address], &referee, 1);
+        clients.load(20.0, ms(4000), &[0], ms(20));
+        clients.end();
+        let soon = if hangs { ms(2500) } else { ms(200) };
+        let reached = referee.reached();
+        for from in [soon, ms(3000)] {
+            let within = |one: &&Reached| (started + from..started + from + ms(1000)).contains(&one.at);
+            let count = reached.iter().filter(within).count();
+            assert!(count > 10, "hangs {hangs}: {count} in the second after {from:?}");
+        }
+    }
+}
--- /dev/null
+++ b/node/tests/soak.rs
@@ -0,0 +1,18 @@
+//! The soak, in short: a dozen processes under troubles that overlap, judged by the rules. `reedferry-rig soak` plays more
+//! seeds, larger and longer.
+
+use reedferry_rig::soak::{play, Size};
+use std::time::Duration;
+
+/// Guards: whatever breaks a rule where stops, reloads, replacements, failing calls, stepped clocks and peers that
+/// misbehave meet.
+#[test]
+fn no_rule_is_broken_where_troubles_overlap() {
+    let size = Size { processes: 12, hosts: 6, span: Duration::from_secs(5), rate: 80.0, overlap: 3 };
+    for seed in [1, 2, 6] {
+        let found = play(seed, &size);
+        let count = |name: &str| found.figures.get(name).and_then(|v| v.as_u64()).unwrap_or(0);
+        assert!(count("served") > 100 && count("calls spoilt") > 20, "too tame: {:?}", found.figures);
+        assert!(found.broken.is_empty(), "seed {seed}: {:#?}", found.broken);
+    }
+}
