--- a/node/tests/succession.rs
+++ b/node/tests/succession.rs
@@ -54,8 +54,8 @@
 #[test]
 fn open_connections_go_on_in_the_next_process_with_what_was_on_its_way() {
     let site = Site::new(3);
-    let mut elder = site.start();
-    let mut open: Vec<_> = (0..40).map(|_| elder.served(&site.hosts)).collect();
+    let mut predecessor = site.start();
+    let mut open: Vec<_> = (0..40).map(|_| predecessor.served(&site.hosts)).collect();
     for (client, _, host) in &mut open {
         client.write("ha");
         host.write("do");
@@ -65,12 +65,12 @@
     });
     let mut twice = Vec::new();
     for _ in 0..2 {
-        let heir = site.start();
-        elder.stop();
+        let successor = site.start();
+        predecessor.stop();
         let asked = Instant::now();
-        ended(&mut elder);
+        ended(&mut predecessor);
         assert!(asked.elapsed() < Duration::from_secs(2), "it leaves early: {:?}", asked.elapsed());
-        twice.push(std::mem::replace(&mut elder, heir));
+        twice.push(std::mem::replace(&mut predecessor, successor));
     }
     for (client, _, host) in &mut open {
         client.write("lf\r\n");
@@ -79,34 +79,34 @@
         client.hears("down");
         speaks(client, host);
     }
-    let _one = elder.served(&site.hosts);
-    assert_eq!(elder.figure("in_flight"), 41);
-    assert_eq!(elder.figure("requests.chat.served"), 1);
+    let _one = predecessor.served(&site.hosts);
+    assert_eq!(predecessor.figure("in_flight"), 41);
+    assert_eq!(predecessor.figure("requests.chat.served"), 1);
     // What one side ends, the other is told of, as ever.
     let (mut client, _, host) = open.pop().unwrap();
     host.end_sending();
     client.hears("end");
     // And the rest is moved when nobody follows.
-    elder.stop();
+    predecessor.stop();
     open.iter_mut().for_each(|(client, ..)| client.hears("MOVE"));
-    ended(&mut elder);
+    ended(&mut predecessor);
 }
 
 #[test]
 fn what_waits_for_its_answer_or_has_not_asked_is_served() {
     let site = Site::new(1);
-    let mut elder = site.start();
-    let mut waits = elder.open(OPEN);
+    let mut predecessor = site.start();
+    let mut waits = predecessor.open(OPEN);
     let (_, mut host) = site.hosts.accept();
     host.hear();
-    let mut asks = Peer::connect(elder.address);
+    let mut asks = Peer::connect(predecessor.address);
     asks.write("PING\r\n");
     asks.hears("PONG");
     asks.write("OPEN 77 7f3a c=ch");
-    eventually("read", || elder.figure("in_flight") == 1);
-    let heir = site.start();
-    elder.stop();
-    elder.logs("asked to stop");
+    eventually("read", || predecessor.figure("in_flight") == 1);
+    let successor = site.start();
+    predecessor.stop();
+    predecessor.logs("asked to stop");
     asks.write("at,t=acme,d=2000\r\n");
     let (_, mut other) = site.hosts.accept();
     assert!(other.hear().starts_with("OPEN 77 7f3a c=chat"));
@@ -114,49 +114,49 @@
     asks.hears("UP 2");
     host.say("UP 1");
     waits.hears("UP 1");
-    ended(&mut elder);
+    ended(&mut predecessor);
     speaks(&mut waits, &mut host);
     speaks(&mut asks, &mut other);
-    assert_eq!(heir.figure("in_flight"), 2);
+    assert_eq!(successor.figure("in_flight"), 2);
 }
 
 /// Guards: clients given to a process that is gone; a node that stops serving since one was to follow it.
 #[test]
 fn a_next_process_that_dies_leaves_the_one_before_as_it_was() {
     let site = Site::new(2);
-    let mut elder = site.start();
-    let mut open = elder.served(&site.hosts);
+    let mut predecessor = site.start();
+    let mut open = predecessor.served(&site.hosts);
     for _ in 0..2 {
-        let mut heir = site.start();
-        heir.kill();
-        elder.logs("the process that came is gone");
+        let mut successor = site.start();
+        successor.kill();
+        predecessor.logs("the process that came is gone");
         speaks(&mut open.0, &mut open.2);
-        assert_eq!(elder.call("GET /status").0, 200);
-        elder.served(&site.hosts);
+        assert_eq!(predecessor.call("GET /status").0, 200);
+        predecessor.served(&site.hosts);
     }
-    elder.stop();
+    predecessor.stop();
     open.0.hears("MOVE");
-    ended(&mut elder);
+    ended(&mut predecessor);
 }
 
 #[test]
 fn a_next_process_that_stands_still_has_the_one_before_move_its_clients_in_time() {
     let site = Site::new(2);
-    let mut elder = site.start();
-    let mut open: Vec<_> = (0..40).map(|_| elder.served(&site.hosts)).collect();
-    let mut heir = site.start();
-    heir.stand_still();
-    elder.stop();
+    let mut predecessor = site.start();
+    let mut open: Vec<_> = (0..40).map(|_| predecessor.served(&site.hosts)).collect();
+    let mut successor = site.start();
+    successor.stand_still();
+    predecessor.stop();
     let asked = Instant::now();
     open.iter_mut().for_each(|(client, ..)| client.hears("MOVE"));
     // The longest expiry, and what is granted beyond it.
     assert!(asked.elapsed() < Duration::from_millis(2700), "{:?}", asked.elapsed());
-    ended(&mut elder);
-    heir.go_on();
-    heir.served(&site.hosts);
-    eventually("none of the others", || heir.figure("in_flight") == 1);
-    heir.stop();
-    assert!(heir.wait().success());
+    ended(&mut predecessor);
+    successor.go_on();
+    let _served = successor.served(&site.hosts);
+    eventually("none of the others", || successor.figure("in_flight") == 1);
+    successor.stop();
+    assert!(successor.wait().success());
 }
 
 #[test]
@@ -167,11 +167,11 @@
     for prepare in prepared {
         let site = Site::new(1);
         prepare(&site.folder);
-        let mut elder = site.start();
-        let mut open = elder.served(&site.hosts);
+        let mut predecessor = site.start();
+        let mut open = predecessor.served(&site.hosts);
         let _heir = site.start();
-        elder.stop();
-        ended(&mut elder);
+        predecessor.stop();
+        ended(&mut predecessor);
         speaks(&mut open.0, &mut open.2);
     }
     // A folder that is none, or whose path is too long for a socket's: it serves, and nobody can follow.
@@ -186,8 +186,8 @@
 #[test]
 fn a_stranger_on_the_channel_is_dropped_and_nothing_is_given_away() {
     let site = Site::new(1);
-    let elder = site.start();
-    let mut open = elder.served(&site.hosts);
+    let predecessor = site.start();
+    let mut open = predecessor.served(&site.hosts);
     let path = site.folder.join("reedferry.next");
     let budget = Budget::new(64);
     for said in [&b"what"[..], &[0, 99], &[0, 1], &[7; 40_000]] {
@@ -196,10 +196,10 @@
         speaks(&mut open.0, &mut open.2);
     }
     let _silent = budget.call_at(&path).unwrap();
-    let mut elder = elder;
+    let mut predecessor = predecessor;
     let _heir = site.start();
-    elder.stop();
-    ended(&mut elder);
+    predecessor.stop();
+    ended(&mut predecessor);
     speaks(&mut open.0, &mut open.2);
 }
 
@@ -219,9 +219,9 @@
 fn masks_and_drains_that_one_process_knows_hold_in_the_next() {
     let mut site = Site::new(2);
     site.papers["settings"]["policy_limits"]["most_hand_offs"] = json!(2);
-    let mut elder = site.start();
+    let mut predecessor = site.start();
     // One host breaks off what it is asked: it is left alone, also by the next process.
-    let mut client = elder.open(OPEN);
+    let mut client = predecessor.open(OPEN);
     let (bad, host) = site.hosts.accept();
     host.reset();
     let masked = Instant::now();
@@ -230,12 +230,12 @@
     host.hear();
     host.say("UP 1");
     client.hears("UP 1");
-    assert_eq!(elder.figure("hosts_excluded"), 1);
-    let heir = site.start();
-    elder.stop();
-    ended(&mut elder);
-    assert_eq!(heir.figure("hosts_excluded"), 1);
-    let (_, number, _) = heir.served(&site.hosts);
+    assert_eq!(predecessor.figure("hosts_excluded"), 1);
+    let successor = site.start();
+    predecessor.stop();
+    ended(&mut predecessor);
+    assert_eq!(successor.figure("hosts_excluded"), 1);
+    let (_, number, _) = successor.served(&site.hosts);
     // A mask is over after 2.25 s at the soonest.
     assert!(number == good || masked.elapsed() > Duration::from_secs(2));
 }
@@ -260,17 +260,17 @@
         offering("mark", "guarded", "cell"),
         offering("once", "single_shot", "all")
     ]);
-    let mut elder = site.start();
-    let mut clients = Clients::new(vec![elder.address], &referee, 7);
+    let mut predecessor = site.start();
+    let mut clients = Clients::new(vec![predecessor.address], &referee, 7);
     let ms = Duration::from_millis;
     let mut before = Vec::new();
     for _ in 0..3 {
         clients.load(150.0, ms(400), &[0, 1, 2], ms(1500));
-        let heir = site.start();
+        let successor = site.start();
         clients.load(150.0, ms(100), &[0, 1, 2], ms(1500));
-        elder.stop();
+        predecessor.stop();
         clients.load(150.0, ms(600), &[0, 1, 2], ms(1500));
-        before.push(std::mem::replace(&mut elder, heir));
+        before.push(std::mem::replace(&mut predecessor, successor));
     }
     clients.end();
     let broken = referee.broken(ms(150));
@@ -293,10 +293,10 @@
     site.papers["settings"]["offerings"] =
         json!([class("chat", "free"), class("till", "single_shot"), class("seat", "guarded")]);
     site.papers["settings"]["tenants"] = json!([{"name": "acme"}, {"name": "zeta"}]);
-    let mut elder = site.start();
+    let mut predecessor = site.start();
     let mut open = Vec::new();
     for (name, tenant) in [("chat", "acme"), ("till", "zeta"), ("seat", "acme"), ("seat", "zeta")] {
-        let mut client = elder.open(&OPEN.replace("c=chat,t=acme", &format!("c={name},t={tenant}")));
+        let mut client = predecessor.open(&OPEN.replace("c=chat,t=acme", &format!("c={name},t={tenant}")));
         let (_, mut host) = site.hosts.accept();
         host.hear();
         host.say("UP 77aa");
@@ -306,12 +306,12 @@
     // `chat` is gone, `seat` means something else, `late` is new and stands first.
     site.papers["settings"]["offerings"] =
         json!([class("late", "single_shot"), class("seat", "free"), class("till", "single_shot")]);
-    let mut heir = site.start();
-    elder.stop();
-    ended(&mut elder);
+    let mut successor = site.start();
+    predecessor.stop();
+    ended(&mut predecessor);
     let mut places = Vec::new();
     for _ in 0..open.len() {
-        let line = heir.logs("event PassedOn");
+        let line = successor.logs("event PassedOn");
         let place =
             line.split("offering: ").nth(1).and_then(|rest| rest.split(',').next()?.parse::<usize>().ok());
         places.push(place.unwrap());
@@ -325,20 +325,20 @@
         speaks(client, host);
     }
     // No more comes of what is gone, and what is new is served.
-    assert_eq!(heir.open(OPEN).hear(), "ERR");
-    let mut client = heir.open(&OPEN.replace("c=chat", "c=late"));
+    assert_eq!(successor.open(OPEN).hear(), "ERR");
+    let mut client = successor.open(&OPEN.replace("c=chat", "c=late"));
     let (_, mut host) = site.hosts.accept();
     host.hear();
     host.say("UP 1");
     client.hears("UP 1");
-    heir.stop();
+    successor.stop();
     for (client, _) in &mut open {
         client.hears("MOVE");
     }
-    ended(&mut heir);
+    ended(&mut successor);
 }
 
-/// A process that comes as the next one, and speaks to the elder by its own words.
+/// A process that comes as the next one, and speaks to the predecessor by its own words.
 struct Stranger {
     budget: Budget,
     line: reedferry_quay::Socket,
@@ -349,9 +349,9 @@
         let budget = Budget::new(64);
         let line = budget.call_at(path).unwrap();
         // It says hello in this version.
-        line.send_with(&[0, 2], &[]).unwrap();
+        line.send_with(&[0, 3], &[]).unwrap();
         let one = Stranger { budget, line };
-        // The pieces of what the elder knows, to the last.
+        // The pieces of what the predecessor knows, to the last.
         while one.hear().last() != Some(&1) {}
         one
     }
@@ -381,13 +381,13 @@
 #[test]
 fn a_connection_that_is_turned_down_is_moved_by_the_process_that_has_it() {
     let site = Site::new(1);
-    let mut elder = site.start();
-    let mut open: Vec<_> = (0..5).map(|_| elder.served(&site.hosts)).collect();
-    let mut rests = Peer::connect(elder.address);
+    let mut predecessor = site.start();
+    let mut open: Vec<_> = (0..5).map(|_| predecessor.served(&site.hosts)).collect();
+    let mut rests = Peer::connect(predecessor.address);
     rests.say("PING");
     rests.hears("PONG");
     let stranger = Stranger::come(&site.folder.join("reedferry.next"));
-    elder.stop();
+    predecessor.stop();
     let asked = Instant::now();
     // The one that has not asked too.
     (0..6).for_each(|_| stranger.turns_down());
@@ -399,5 +399,5 @@
     rests.hears("BUSY");
     assert!(asked.elapsed() < Duration::from_millis(2700), "{:?}", asked.elapsed());
     assert!(stranger.hear().is_empty(), "given again");
-    ended(&mut elder);
+    ended(&mut predecessor);
 }
--- a/quay/src/clock.rs
+++ b/quay/src/clock.rs
@@ -1,24 +1,63 @@
-//! The clock. It owns the one reading of the system's time at the start. It must never go back, whatever
-//! the system's time does.
+//! The clock. It owns the one reading of the system's wall clock at the start. It must never go back, whatever the
+//! system's time does.
 
 use crate::Nanos;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use rustix::time::{clock_gettime, ClockId};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
 
-/// Unix time that never goes back: the system's time at the start and a steady clock since.
-#[derive(Clone)]
+/// Unix time that never goes back: how far the wall clock was ahead of the steady one at the start, and the steady clock.
+/// Clones are one clock.
+#[derive(Clone, Debug)]
 pub struct Clock {
-    start: Instant,
-    unix: Nanos,
+    ahead: Rc<Cell<Nanos>>,
+}
+
+/// The machine's steady clock, which is one for all its processes.
+fn steady() -> Nanos {
+    let time = clock_gettime(ClockId::Monotonic);
+    time.tv_sec as Nanos * 1_000_000_000 + time.tv_nsec as Nanos
 }
 
 impl Clock {
     pub fn start() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as Nanos);
-        Clock { start: Instant::now(), unix }
+        Clock { ahead: Rc::new(Cell::new(unix.saturating_sub(steady()))) }
     }
 
     /// Nanoseconds since 1970.
     pub fn read(&self) -> Nanos {
-        self.unix + self.start.elapsed().as_nanos() as Nanos
+        self.ahead.get() + steady()
+    }
+
+    /// How far it is ahead of the machine's steady clock.
+    pub fn ahead(&self) -> Nanos {
+        self.ahead.get()
+    }
+
+    /// Goes by the clock of another process of this machine, which is so far ahead of the steady one. Guards: times that
+    /// pass between two processes, read by the one's wall clock and compared with the other's after a step. To be called
+    /// before anything was timed by it.
+    pub fn go_by(&self, ahead: Nanos) {
+        self.ahead.set(ahead);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn clones_are_one_clock_that_counts_on_from_the_wall_clock_or_from_that_of_another_process() {
+        let clock = Clock::start();
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as Nanos;
+        assert!(clock.read().abs_diff(unix) < 1_000_000_000);
+        let (other, hour) = (clock.clone(), 3600 * 1_000_000_000);
+        let before = clock.read();
+        other.go_by(clock.ahead() - hour);
+        let after = clock.read();
+        assert!((before - hour..before).contains(&after), "{before} {after}");
+        assert!(other.read() >= after);
     }
 }
--- a/quay/src/lib.rs
+++ b/quay/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod channel;
 pub mod clock;
+pub mod errors;
 pub mod log;
 pub mod poller;
 pub mod pool;
@@ -11,7 +12,7 @@
 pub mod sockets;
 
 pub use clock::Clock;
-pub use poller::{Mark, Poller, Readiness};
+pub use poller::{merged, Mark, Poller, Readiness};
 pub use pool::{Buffer, Pool};
 pub use rustix::io::Errno;
 pub use signals::Signal;
--- a/quay/src/log.rs
+++ b/quay/src/log.rs
@@ -2,12 +2,14 @@
 //! wait in a bounded backlog, are written only while the other end takes them, and are counted and
 //! dropped where it does not.
 
+use crate::Nanos;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use slog::{o, Drain, Logger};
 use std::collections::VecDeque;
 use std::io::{self, Write};
 use std::sync::{Arc, Mutex};
 
+const SECOND: Nanos = 1_000_000_000;
 const MOST: usize = 256 * 1024;
 /// A pipe that polls as writable takes this much at once.
 const PIECE: usize = 4096;
@@ -63,6 +65,38 @@
     }
 }
 
+/// A limit on log lines of one kind, so that what happens thousands of times a second does not fill the log.
+#[derive(Debug)]
+pub struct LineLimit {
+    most_a_second: u32,
+    second: Nanos,
+    lines: u32,
+    left_out: u64,
+}
+
+impl LineLimit {
+    pub fn new(most_a_second: u32) -> Self {
+        LineLimit { most_a_second, second: 0, lines: 0, left_out: 0 }
+    }
+
+    /// Whether one more line may be written in this second; one that may not is counted.
+    pub fn room(&mut self, now: Nanos) -> bool {
+        if now >= self.second + SECOND {
+            (self.second, self.lines) = (now, 0);
+        }
+        self.lines += 1;
+        let room = self.lines <= self.most_a_second;
+        self.left_out += u64::from(!room);
+        room
+    }
+
+    /// How many lines were left out, once their second is over.
+    pub fn left_out(&mut self, now: Nanos) -> Option<u64> {
+        let over = self.left_out > 0 && now >= self.second + SECOND;
+        over.then(|| std::mem::take(&mut self.left_out))
+    }
+}
+
 /// The node's logger, and the backlog that the loop drains once a turn.
 pub fn logger(node: &str) -> (Logger, Backlog) {
     let backlog = Backlog::default();
@@ -71,3 +105,18 @@
     let logger = Logger::root(Mutex::new(format).fuse(), o!("node" => node.to_string()));
     (logger, backlog)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_limit_lets_so_many_lines_a_second_through_and_counts_the_rest() {
+        let mut limit = LineLimit::new(2);
+        let through = |limit: &mut LineLimit, now| (0..5).filter(|_| limit.room(now)).count();
+        assert_eq!((through(&mut limit, SECOND), limit.left_out(SECOND)), (2, None));
+        assert_eq!((through(&mut limit, 2 * SECOND - 1), limit.left_out(2 * SECOND)), (0, Some(8)));
+        assert_eq!((through(&mut limit, 2 * SECOND), limit.left_out(3 * SECOND)), (2, Some(3)));
+        assert_eq!(limit.left_out(9 * SECOND), None);
+    }
+}
--- a/quay/src/poller.rs
+++ b/quay/src/poller.rs
@@ -7,12 +7,12 @@
 use rustix::event::Timespec;
 use rustix::io::Errno;
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, HashMap};
 use std::os::fd::{AsFd, OwnedFd};
 
 /// Whose socket it is: a part of the program, a slot of that part, and a stamp that no later holder of the
 /// slot bears. Guards: an event of a closed socket that meets the next one in its slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Mark {
     pub part: u8,
     pub slot: u32,
@@ -45,6 +45,24 @@
     pub write: bool,
 }
 
+/// Puts what is ready now behind what was left from before, each socket once, in the order in which it was first told of.
+/// Guards: a list of those left that grows with each turn of a program which is behind.
+pub fn merged(left: Vec<Readiness>, now: Vec<Readiness>) -> Vec<Readiness> {
+    if left.is_empty() {
+        return now;
+    }
+    let mut places: HashMap<Mark, usize> = HashMap::new();
+    let mut merged: Vec<Readiness> = Vec::with_capacity(left.len() + now.len());
+    for one in left.into_iter().chain(now) {
+        let place = *places.entry(one.mark).or_insert(merged.len());
+        match merged.get_mut(place) {
+            Some(known) => (known.read, known.write) = (known.read || one.read, known.write || one.write),
+            None => merged.push(one),
+        }
+    }
+    merged
+}
+
 pub struct Poller {
     epoll: OwnedFd,
     events: Vec<epoll::Event>,
@@ -63,6 +81,14 @@
         epoll::add(&self.epoll, socket, EventData::new_u64(mark.packed()), EDGES)
     }
 
+    /// Watches a socket under this mark, whether or not it was watched before.
+    pub fn watch_anyway(&self, socket: &impl AsFd, mark: Mark) -> Result<(), Errno> {
+        match self.watch(socket, mark) {
+            Err(Errno::EXIST) => self.rewatch(socket, mark),
+            other => other,
+        }
+    }
+
     /// Watches it under another mark from now on, and tells afresh what it is ready for.
     pub fn rewatch(&self, socket: &impl AsFd, mark: Mark) -> Result<(), Errno> {
         epoll::modify(&self.epoll, socket, EventData::new_u64(mark.packed()), EDGES)
@@ -117,6 +143,15 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn what_was_left_goes_first_and_each_socket_stands_once() {
+        let one = |slot, read, write| Readiness { mark: Mark { part: 4, slot, stamp: 9 }, read, write };
+        let left = vec![one(7, true, false), one(2, false, true)];
+        let merged = merged(left, vec![one(2, true, false), one(5, true, false), one(7, true, true)]);
+        let all: Vec<(u32, bool, bool)> = merged.iter().map(|r| (r.mark.slot, r.read, r.write)).collect();
+        assert_eq!(all, [(7, true, true), (2, true, true), (5, true, false)]);
+    }
+
     #[test]
     fn marks_come_back_whole_and_timers_in_order() {
         let mark = Mark { part: 3, slot: 0xab_cdef, stamp: u32::MAX };
--- a/quay/src/pool.rs
+++ b/quay/src/pool.rs
@@ -35,6 +35,14 @@
         Some(Buffer { bytes, from: 0, to: 0, home: self.clone() })
     }
 
+    /// A buffer for a final answer, beyond the bound where that is reached: there are no more of these than connections.
+    pub fn take_for_answer(&self) -> Buffer {
+        self.take().unwrap_or_else(|| {
+            let bytes = vec![0; SIZE].into_boxed_slice();
+            Buffer { bytes, from: 0, to: 0, home: self.clone() }
+        })
+    }
+
     /// How many may still be taken.
     pub fn left(&self) -> usize {
         let shelf = self.0.borrow();
@@ -109,5 +117,7 @@
         assert_eq!(buffer.waiting(), b"b");
         drop(buffer);
         assert!(pool.take().unwrap().is_empty() && pool.left() == 1);
+        let _all = pool.take().unwrap();
+        assert!(pool.take_for_answer().put(b"ERR") && pool.left() == 1, "kept once it was made");
     }
 }
--- a/quay/src/sockets.rs
+++ b/quay/src/sockets.rs
@@ -203,6 +203,11 @@
         matches!(poll(&mut polled, Some(&span)), Ok(1..) | Err(Errno::INTR))
     }
 
+    /// Whether the connection stands, whatever the poller has said so far.
+    pub fn stands(&self) -> bool {
+        net::getpeername(self).is_ok_and(|peer| peer.is_some())
+    }
+
     /// How the connect went.
     pub fn connected(&self) -> Result<(), Errno> {
         sockopt::socket_error(self)?
@@ -212,6 +217,12 @@
         let _ = net::shutdown(self, Shutdown::Write);
     }
 
+    /// Takes in nothing that is sent from now on: on a channel of this machine each later message fails at its sender, and what
+    /// came before can still be read.
+    pub fn end_receiving(&self) {
+        let _ = net::shutdown(self, Shutdown::Read);
+    }
+
     /// Ends the connection by a reset instead of an orderly end.
     pub fn reset(self) {
         let _ = sockopt::set_socket_linger(&self, Some(Duration::ZERO));
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,7 +5,7 @@
 use clap::{Args, Parser, Subcommand};
 use reedferry_rig::schedule::{self, Schedule};
 use reedferry_rig::two_tier::{self, Found};
-use reedferry_rig::{chart, coldstart, view};
+use reedferry_rig::{chart, coldstart, soak, view};
 use serde_json::json;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -28,6 +28,8 @@
     Schedule(Faults),
     /// Nodes that keep a view of their fleet, over ways that are spoilt.
     Fleet(Viewed),
+    /// Processes under troubles that overlap, judged by the rules.
+    Soak(Soaked),
     /// Nodes that start at once and know nothing, beside a list service of some capacity.
     Coldstart(Cold),
 }
@@ -102,6 +104,31 @@
     }
 }
 
+#[derive(Args)]
+struct Soaked {
+    /// What the first soak is drawn from; each further one from the next number.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Processes.
+    #[arg(long, default_value_t = 24, value_parser = clap::value_parser!(u64).range(1..=100))]
+    size: u64,
+    /// Seeds that are played one after the other.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
+    count: u64,
+    /// For how many seconds troubles come.
+    #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u64).range(1..=3600))]
+    seconds: u64,
+    /// Troubles at a time.
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=10))]
+    overlap: u64,
+    /// Clients a second.
+    #[arg(long, default_value_t = 120.0)]
+    rate: f64,
+    /// The last line is one object.
+    #[arg(long)]
+    json: bool,
+}
+
 #[derive(Args)]
 struct Viewed {
     /// What chance is drawn from.
@@ -172,6 +199,21 @@
                 view::measure(options.size as usize, Duration::from_millis(options.period), options.seed);
             ("fleet", options.seed, options.size, options.json, found)
         }
+        What::Soak(options) => {
+            if !options.rate.is_finite() || !(0.1..=MOST_A_SECOND).contains(&options.rate) {
+                eprintln!("reedferry-rig: --rate takes clients a second, 0.1 to {MOST_A_SECOND}");
+                std::process::exit(2);
+            }
+            let size = soak::Size {
+                processes: options.size as usize,
+                hosts: 8,
+                span: Duration::from_secs(options.seconds),
+                rate: options.rate,
+                overlap: options.overlap as usize,
+            };
+            let found = soak::measure(options.seed, options.count, &size);
+            ("soak", options.seed, options.size, options.json, found)
+        }
         What::Coldstart(options) => {
             if !options.rate.is_finite() || options.rate <= 0.0 {
                 eprintln!("reedferry-rig: --rate takes calls a second, over 0");
--- a/rig/src/program.rs
+++ b/rig/src/program.rs
@@ -1,14 +1,15 @@
 //! The program as it runs: started with papers or an operator's file, read by its log, signalled, stopped
 //! dead or for a while, and ended when it is dropped. It must never outlive the test that started it.
 
-use crate::peers::{nowhere, Hosts, Peer, OPEN, PATIENCE};
+use crate::peers::{eventually, nowhere, Hosts, Peer, OPEN, PATIENCE};
+use crate::syscalls::{Spoiler, TracedProcess};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
@@ -35,9 +36,52 @@
             "registry_mode": "on_request", "extra": {"message_aim": [100.0], "mode": "proxy"}}})
 }
 
+/// How a process of the program was started.
+enum Process {
+    Plain(Child),
+    /// With system calls that a test can spoil.
+    Traced(TracedProcess),
+}
+
+impl Process {
+    fn id(&self) -> u32 {
+        match self {
+            Process::Plain(child) => child.id(),
+            Process::Traced(traced) => traced.id(),
+        }
+    }
+
+    fn wait(&mut self) -> ExitStatus {
+        match self {
+            Process::Plain(child) => child.wait().unwrap(),
+            Process::Traced(traced) => traced.wait(),
+        }
+    }
+
+    fn runs(&mut self) -> bool {
+        match self {
+            Process::Plain(child) => child.try_wait().unwrap().is_none(),
+            Process::Traced(traced) => traced.runs(),
+        }
+    }
+
+    fn kill(&mut self) {
+        match self {
+            Process::Plain(child) => _ = child.kill(),
+            Process::Traced(traced) => traced.kill(),
+        }
+        _ = self.wait();
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.id() as i32).expect("a process has a number");
+        kill_process(pid, signal).unwrap();
+    }
+}
+
 /// The program as one role, running.
 pub struct Node {
-    child: Child,
+    process: Process,
     /// The file that it reads, and all that was written for it.
     told: PathBuf,
     files: Vec<PathBuf>,
@@ -86,6 +130,12 @@
     piped(command)
 }
 
+/// The file that a command names as its papers.
+fn told_by(command: &Command) -> PathBuf {
+    let named = command.get_envs().find(|(name, _)| *name == "GW_CONFIG");
+    named.and_then(|(_, path)| path).expect("no papers are named").into()
+}
+
 /// The same, with clients taken in at the descriptor that is named so.
 pub fn program_at(papers: &str, listener: &str, folder: &Path) -> Command {
     let mut command = program(papers);
@@ -118,6 +168,20 @@
         Node::launch(program_of(program, &papers.to_string()))
     }
 
+    /// One whose system calls and wall clock this spoils, from its first call on.
+    pub fn start_spoilt(papers: &Value, spoiler: &Spoiler) -> Self {
+        let command = program(&papers.to_string());
+        let papers = told_by(&command);
+        Node::run_spoilt(command, papers.clone(), vec![papers], spoiler)
+    }
+
+    /// The same, at a listener which the test holds.
+    pub fn start_spoilt_at(papers: &Value, listener: &TcpListener, folder: &Path, spoiler: &Spoiler) -> Self {
+        let command = program_at(&papers.to_string(), &listener.as_raw_fd().to_string(), folder);
+        let papers = told_by(&command);
+        Node::run_spoilt(command, papers.clone(), vec![papers], spoiler)
+    }
+
     /// One that takes clients in at a listener which the test holds, with this folder for what it leaves.
     pub fn start_at(papers: &Value, listener: &TcpListener, folder: &Path) -> Self {
         Node::launch(program_at(&papers.to_string(), &listener.as_raw_fd().to_string(), folder))
@@ -146,26 +210,39 @@
     }
 
     fn launch(command: Command) -> Self {
-        let papers: PathBuf =
-            command.get_envs().find(|(name, _)| *name == "GW_CONFIG").unwrap().1.unwrap().into();
+        let papers = told_by(&command);
         Node::run(command, papers.clone(), vec![papers])
     }
 
     fn run(mut command: Command, told: PathBuf, files: Vec<PathBuf>) -> Self {
         let mut child = command.spawn().unwrap();
+        let stderr = child.stderr.take().unwrap();
+        Node::started(Process::Plain(child), stderr, told, files)
+    }
+
+    fn run_spoilt(command: Command, told: PathBuf, files: Vec<PathBuf>, spoiler: &Spoiler) -> Self {
+        let (process, stderr) = TracedProcess::start(command, spoiler).unwrap();
+        Node::started(Process::Traced(process), stderr, told, files)
+    }
+
+    /// Reads the log of a process that has just been started, until it says where it listens.
+    fn started(process: Process, stderr: ChildStderr, told: PathBuf, files: Vec<PathBuf>) -> Self {
         let (sender, log) = channel();
-        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let lines = BufReader::new(stderr).lines();
         // To its end, whether or not anybody listens. Guards: a program held up by a full pipe.
         thread::spawn(move || {
             lines.map_while(Result::ok).for_each(|line| _ = sender.send((Instant::now(), line)))
         });
-        let mut node = Node { child, told, files, address: nowhere(), ops: None, log };
+        let mut node = Node { process, told, files, address: nowhere(), ops: None, log };
         let named = |line: &str, what: &str| {
             let rest = line.split_once(what)?.1;
             rest.split([',', ' ']).next()?.parse().ok()
         };
+        let mut before = String::new();
         loop {
-            let line = node.logs("");
+            let line =
+                node.next_line().unwrap_or_else(|| panic!("it did not start; its last line: {before}"));
+            before.clone_from(&line);
             if line.contains("operators") {
                 node.ops = named(&line, "at: ");
             } else if line.contains("started") {
@@ -175,6 +252,11 @@
         }
     }
 
+    /// The next log line, if one comes in time.
+    fn next_line(&self) -> Option<String> {
+        self.log.recv_timeout(PATIENCE).ok().map(|(_, line)| line)
+    }
+
     /// Waits for a log line that says so.
     pub fn logs(&self, text: &str) -> String {
         let until = Instant::now() + PATIENCE;
@@ -238,19 +320,28 @@
         std::fs::read_to_string(&self.told).unwrap()
     }
 
-    /// Has it stand still until `go_on`.
+    /// Has it stand still until `go_on`. Returns once it does: a signal is on its way for milliseconds on a busy machine, and
+    /// what is sent meanwhile would still be read.
     pub fn stand_still(&self) {
-        self.signal(Signal::STOP);
+        match &self.process {
+            Process::Plain(_) => {
+                self.signal(Signal::STOP);
+                eventually("the process does not stand still", || self.state() == Some('T'));
+            }
+            Process::Traced(traced) => traced.stand_still(),
+        }
     }
 
     pub fn go_on(&self) {
-        self.signal(Signal::CONT);
+        match &self.process {
+            Process::Plain(_) => self.signal(Signal::CONT),
+            Process::Traced(traced) => traced.go_on(),
+        }
     }
 
     /// Ends it outright.
     pub fn kill(&mut self) {
-        _ = self.child.kill();
-        _ = self.child.wait();
+        self.process.kill();
     }
 
     /// The log lines that have come and were not waited for, without waiting.
@@ -265,34 +356,45 @@
 
     /// Its memory, in bytes, as the system counts what is resident.
     pub fn memory(&self) -> usize {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id())).unwrap();
         let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap();
         line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() << 10
     }
 
+    /// What the system says of it, from its state on.
+    fn stat(&self) -> Vec<String> {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.process.id())).unwrap_or_default();
+        // The name may hold anything; it ends with the last bracket.
+        let after = text.rsplit(')').next().unwrap_or("").split_whitespace();
+        after.map(str::to_string).collect()
+    }
+
+    /// Whether it runs, sleeps, stands still and so on, by the system's letter.
+    fn state(&self) -> Option<char> {
+        self.stat().first().and_then(|state| state.chars().next())
+    }
+
     /// Processor time that it has taken, as the system counts it.
     pub fn spent(&self) -> Duration {
-        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
-        // The name may hold anything; it ends with the last bracket. Ticks of ten milliseconds.
-        let after = text.rsplit(')').next().unwrap_or("").split_whitespace();
-        let ticks: u64 = after.skip(11).take(2).filter_map(|n| n.parse::<u64>().ok()).sum();
+        // Ticks of ten milliseconds.
+        let ticks: u64 = self.stat().iter().skip(11).take(2).filter_map(|n| n.parse::<u64>().ok()).sum();
         Duration::from_millis(10 * ticks)
     }
 
     fn signal(&self, signal: Signal) {
-        kill_process(Pid::from_child(&self.child), signal).unwrap();
+        self.process.signal(signal);
     }
 
     pub fn wait(&mut self) -> ExitStatus {
-        self.child.wait().unwrap()
+        self.process.wait()
     }
 
     pub fn runs(&mut self) -> bool {
-        self.child.try_wait().unwrap().is_none()
+        self.process.runs()
     }
 
     pub fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+        std::fs::read_dir(format!("/proc/{}/fd", self.process.id())).unwrap().count()
     }
 }
 
--- /dev/null
+++ b/rig/src/syscalls.rs
@@ -0,0 +1,407 @@
+//! System calls that fail, fall short or are held up, and a wall clock that is stepped: the program is started under
+//! `ptrace` with a seccomp filter that stops it at the calls of [`Call`], where a test says what becomes of them. It owns
+//! the traced process. It must never touch any other process, nor need rights beyond those of its user.
+//!
+//! A call that fails is skipped: the kernel never sees it. A call that falls short is made with a smaller length. The
+//! program's vDSO is hidden from it at its start, so that its reading of the wall clock is a system call like any other.
+
+use rustix::io::Errno;
+use std::io;
+use std::os::unix::process::{CommandExt, ExitStatusExt};
+use std::process::{ChildStderr, Command, ExitStatus};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// A kind of system call that can be spoilt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    Accept,
+    Socket,
+    Connect,
+    EpollAdd,
+    EpollWait,
+    Send,
+    Receive,
+    SendMessage,
+    ReceiveMessage,
+    /// Of a file of settings: none of the loader's.
+    Open,
+    Read,
+}
+
+const CALLS: [(Call, &[libc::c_long]); 11] = [
+    (Call::Accept, &[libc::SYS_accept4]),
+    (Call::Socket, &[libc::SYS_socket]),
+    (Call::Connect, &[libc::SYS_connect]),
+    (Call::EpollAdd, &[libc::SYS_epoll_ctl]),
+    (Call::EpollWait, &[libc::SYS_epoll_wait, libc::SYS_epoll_pwait, libc::SYS_epoll_pwait2]),
+    (Call::Send, &[libc::SYS_sendto]),
+    (Call::Receive, &[libc::SYS_recvfrom]),
+    (Call::SendMessage, &[libc::SYS_sendmsg]),
+    (Call::ReceiveMessage, &[libc::SYS_recvmsg]),
+    (Call::Open, &[libc::SYS_openat]),
+    (Call::Read, &[libc::SYS_read]),
+];
+
+/// How soon a process that is told to stand still does.
+const STOPS_WITHIN: Duration = Duration::from_secs(10);
+/// The longest path that is looked at.
+const LONGEST_PATH: usize = 4096;
+
+/// What becomes of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Fails(Errno),
+    /// It moves one byte.
+    Short,
+    /// It is made so much later.
+    HeldUp(Duration),
+}
+
+/// Every so many calls of a kind come to this.
+#[derive(Clone, Copy, Debug)]
+pub struct Fault {
+    pub call: Call,
+    pub outcome: Outcome,
+    pub every: u64,
+}
+
+#[derive(Default)]
+struct State {
+    faults: Vec<(Fault, u64)>,
+    spoilt: u64,
+    /// How far the wall clock is off.
+    step_nanos: i64,
+    paused: bool,
+    /// Whether it stands still for that.
+    stands: bool,
+    exited: Option<ExitStatus>,
+}
+
+/// What a test holds of a spoilt process: it says what happens to its calls from now on.
+#[derive(Clone, Default)]
+pub struct Spoiler(Arc<(Mutex<State>, Condvar)>);
+
+impl Spoiler {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0 .0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// From now on these faults happen, and no others.
+    pub fn set(&self, faults: &[Fault]) {
+        self.state().faults = faults.iter().map(|fault| (*fault, 0)).collect();
+    }
+
+    /// From now on none happen.
+    pub fn clear(&self) {
+        self.set(&[]);
+    }
+
+    /// How many calls were spoilt so far.
+    pub fn spoilt(&self) -> u64 {
+        self.state().spoilt
+    }
+
+    /// Steps the wall clock of the process's machine.
+    pub fn step_clock(&self, seconds: i64) {
+        self.state().step_nanos += seconds * 1_000_000_000;
+    }
+
+    /// Has the process stand still at its next system call, or go on.
+    fn pause(&self, paused: bool) {
+        let mut state = self.state();
+        state.paused = paused;
+        state.stands &= paused;
+        drop(state);
+        self.0 .1.notify_all();
+    }
+
+    fn outcome(&self, call: Call) -> Option<Outcome> {
+        let mut state = self.state();
+        let mut outcome = None;
+        for (fault, seen) in state.faults.iter_mut().filter(|(fault, _)| fault.call == call) {
+            *seen += 1;
+            if seen.is_multiple_of(fault.every.max(1)) {
+                outcome = outcome.or(Some(fault.outcome));
+            }
+        }
+        state.spoilt += u64::from(outcome.is_some());
+        outcome
+    }
+
+    /// Keeps the process stopped while it is to stand still.
+    fn wait_while_paused(&self) {
+        let (_, changed) = &*self.0;
+        let paused = |state: &mut State| {
+            state.stands = state.paused;
+            changed.notify_all();
+            state.paused
+        };
+        drop(changed.wait_while(self.state(), paused));
+    }
+
+    /// Waits until the process stands still, or has ended.
+    fn wait_until_it_stands(&self) {
+        let (_, changed) = &*self.0;
+        let runs = |state: &mut State| !state.stands && state.exited.is_none();
+        let waited = changed.wait_timeout_while(self.state(), STOPS_WITHIN, runs);
+        let (_state, late) = waited.unwrap_or_else(PoisonError::into_inner);
+        assert!(!late.timed_out(), "the process does not stand still");
+    }
+}
+
+/// A process of the program whose system calls a [`Spoiler`] governs.
+pub struct TracedProcess {
+    pid: libc::pid_t,
+    spoiler: Spoiler,
+}
+
+impl TracedProcess {
+    /// Starts the program. Its standard error has to be piped.
+    pub fn start(mut command: Command, spoiler: &Spoiler) -> io::Result<(TracedProcess, ChildStderr)> {
+        let (sender, started) = channel();
+        let theirs = spoiler.clone();
+        thread::spawn(move || {
+            let filter = filter();
+            // SAFETY: only calls that are safe after a fork, on memory that was allocated before.
+            unsafe { command.pre_exec(move || trace_me(&filter)) };
+            match command.spawn() {
+                Ok(mut child) => {
+                    let pid = child.id() as libc::pid_t;
+                    let stderr = child.stderr.take().expect("standard error is not piped");
+                    _ = sender.send(Ok((pid, stderr)));
+                    Tracer { pid, spoiler: theirs }.run();
+                }
+                Err(e) => _ = sender.send(Err(e)),
+            }
+        });
+        let (pid, stderr) = started.recv().expect("the tracer ended")?;
+        Ok((TracedProcess { pid, spoiler: spoiler.clone() }, stderr))
+    }
+
+    pub fn id(&self) -> u32 {
+        self.pid as u32
+    }
+
+    /// Waits for its end.
+    pub fn wait(&self) -> ExitStatus {
+        let (_, changed) = &*self.spoiler.0;
+        let state = changed.wait_while(self.spoiler.state(), |state| state.exited.is_none());
+        state.unwrap_or_else(PoisonError::into_inner).exited.expect("it has exited")
+    }
+
+    pub fn runs(&self) -> bool {
+        self.spoiler.state().exited.is_none()
+    }
+
+    pub fn kill(&self) {
+        self.spoiler.pause(false);
+        if self.runs() {
+            // SAFETY: a signal to a child that has not been waited for.
+            unsafe { libc::kill(self.pid, libc::SIGKILL) };
+        }
+    }
+
+    /// Has it stand still. Returns once it does.
+    pub fn stand_still(&self) {
+        self.spoiler.pause(true);
+        // SAFETY: as above. The tracer keeps it stopped where the signal meets it.
+        unsafe { libc::kill(self.pid, libc::SIGSTOP) };
+        self.spoiler.wait_until_it_stands();
+    }
+
+    pub fn go_on(&self) {
+        self.spoiler.pause(false);
+    }
+}
+
+/// Lets the parent trace this process, and stops it at the calls of the filter.
+fn trace_me(filter: &[libc::sock_filter]) -> io::Result<()> {
+    let program = libc::sock_fprog { len: filter.len() as u16, filter: filter.as_ptr().cast_mut() };
+    // SAFETY: plain system calls on values that live here.
+    let failed = unsafe {
+        libc::prctl(libc::PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0) != 0
+            || libc::ptrace(libc::PTRACE_TRACEME, 0, 0, 0) != 0
+            || libc::prctl(libc::PR_SET_SECCOMP, libc::SECCOMP_MODE_FILTER, &program) != 0
+    };
+    if failed {
+        return Err(io::Error::last_os_error());
+    }
+    Ok(())
+}
+
+/// Stops at the calls of [`CALLS`], and where the wall clock is read.
+fn filter() -> Vec<libc::sock_filter> {
+    const NUMBER: u32 = 0;
+    const FIRST_ARGUMENT: u32 = 16;
+    let instruction = |code: u32, jt: u8, jf: u8, k: u32| libc::sock_filter { code: code as u16, jt, jf, k };
+    let load = |at| instruction(libc::BPF_LD | libc::BPF_W | libc::BPF_ABS, 0, 0, at);
+    let equals = |value, jt, jf| instruction(libc::BPF_JMP | libc::BPF_JEQ | libc::BPF_K, jt, jf, value);
+    let ends = |value| instruction(libc::BPF_RET | libc::BPF_K, 0, 0, value);
+    let mut all = vec![load(NUMBER)];
+    for number in CALLS.iter().flat_map(|(_, numbers)| numbers.iter()) {
+        all.extend([equals(*number as u32, 0, 1), ends(libc::SECCOMP_RET_TRACE)]);
+    }
+    all.extend([
+        equals(libc::SYS_clock_gettime as u32, 0, 3),
+        load(FIRST_ARGUMENT),
+        equals(libc::CLOCK_REALTIME as u32, 0, 1),
+        ends(libc::SECCOMP_RET_TRACE),
+        ends(libc::SECCOMP_RET_ALLOW),
+    ]);
+    all
+}
+
+struct Tracer {
+    pid: libc::pid_t,
+    spoiler: Spoiler,
+}
+
+impl Tracer {
+    fn run(&self) {
+        // The first stop is that of its start.
+        if let Some(status) = self.stopped() {
+            return self.ended(status);
+        }
+        let options = libc::PTRACE_O_TRACESECCOMP | libc::PTRACE_O_EXITKILL;
+        // SAFETY: the process is stopped, and traced by this thread.
+        unsafe { libc::ptrace(libc::PTRACE_SETOPTIONS, self.pid, 0, options as usize) };
+        self.hide_vdso();
+        let mut signal = 0;
+        loop {
+            // SAFETY: as above.
+            unsafe { libc::ptrace(libc::PTRACE_CONT, self.pid, 0, signal as usize) };
+            let mut status = 0;
+            // SAFETY: waits for this one process.
+            while unsafe { libc::waitpid(self.pid, &mut status, libc::__WALL) } < 0 {}
+            if !libc::WIFSTOPPED(status) {
+                return self.ended(ExitStatus::from_raw(status));
+            }
+            signal = match (libc::WSTOPSIG(status), status >> 16) {
+                (_, libc::PTRACE_EVENT_SECCOMP) => {
+                    self.at_call();
+                    0
+                }
+                (libc::SIGSTOP, _) => {
+                    self.spoiler.wait_while_paused();
+                    0
+                }
+                (_, event) if event != 0 => 0,
+                (signal, _) => signal,
+            };
+        }
+    }
+
+    /// Waits until it is stopped; gives its status where it has ended instead.
+    fn stopped(&self) -> Option<ExitStatus> {
+        let mut status = 0;
+        // SAFETY: waits for this one process.
+        while unsafe { libc::waitpid(self.pid, &mut status, libc::__WALL) } < 0 {}
+        (!libc::WIFSTOPPED(status)).then(|| ExitStatus::from_raw(status))
+    }
+
+    fn ended(&self, status: ExitStatus) {
+        self.spoiler.state().exited = Some(status);
+        self.spoiler.0 .1.notify_all();
+    }
+
+    fn registers(&self) -> libc::user_regs_struct {
+        // SAFETY: all zeros are registers; the process is stopped, and traced by this thread.
+        unsafe {
+            let mut registers: libc::user_regs_struct = std::mem::zeroed();
+            libc::ptrace(libc::PTRACE_GETREGS, self.pid, 0, &mut registers);
+            registers
+        }
+    }
+
+    fn set_registers(&self, registers: &libc::user_regs_struct) {
+        // SAFETY: as above.
+        unsafe { libc::ptrace(libc::PTRACE_SETREGS, self.pid, 0, registers) };
+    }
+
+    /// Skips the call, which then gives this.
+    fn skip(&self, mut registers: libc::user_regs_struct, result: i64) {
+        (registers.orig_rax, registers.rax) = (u64::MAX, result as u64);
+        self.set_registers(&registers);
+    }
+
+    fn at_call(&self) {
+        let mut registers = self.registers();
+        let number = registers.orig_rax as libc::c_long;
+        if number == libc::SYS_clock_gettime {
+            return self.tell_time(registers);
+        }
+        let Some((call, _)) = CALLS.iter().find(|(_, numbers)| numbers.contains(&number)) else { return };
+        // What no longer watches a socket never fails for want of memory.
+        if *call == Call::EpollAdd && registers.rsi == libc::EPOLL_CTL_DEL as u64 {
+            return;
+        }
+        if *call == Call::Open && !self.text(registers.rsi).ends_with(".json") {
+            return;
+        }
+        match self.spoiler.outcome(*call) {
+            None => {}
+            Some(Outcome::Fails(errno)) => self.skip(registers, -i64::from(errno.raw_os_error())),
+            Some(Outcome::Short) => {
+                registers.rdx = registers.rdx.min(1);
+                self.set_registers(&registers);
+            }
+            Some(Outcome::HeldUp(span)) => thread::sleep(span),
+        }
+    }
+
+    /// Gives it the time of its own machine's wall clock.
+    fn tell_time(&self, registers: libc::user_regs_struct) {
+        let real = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as i64;
+        let told = (real + self.spoiler.state().step_nanos).max(0);
+        self.poke(registers.rsi, (told / 1_000_000_000) as u64);
+        self.poke(registers.rsi + 8, (told % 1_000_000_000) as u64);
+        self.skip(registers, 0);
+    }
+
+    fn peek(&self, address: u64) -> u64 {
+        // SAFETY: reads a word of the stopped process; where there is none this gives -1.
+        unsafe { libc::ptrace(libc::PTRACE_PEEKDATA, self.pid, address, 0) as u64 }
+    }
+
+    /// The text that stands there, up to its end.
+    fn text(&self, mut address: u64) -> String {
+        let mut bytes = Vec::new();
+        while bytes.len() < LONGEST_PATH {
+            let word = self.peek(address).to_ne_bytes();
+            bytes.extend(word.iter().take_while(|byte| **byte != 0));
+            if word.contains(&0) {
+                break;
+            }
+            address += 8;
+        }
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
+    fn poke(&self, address: u64, word: u64) {
+        // SAFETY: writes a word of the stopped process.
+        unsafe { libc::ptrace(libc::PTRACE_POKEDATA, self.pid, address, word) };
+    }
+
+    /// Takes the vDSO out of what the kernel tells the process at its start: behind the arguments and the environment on
+    /// its stack.
+    fn hide_vdso(&self) {
+        let mut at = self.registers().rsp;
+        let arguments = self.peek(at);
+        at += 8 * (arguments + 2);
+        while self.peek(at) != 0 {
+            at += 8;
+        }
+        at += 8;
+        loop {
+            match self.peek(at) {
+                libc::AT_NULL => return,
+                libc::AT_SYSINFO_EHDR => self.poke(at, libc::AT_IGNORE),
+                _ => {}
+            }
+            at += 16;
+        }
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,9 @@
 //! may look at another's record; only the part itself changes it.
 
 use crate::calls::{Call, Pace};
+use crate::permission::{may_dismiss, may_repeat_at, repeat_deadline};
 use crate::records::*;
+use crate::slow_start::{by_lot, many, BEARS, LOT};
 use crate::types::*;
 use crate::word;
 use rand::{Rng, SeedableRng};
@@ -17,15 +19,8 @@
 use std::collections::{HashMap, VecDeque};
 
 const MASK: Nanos = 3 * SECOND;
-/// How long a client's lot at a cold host holds; what a warm host bears, over the mean.
-const LOT: Nanos = 2 * SECOND;
-const BEARS: f64 = 4.0;
 /// Placements that a weight vector must show before it is judged.
 const JUDGED_AFTER: u32 = 12;
-/// How fast a ceiling rises, a second.
-const RISE: f64 = 0.02;
-/// What a cut leaves of the mean own load.
-const FLOOR: f64 = 0.1;
 /// Hosts a node starts with, and the own load over the mean from which one counts as busy.
 const FEW: f64 = 3.0;
 const BUSY: f64 = 1.2;
@@ -36,10 +31,14 @@
 /// Share of the last connections that met late messages from which some are dismissed, and how many.
 const MANY: f64 = 0.3;
 const SHED: f64 = 8.0;
+/// For how long a node may dismiss all that comes because its last connections met late messages.
+const LONGEST_REFUSAL: Nanos = 2 * SECOND;
 /// Message time over what is wanted from which a host counts as late.
-const LATE: f64 = 0.6;
+pub(crate) const LATE: f64 = 0.6;
 /// Hosts that fail an attachment before no other is asked.
 const UNWANTED: u32 = 2;
+/// Calls in a row for which this machine knew no way to a host, from which that is taken for the host's trouble.
+const UNROUTABLE: u32 = 3;
 /// How often a node that stops sends clients away, and the mark of that timer.
 const PARTING: Nanos = SECOND / 20;
 const PART: u64 = 1;
@@ -47,8 +46,6 @@
 const HOME: f64 = 4.0;
 /// What a crossing costs, in mean own loads.
 const CROSSING: f64 = 18.0;
-/// Seconds within which a cut is to let the work piled up at a host drain.
-const DRAIN: f64 = 2.0;
 /// Most usual loads that what a node cannot see of a host is taken for.
 const UNSEEN: f64 = 50.0;
 
@@ -62,8 +59,8 @@
 const PURSE: f64 = 512.0;
 const FULL_PURSE: f64 = 16.0 * PURSE;
 /// The reported load from which a host is crowded, and that at which it is full.
-const CROWDED: f64 = 0.7;
-const FULL: f64 = 0.9;
+pub(crate) const CROWDED: f64 = 0.7;
+pub(crate) const FULL: f64 = 0.9;
 /// What a host that gives a probe no answer counts as.
 const SILENT: f64 = 2.0;
 /// What reported loads are blurred by, as a report is old and noisy.
@@ -71,11 +68,6 @@
 /// What it costs to go one host further from a home, where loads are reported.
 const STEPWISE: f64 = 0.15;
 
-/// One short line for a change of mode.
-macro_rules! log {
-    ($out:expr, $($text:tt)*) => { $out.push(Action::Log(format!($($text)*))) };
-}
-
 /// Puts a note into an inbox and has its part read until that is empty.
 macro_rules! deliver {
     ($inbox:expr, $note:ident, $read:expr) => {{
@@ -87,12 +79,8 @@
 }
 
 impl Host {
-    fn cold(&self, now: Nanos, charter: &Charter) -> bool {
-        self.age(now) < charter.cold
-    }
-
     /// Its load by the last report, which is old, and noisy, and of no use for ever.
-    fn reported(&self, now: Nanos) -> Option<f64> {
+    pub(crate) fn reported(&self, now: Nanos) -> Option<f64> {
         (self.reported > 0 && now < self.reported + REPORT_AGE).then_some(self.report)
     }
 
@@ -106,70 +94,15 @@
     }
 
     /// How late its messages are, by what was last told; old word fades.
-    fn slow(&self, now: Nanos) -> f64 {
+    pub(crate) fn slow(&self, now: Nanos) -> f64 {
         f64::from(u8::from(now < self.slow_told + 5 * PULSE)) * self.slowness
     }
 
-    fn late(&mut self, now: Nanos, time: Nanos, charter: &Charter) {
+    pub(crate) fn late(&mut self, now: Nanos, time: Nanos, charter: &Charter) {
         self.slowness = time as f64 / charter.shortest_message_time().max(1) as f64;
         self.slow_told = now;
     }
 
-    /// Whether the budget of a cold host has room for one more from this node: by turns, or where these are
-    /// fewer than the nodes, by lot. Guards: new hosts left idle, as the one node of many whose second it
-    /// is has nobody to place in it.
-    fn cold_room(&self, now: Nanos, key: Option<u64>, view: &Survey, charter: &Charter) -> bool {
-        !self.cold(now, charter)
-            || match by_lot(charter) {
-                true => self.drawn(now, key, view.lot, view, charter),
-                false => self.credit_at(now, view.count, charter).0 >= 1.0,
-            }
-    }
-
-    /// Whether a client's turn at this cold host came within the last `span`. Each has one while it warms up,
-    /// by a draw that all nodes make alike, at the pace of half the budget; one without a name its node's.
-    fn drawn(&self, now: Nanos, key: Option<u64>, span: Nanos, view: &Survey, charter: &Charter) -> bool {
-        let nodes = f64::from(charter.nodes.max(1));
-        let place = key.map_or((f64::from(charter.node) + 0.5) / nodes, |key| draw(key, self.id.0));
-        // Alike for clients of all zones. Guards: a host pushed over where one zone has most of the clients.
-        let share = BEARS * self.listing.size / view.size.max(self.listing.size);
-        let come = |age: Nanos| {
-            let age = age as f64 / charter.cold.max(1) as f64;
-            let warmed = charter.cold_from * age + (1.0 - charter.cold_from) * age * age / 2.0;
-            charter.tip_multiple * share * warmed / 2.0
-        };
-        let turn = place < come(self.age(now)) && place >= come(self.age(now).saturating_sub(span));
-        turn && (key.is_some() || now >= self.sent + LOT)
-    }
-
-    /// Half the budget of a turn of `tip_after`, in usual loads: two turns may meet in one window.
-    fn half(&self, now: Nanos, count: f64, charter: &Charter) -> f64 {
-        let nodes = f64::from(charter.nodes.max(1));
-        let fill = (count * nodes + 1.0) * self.listing.size / charter.cold.max(1) as f64;
-        charter.tip_multiple * self.warmth(now, charter) * fill * charter.tip_after as f64 / 2.0
-    }
-
-    /// What a cold host may be sent by this node in this turn of `tip_after`: by number, in another order for
-    /// each host, as many together as the budget has usual loads for; half the budget each (guards: a host
-    /// pushed over at the seam of two turns; one left idle where a round of hundreds outlasts the warm-up).
-    fn credit_at(&self, now: Nanos, count: f64, charter: &Charter) -> (f64, u64) {
-        let nodes = u64::from(charter.nodes.max(1));
-        let half = self.half(now, count, charter);
-        let together = (half as u64).min(nodes / 4).max(1);
-        let (cycle, part) = (nodes.div_ceil(together), half / together as f64);
-        let turn = now / charter.tip_after.max(MILLI);
-        let place = turn.wrapping_add((draw(self.id.0, 0) * 1e6) as u64);
-        let in_turn = |of: u32| place % cycle == u64::from(of) % cycle;
-        let turns = charter.turns.iter().filter(|(of, _)| in_turn(*of)).map(|(_, share)| share);
-        let own = charter.turns.is_empty() && in_turn(charter.node);
-        let share = if own { 1.0 } else { turns.sum() };
-        if share <= 0.0 || turn == self.turn {
-            return (if turn == self.turn { self.credit } else { 0.0 }, self.turn);
-        }
-        let missed = if self.turn == 0 { 1 } else { ((turn - self.turn) / cycle).clamp(1, 8) };
-        ((self.credit.min(1.0) + part * share * missed as f64).min(part.max(1.0)), turn)
-    }
-
     fn mask(&mut self, now: Nanos, chance: f64, why: &str, out: &mut Vec<Action>) {
         let length = MASK << self.strikes.min(1);
         if now >= self.masked_until {
@@ -227,13 +160,14 @@
             Note::Begun { slot, took } => {
                 let Some(conn) = self.conns.iter_mut().find(|c| c.slot == slot) else { return };
                 (conn.begun, conn.since) = (true, now);
+                self.unroutable = 0;
                 self.pending -= 1;
                 self.waited(now, took, at);
             }
             Note::Ended { slot, ending } => {
                 let Some(found) = self.conns.iter().position(|c| c.slot == slot) else { return };
                 let conn = self.drop_conn(found);
-                let length = now - conn.since;
+                let length = now.saturating_sub(conn.since);
                 let bore = conn.load.filter(|_| conn.begun).map(|load| Note::Bore { key: conn.key, load });
                 at.post.extend(bore.map(|note| (To::Ledger, note)));
                 // Guards: clients that this node moved, taken for ones that never stay.
@@ -247,6 +181,11 @@
                 }
                 let broke = u32::from(conn.begun && ending == Ending::Broken);
                 self.broken = if self.conns.is_empty() { 0 } else { self.broken + broke };
+                // Guards: all hosts left out for a moment in which this machine had no route.
+                self.unroutable = if ending == Ending::Unroutable { self.unroutable + 1 } else { 0 };
+                if ending == Ending::Unroutable && self.unroutable < UNROUTABLE {
+                    return;
+                }
                 // An error is the host's only once another host has taken the same: see `Blamed`.
                 if matches!(ending, Ending::Done | Ending::CalledOff | Ending::NeverSent | Ending::Error)
                     || ending == Ending::PassedOn
@@ -255,10 +194,11 @@
                 }
                 // Where most hand-offs fail, the cause is not the host's: a mask would leave the rest all.
                 // Only a fleet of many can push it over by trying again: guards the last host of a small one.
-                if ending == Ending::Unconnected && by_lot(at.charter) {
+                let unconnected = matches!(ending, Ending::Unconnected | Ending::Unroutable);
+                if unconnected && by_lot(at.charter) {
                     self.down = Some(now);
                 }
-                let its_own = matches!(ending, Ending::Refused | Ending::Unconnected | Ending::Broken);
+                let its_own = unconnected || matches!(ending, Ending::Refused | Ending::Broken);
                 if its_own || !at.desk.common() {
                     self.mask(now, at.chance, ending.word(), at.out);
                 }
@@ -278,8 +218,10 @@
             Note::Regarded(by) => {
                 self.regarded(*by);
                 // Guards: a cold host pushed over by two processes that each think the turn is theirs.
-                (self.credit, self.turn) = (0.0, now / at.charter.tip_after.max(MILLI));
+                self.sit_out(now, at.charter);
             }
+            // Guards: a budget given twice, as the same moment has another number.
+            Note::OtherTurns => self.sit_out(now, at.charter),
             Note::Behind(seconds) => self.late(now, (seconds * SECOND as f64) as Nanos, at.charter),
             Note::Reported { load, heard } => {
                 (self.report, self.reported, self.since) = (load, now, self.since / 2.0);
@@ -328,97 +270,17 @@
             _ => {}
         }
     }
-
-    /// Whether `load` more fits under what the host has shown to bear.
-    fn bears(&self, now: Nanos, load: f64, typical: f64) -> bool {
-        // Guards: a host that bears its load well, kept from more by ceilings that the others earned.
-        let ceiling = self.ceiling.unwrap_or((typical * self.listing.size).max(0.9 * self.good));
-        let fits = self.borne() + load <= ceiling;
-        let most = if self.ceiling.is_some() { CROWDED } else { FULL };
-        let fits = self.reported(now).map_or(fits, |load| load < most || self.ceiling.is_some() && fits);
-        self.slow(now) < LATE && fits
-    }
-
-    /// Cuts the own load of a host whose messages come late, the least paid first, and lets the
-    /// ceiling rise again while they do not. Guards: a host with work piled up serves nobody.
-    fn shift(&mut self, now: Nanos, mean: f64, refuge: f64, at: &mut Room) {
-        // Guards: connections cut off when a host that drains goes away. Evenly over the longest that it can
-        // still owe an answer: a hundred nodes that each move one at once storm hosts and store.
-        if self.listed && self.listing.standing == Standing::Draining {
-            let gone = now.saturating_sub(self.draining) as f64 / at.charter.longest_expiry.max(1) as f64;
-            let due = |c: &&Conn| c.begun && draw(self.id.0, c.key.unwrap_or(c.since)) < gone;
-            let due = self.conns.iter().filter(due).map(|c| c.slot);
-            return at.post.extend(due.map(|slot| (To::Desk, Note::Shift { slot })));
-        }
-        // Guards: clients left at a host that sheds: it breaks many and keeps some; one that died has none.
-        if 8 * std::mem::take(&mut self.broken) as usize > self.conns.len() {
-            self.late(now, SECOND, at.charter);
-        }
-        let slow = self.slow(now);
-        if slow < LATE {
-            // The longer it has been well, the faster.
-            let well = (now - self.cut.max(self.slow_told).min(now)) as f64 / SECOND as f64;
-            let rise = RISE * well.min(10.0) * PULSE as f64 / SECOND as f64;
-            let least = mean * self.listing.size / 2.0;
-            // Guards: a host cut down in a short trouble of all that stays nearly empty long after it.
-            self.good = (0.995 * self.good).max(self.borne());
-            self.ceiling = self
-                .ceiling
-                .map(|c| c + rise * c.max(least).max(self.good))
-                .filter(|&c| c < 4.0 * self.borne() + least);
-            return;
-        }
-
-        if self.slowness_at_cut > 0.0 && now < self.cut + 3 * PULSE {
-            return;
-        }
-        let wanted = at.charter.shortest_message_time() as f64 / SECOND as f64;
-        let part = (slow * wanted / DRAIN).clamp(0.05, if refuge > 0.7 { 1.0 } else { 0.5 });
-        // Guards: cut to nothing by what other nodes placed there, and empty long after it is well.
-        let floor = if part < 1.0 { FLOOR * mean * self.listing.size } else { 0.0 };
-        let ceiling = (self.ceiling.unwrap_or(self.borne()).min(self.borne()) * (1.0 - part)).max(floor);
-        self.ceiling = Some(ceiling);
-        if self.borne() <= floor {
-            return;
-        }
-        let (own, conns) = (self.borne(), self.conns.len());
-        log!(at.out, "cut host={:x} slow={slow:.1} load={own:.2} to={ceiling:.2} conns={conns}", self.id.0);
-        (self.cut, self.slowness_at_cut) = (now, slow);
-        let luck = at.chance.to_bits();
-        let payoff = |n: usize| at.charter.offerings[self.conns[n].offering].payoff.max(1e-6);
-        let mut order: Vec<(f64, usize)> = (0..self.conns.len())
-            .filter(|&n| self.conns[n].begun)
-            .map(|n| (self.cost(n, at.ledger) / payoff(n) * draw(luck, n as u64), n))
-            .collect();
-        order.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let (mut load, mut told) = (self.borne(), false);
-        for (_, n) in order {
-            // Guards: many nodes that each cut one whole connection where a tenth of one was meant.
-            let cost = self.cost(n, at.ledger);
-            if load - ceiling < 0.5 * cost * draw(!luck, n as u64) {
-                break;
-            }
-            load -= cost;
-            // Those that stood before count too, where they are few: guards a day overrun from its start. One
-            // a cut: guards new ones dismissed, all of them, since a single host hangs.
-            let counts = self.conns[n].vector.take().is_some() || conns == 1;
-            if counts && !std::mem::replace(&mut told, true) {
-                at.post.push_back((To::Desk, Note::Fared { late: true }));
-            }
-            at.post.push_back((To::Desk, Note::Shift { slot: self.conns[n].slot }));
-        }
-    }
 }
 
 /// What a host sees of the rest while it reads a note.
-struct Room<'a> {
-    charter: &'a Charter,
-    ledger: &'a Ledger,
-    post: &'a mut Post,
-    out: &'a mut Vec<Action>,
-    chance: f64,
-    count: f64,
-    desk: &'a Desk,
+pub(crate) struct Room<'a> {
+    pub charter: &'a Charter,
+    pub ledger: &'a Ledger,
+    pub post: &'a mut Post,
+    pub out: &'a mut Vec<Action>,
+    pub chance: f64,
+    pub count: f64,
+    pub desk: &'a Desk,
 }
 
 /// What an attachment asks of a host.
@@ -505,17 +367,18 @@
         self.late > MANY
     }
 
+    /// Whether the next attachment is handed off though others are dismissed. Guards: a node that refuses all for tens of
+    /// seconds after its hosts are well again, as nothing it refuses can tell it so.
+    fn tries_on(&self, now: Nanos) -> bool {
+        self.refused_since.is_some_and(|since| now >= since + LONGEST_REFUSAL)
+    }
+
     /// Whether the hand-offs fail so often that no single host can be to blame.
     fn common(&self) -> bool {
         self.trouble > 0.3
     }
 }
 
-/// Whether the fleet has more nodes than a host's warm-up has turns.
-fn many(charter: &Charter) -> bool {
-    u64::from(charter.nodes).saturating_mul(charter.tip_after) > charter.cold
-}
-
 /// The node's place among many, from 0 to 1, over as much of that as there are more than would be few.
 fn place(charter: &Charter) -> Option<f64> {
     let few = charter.cold as f64 / charter.tip_after.max(1) as f64;
@@ -523,11 +386,6 @@
     many(charter).then(|| (f64::from(charter.node) + 0.5) / nodes * (1.0 - (few / nodes).powi(2)))
 }
 
-/// Whether cold hosts take by lot: many nodes, and no report tells who is new.
-fn by_lot(charter: &Charter) -> bool {
-    many(charter) && !charter.probe_for_gauges
-}
-
 /// One node's decisions.
 pub struct Balancer {
     charter: Charter,
@@ -598,10 +456,14 @@
             (Event::Renewed(charter, others), ..) => {
                 post(To::Ledger, Note::Offers(charter.offerings.len(), others));
                 log!(out, "terms renewed offered={}", charter.offered().count());
+                if charter.tip_after != self.charter.tip_after {
+                    let hosts = 0..self.hosts.len();
+                    self.post.extend(hosts.map(|host| (To::Host(host), Note::OtherTurns)));
+                }
                 let turns = std::mem::take(&mut self.charter.turns);
                 self.charter = Charter { turns, ..*charter };
             }
-            (Event::Heir(comes), ..) => post(To::Desk, Note::Heir(comes)),
+            (Event::Successor(comes), ..) => post(To::Desk, Note::Successor(comes)),
             (Event::Inherited(mut legacy), ..) => {
                 let known = |one: Regard| Some((*self.known.get(&one.id)?, Note::Regarded(Box::new(one))));
                 let hosts = std::mem::take(&mut legacy.hosts).into_iter().filter_map(known);
@@ -846,9 +708,10 @@
             }
             Note::TakenUp(arrival, hand_offs, ran, tried) => {
                 let slot = self.desk.admit(now, arrival, &self.charter);
+                let first_run = |(host, sent): (usize, Nanos)| FirstRun { host, sent };
                 if let Some(attachment) = self.desk.slots[slot].as_mut() {
                     (attachment.hand_offs, attachment.may_have_run, attachment.tried) =
-                        (hand_offs, ran, tried);
+                        (hand_offs, ran.map(first_run), tried);
                 }
                 self.place(now, slot, out);
             }
@@ -889,8 +752,9 @@
                     if ending == Ending::Error {
                         (attachment.errors, attachment.failed) = (attachment.errors + 1, Some(host));
                     }
-                    if !ending.never_ran() && attachment.may_have_run.is_none() {
-                        attachment.may_have_run = Some((host, attachment.sent));
+                    if !ending.never_ran() {
+                        let sent = attachment.sent;
+                        attachment.may_have_run.get_or_insert(FirstRun { host, sent });
                     }
                 }
                 self.place(now, slot, out);
@@ -919,7 +783,7 @@
                 log!(out, "leaving held={}", self.desk.names.len());
                 out.push(Action::WakeAt { time: from, mark: PART });
             }
-            Note::Heir(comes) => self.desk.heir = comes,
+            Note::Successor(comes) => self.desk.successor = comes,
             Note::Inherited(legacy) => {
                 (self.desk.trouble, self.desk.late) = (legacy.trouble, legacy.late);
                 self.post.push_back((To::Ledger, Note::Inherited(legacy)));
@@ -956,9 +820,7 @@
     fn answer(&mut self, slot: usize, out: &mut Vec<Action>) {
         let Some(attachment) = self.desk.slots[slot].as_ref() else { return };
         let (id, ran) = (attachment.id, attachment.may_have_run.is_some());
-        let offering = &self.charter.offerings[attachment.arrival.offering];
-        let dropped = offering.effect == Effect::Labelled && offering.circle == Circle::All;
-        let harmless = !ran || dropped || offering.effect == Effect::Redoable;
+        let harmless = may_dismiss(&self.charter.offerings[attachment.arrival.offering], ran);
         // Spread, so that the clients do not come back in step.
         let wait = self.charter.longest_advice as f64 * self.rng.random_range(0.25..1.0);
         let dismissal = Action::Dismiss { id, wait: wait as Nanos };
@@ -979,11 +841,7 @@
         let most = if self.desk.common() { 1 } else { attachment.most };
         // Guards: what no host will have, as bad clients send it, offered to host after host.
         let late = now >= last || attachment.hand_offs >= most || attachment.errors >= UNWANTED;
-        let by = match (offering.effect, ran) {
-            (Effect::Irreversible, Some(_)) => 0,
-            (Effect::Labelled, Some((_, sent))) => sent.saturating_add(offering.window),
-            _ => Nanos::MAX,
-        };
+        let by = repeat_deadline(offering, ran.map(|ran| ran.sent));
         let vector = self.helm.next;
         // Guards: hosts that many nodes fill up again as fast as each cuts its one connection there. The
         // less a node sees of the hosts, the more of what it might hold to ceilings it dismisses by chance.
@@ -1001,7 +859,11 @@
                     let blind = blind * (least / pays(attachment.arrival.offering)).sqrt();
                     draw(tie, 0) < SHED * blind * (self.desk.late - MANY) / (1.0 - MANY)
                 });
+        let shed = shed && (self.desk.leaving.is_some() || !self.desk.tries_on(now));
         let chosen = if late || now >= by || shed { None } else { self.choose(now, attachment, vector, tie) };
+        if shed {
+            self.desk.refused_since.get_or_insert(now);
+        }
         let Some(host) = chosen else { return self.answer(slot, out) };
         // Guards: a store that all set-ups share, whose answers come when the node has asked anew already.
         let patience = (offering.contract_time as f64).max(6.0 * self.ledger.set_up);
@@ -1017,6 +879,7 @@
             (attachment.hand_offs, attachment.at, attachment.sent) =
                 (attachment.hand_offs + 1, Some(host), now);
         }
+        self.desk.refused_since = None;
         self.desk.purse = (self.desk.purse + PURSE).min(FULL_PURSE);
     }
 
@@ -1094,7 +957,7 @@
         if masked && !(lapsed && trickle) {
             return false;
         }
-        let theirs = self.desk.heir && host.cold(now, &self.charter);
+        let theirs = self.desk.successor && host.cold(now, &self.charter);
         !theirs
             && host.bears(now, ask.load + self.opening(host, ask), view.typical)
             && (host.cold_room(now, ask.attachment.arrival.key, view, &self.charter)
@@ -1102,18 +965,13 @@
             && self.in_circle(&host.listing, ask.attachment)
     }
 
-    /// Whether the host would drop a repeat of a labelled attachment that may have run.
+    /// Whether the host would drop a repeat of a labelled attachment that may have run: it is in the group in which the first
+    /// one ran, and in which that host is listed now. Guards: a repeat led out of its group by a host that came back under its
+    /// name in another; and one matched against the zone that has the place of the first one's in new terms.
     fn in_circle(&self, place: &Listing, attachment: &Attachment) -> bool {
         let offering = &self.charter.offerings[attachment.arrival.offering];
-        let Some((first, _)) = attachment.may_have_run.filter(|_| offering.effect == Effect::Labelled) else {
-            return true;
-        };
-        let first = &self.hosts[first].listing;
-        match offering.circle {
-            Circle::All => true,
-            Circle::Zone => first.zone == place.zone,
-            Circle::Cell => first.cell == place.cell,
-        }
+        let Some(ran) = &attachment.may_have_run else { return true };
+        may_repeat_at(offering, Some(&self.hosts[ran.host].listing), place).is_ok()
     }
 
     /// The design's two-part score, and the leanings to homes and to the own zone.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,9 @@
 //! reedferry decides which host each long-lived connection goes to.
 //!
 //! The library takes [`Event`]s in and gives [`Action`]s out. It does no I/O, keeps no clock and
-//! knows no protocol; whoever speaks a protocol translates it to these types. Every decision is
-//! taken in [`choice`]; the types stand in [`types`].
+//! knows no protocol; whoever speaks a protocol translates it to these types. Hosts are chosen in
+//! [`choice`]; whether a request may be attempted, repeated or dismissed at all is decided in [`permission`]; the types
+//! stand in [`types`].
 //!
 //! ```
 //! use reedferry::{Action, Arrival, AttachmentId, Balancer, Charter, Event, HostId, Listing, Offering};
@@ -18,10 +19,18 @@
 //! assert!(out.iter().any(|a| matches!(a, Action::HandOff { host: HostId(1), .. })));
 //! ```
 
+/// One short line for a change of mode.
+macro_rules! log {
+    ($out:expr, $($text:tt)*) => { $out.push(Action::Log(format!($($text)*))) };
+}
+
 pub mod calls;
+mod ceilings;
 pub mod choice;
 mod ledger;
+pub mod permission;
 mod records;
+mod slow_start;
 pub mod types;
 pub mod word;
 
--- /dev/null
+++ b/src/permission.rs
@@ -0,0 +1,168 @@
+//! Permission: the one place that decides whether a request may be attempted, repeated or dismissed now.
+//!
+//! Everything here is a pure function of what is known of the request, the terms of its offering and the caller's clock.
+//! The balancer asks when it chooses a host, a forwarder when a planner is silent, and the socket layer once more right
+//! before the first byte of an attempt, as the clock and the world have moved on in between. A refusal names its reason,
+//! which is counted and logged by whoever asked.
+
+use crate::types::{Circle, Effect, Listing, Nanos, Offering, MILLI};
+
+/// How long a process may be held up between reading its clock and writing. The grace of a draining host has to cover it.
+pub const LONGEST_STALL: Nanos = 150 * MILLI;
+
+/// Why an attempt may not begin, or not go on, now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Refusal {
+    /// The time within which the request has to be answered is over.
+    Expired,
+    /// Its client has closed or cancelled.
+    ClientGone,
+    /// It is irreversible, and an earlier attempt may have run.
+    MayHaveRun,
+    /// It is labelled, and the window in which repeats are dropped is over.
+    OutsideWindow,
+    /// It is labelled, and the host is not in the group that drops its repeats.
+    OutsideGroup,
+    /// The host drains or has left, and the grace is over.
+    HostLeaving,
+    /// The host has been listed at another address since it was chosen.
+    HostMoved,
+    /// The list of hosts may be out of date: a drain may count as told that was not heard of.
+    ListNotHeard,
+}
+
+impl Refusal {
+    /// Its name in log lines and figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Refusal::Expired => "expired",
+            Refusal::ClientGone => "client_gone",
+            Refusal::MayHaveRun => "may_have_run",
+            Refusal::OutsideWindow => "outside_window",
+            Refusal::OutsideGroup => "outside_group",
+            Refusal::HostLeaving => "host_leaving",
+            Refusal::HostMoved => "host_moved",
+            Refusal::ListNotHeard => "list_not_heard",
+        }
+    }
+}
+
+/// What the socket layer knows at the moment in which an attempt would begin.
+#[derive(Clone, Copy, Debug)]
+pub struct Beginning {
+    pub now: Nanos,
+    /// By when the request has to be answered, as far as this attempt goes.
+    pub expiry: Nanos,
+    /// By when the last byte of the attempt has to be written: see [`repeat_deadline`].
+    pub not_after: Nanos,
+    pub client_waits: bool,
+    /// Since when the host is told to be draining or gone.
+    pub leaving_since: Option<Nanos>,
+    /// The grace for draining hosts, as the settings give it.
+    pub drain_grace: Nanos,
+    /// Whether a drain may count as told that this node has not heard of.
+    pub list_unheard: bool,
+    /// Whether its host has been listed at another address since it was chosen.
+    pub host_moved: bool,
+    /// Whether it may repeat one that ran, and its host has been listed in another group since it was chosen.
+    pub group_changed: bool,
+}
+
+/// The part of the grace for draining hosts in which an attempt may still begin: what is left of it once the process may
+/// have been held up; half of it where it is shorter than twice that.
+pub fn usable_grace(drain_grace: Nanos) -> Nanos {
+    drain_grace.saturating_sub(LONGEST_STALL).max(drain_grace / 2)
+}
+
+/// Whether the first byte of an attempt may be written.
+///
+/// # Errors
+/// The first reason that forbids it.
+pub fn may_begin(at: &Beginning) -> Result<(), Refusal> {
+    if !at.client_waits {
+        return Err(Refusal::ClientGone);
+    }
+    if at.now >= at.expiry {
+        return Err(Refusal::Expired);
+    }
+    if at.list_unheard {
+        return Err(Refusal::ListNotHeard);
+    }
+    if at.host_moved {
+        return Err(Refusal::HostMoved);
+    }
+    if at.group_changed {
+        return Err(Refusal::OutsideGroup);
+    }
+    let grace = usable_grace(at.drain_grace);
+    if at.leaving_since.is_some_and(|since| at.now > since.saturating_add(grace)) {
+        return Err(Refusal::HostLeaving);
+    }
+    may_go_on(at.now, at.not_after)
+}
+
+/// Whether what is left of an attempt that has begun may still be written: a repeat counts by its last byte.
+///
+/// # Errors
+/// [`Refusal::OutsideWindow`] once it may not.
+pub fn may_go_on(now: Nanos, not_after: Nanos) -> Result<(), Refusal> {
+    if now > not_after {
+        return Err(Refusal::OutsideWindow);
+    }
+    Ok(())
+}
+
+/// The latest moment in which an attempt may be written, where the first one that may have run was sent then; none
+/// binds where no attempt can have run.
+pub fn repeat_deadline(offering: &Offering, first_sent: Option<Nanos>) -> Nanos {
+    match (offering.effect, first_sent) {
+        (Effect::Irreversible, Some(_)) => 0,
+        (Effect::Labelled, Some(sent)) => sent.saturating_add(offering.window),
+        _ => Nanos::MAX,
+    }
+}
+
+/// Whether there may be another attempt anywhere, where the first one that may have run was sent then.
+///
+/// # Errors
+/// Why there may be none.
+pub fn may_repeat(offering: &Offering, first_sent: Option<Nanos>, now: Nanos) -> Result<(), Refusal> {
+    if now < repeat_deadline(offering, first_sent) {
+        return Ok(());
+    }
+    Err(match offering.effect {
+        Effect::Irreversible => Refusal::MayHaveRun,
+        _ => Refusal::OutsideWindow,
+    })
+}
+
+/// Whether `other` may be sent the repeat of a request whose first attempt may have run at `first`.
+///
+/// # Errors
+/// [`Refusal::OutsideGroup`] where it would not be dropped there.
+pub fn may_repeat_at(offering: &Offering, first: Option<&Listing>, other: &Listing) -> Result<(), Refusal> {
+    let Some(first) = first.filter(|_| offering.effect == Effect::Labelled) else { return Ok(()) };
+    let same_group = match offering.circle {
+        Circle::All => true,
+        Circle::Zone => first.zone == other.zone,
+        Circle::Cell => first.cell == other.cell,
+    };
+    if same_group {
+        Ok(())
+    } else {
+        Err(Refusal::OutsideGroup)
+    }
+}
+
+/// Whether the client may be told to come again: a retry of its own does no harm.
+pub fn may_dismiss(offering: &Offering, may_have_run: bool) -> bool {
+    match offering.effect {
+        Effect::Redoable => true,
+        Effect::Labelled => !may_have_run || offering.circle == Circle::All,
+        Effect::Irreversible => !may_have_run,
+    }
+}
+
+#[cfg(test)]
+#[path = "permission_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/permission_tests.rs
@@ -0,0 +1,90 @@
+use super::*;
+use crate::types::SECOND;
+
+fn offering(effect: Effect, circle: Circle) -> Offering {
+    Offering { effect, circle, window: 100, ..Offering::default() }
+}
+
+fn allowed() -> Beginning {
+    Beginning {
+        now: 1000 * MILLI,
+        expiry: 2000 * MILLI,
+        not_after: Nanos::MAX,
+        client_waits: true,
+        leaving_since: None,
+        drain_grace: 300 * MILLI,
+        list_unheard: false,
+        host_moved: false,
+        group_changed: false,
+    }
+}
+
+#[test]
+fn an_attempt_begins_only_while_every_condition_holds() {
+    assert_eq!(may_begin(&allowed()), Ok(()));
+    let now = allowed().now;
+    for (at, refusal) in [
+        (Beginning { client_waits: false, ..allowed() }, Refusal::ClientGone),
+        (Beginning { expiry: now, ..allowed() }, Refusal::Expired),
+        (Beginning { list_unheard: true, ..allowed() }, Refusal::ListNotHeard),
+        (Beginning { host_moved: true, ..allowed() }, Refusal::HostMoved),
+        (Beginning { group_changed: true, ..allowed() }, Refusal::OutsideGroup),
+        (Beginning { not_after: now - 1, ..allowed() }, Refusal::OutsideWindow),
+        (Beginning { leaving_since: Some(now - 151 * MILLI), ..allowed() }, Refusal::HostLeaving),
+    ] {
+        assert_eq!(may_begin(&at), Err(refusal));
+    }
+    assert_eq!(may_begin(&Beginning { not_after: now, ..allowed() }), Ok(()));
+}
+
+/// Guards: a line that begins in the last moment of the grace, by a process that is then held up before it writes.
+#[test]
+fn the_grace_covers_a_process_that_is_held_up_before_it_writes() {
+    for grace in [100 * MILLI, 300 * MILLI, 500 * MILLI, SECOND] {
+        let usable = usable_grace(grace);
+        assert!(usable >= grace / 2);
+        assert!(usable + LONGEST_STALL <= grace || usable == grace / 2, "{grace}");
+    }
+    let now = allowed().now;
+    let last = Beginning { leaving_since: Some(now - 150 * MILLI), ..allowed() };
+    assert_eq!(may_begin(&last), Ok(()), "within what is left of the grace");
+}
+
+#[test]
+fn what_may_have_run_binds_each_effect_in_its_own_way() {
+    for circle in [Circle::All, Circle::Zone, Circle::Cell] {
+        let (free, labelled, once) = (
+            offering(Effect::Redoable, circle),
+            offering(Effect::Labelled, circle),
+            offering(Effect::Irreversible, circle),
+        );
+        for one in [&free, &labelled, &once] {
+            assert_eq!(may_repeat(one, None, 5000), Ok(()));
+            assert!(may_dismiss(one, false));
+        }
+        assert_eq!(may_repeat(&free, Some(10), 5000), Ok(()));
+        assert_eq!(may_repeat(&labelled, Some(10), 109), Ok(()));
+        assert_eq!(may_repeat(&labelled, Some(10), 110), Err(Refusal::OutsideWindow));
+        assert_eq!(may_repeat(&once, Some(10), 11), Err(Refusal::MayHaveRun));
+        assert!(may_dismiss(&free, true) && !may_dismiss(&once, true));
+        assert_eq!(may_dismiss(&labelled, true), circle == Circle::All);
+    }
+}
+
+#[test]
+fn a_labelled_repeat_stays_in_the_group_that_drops_it() {
+    let first = Listing { zone: 1, cell: 4, ..Listing::default() };
+    let (same_zone, same_cell) = (Listing { cell: 5, ..first }, Listing { zone: 2, ..first });
+    let elsewhere = Err(Refusal::OutsideGroup);
+    for (circle, other, wanted) in [
+        (Circle::All, same_zone, Ok(())),
+        (Circle::Zone, same_zone, Ok(())),
+        (Circle::Zone, same_cell, elsewhere),
+        (Circle::Cell, same_zone, elsewhere),
+        (Circle::Cell, same_cell, Ok(())),
+    ] {
+        assert_eq!(may_repeat_at(&offering(Effect::Labelled, circle), Some(&first), &other), wanted);
+        assert_eq!(may_repeat_at(&offering(Effect::Labelled, circle), None, &other), Ok(()));
+        assert_eq!(may_repeat_at(&offering(Effect::Redoable, circle), Some(&first), &other), Ok(()));
+    }
+}
--- a/src/records.rs
+++ b/src/records.rs
@@ -79,9 +79,11 @@
     Staying,
     /// So many offerings there are, and these stand where another stood.
     Offers(usize, Vec<usize>),
-    Heir(bool),
+    Successor(bool),
     Inherited(Box<Legacy>),
     Regarded(Box<Regard>),
+    /// The turns in which cold hosts are handed anything have another length from now on.
+    OtherTurns,
     Part,
     Shift {
         slot: usize,
@@ -153,6 +155,8 @@
     pub gone_since: Nanos,
     /// When it last took no connection.
     pub down: Option<Nanos>,
+    /// Calls in a row for which this machine knew no way there.
+    pub unroutable: u32,
     /// Since when it is told to be draining, where it is.
     pub draining: Nanos,
     pub conns: Vec<Conn>,
@@ -312,6 +316,13 @@
     }
 }
 
+/// A hand-off that may have run: its host, and when it was sent.
+#[derive(Clone, Copy)]
+pub(crate) struct FirstRun {
+    pub host: usize,
+    pub sent: Nanos,
+}
+
 #[derive(Default)]
 pub(crate) struct Attachment {
     pub id: AttachmentId,
@@ -325,8 +336,9 @@
     pub begun: bool,
     pub answered: bool,
     pub moved: bool,
-    /// The first hand-off that may have run: its host and when it was sent.
-    pub may_have_run: Option<(usize, Nanos)>,
+    /// The first hand-off that may have run.
+    pub may_have_run: Option<FirstRun>,
+    /// When the last hand-off was sent.
     pub sent: Nanos,
     pub tried: Vec<usize>,
     /// Hand-offs that hosts failed, and the last of those hosts.
@@ -345,6 +357,8 @@
     pub failing: Option<usize>,
     /// Share of the last connections that met late messages at their host.
     pub late: f64,
+    /// Since when all that came was dismissed for that.
+    pub refused_since: Option<Nanos>,
     /// Bytes that may still be told, over all who hear them.
     pub purse: f64,
     /// The node stops, and by when its clients are to be gone.
@@ -352,7 +366,7 @@
     /// When clients are next sent away.
     pub parts: Nanos,
     /// Another process has its legacy.
-    pub heir: bool,
+    pub successor: bool,
     /// Attachments that came within about the last second, as of when the last did.
     pub coming: (f64, Nanos),
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -174,7 +174,7 @@
 pub struct Listing {
     pub id: HostId,
     pub zone: u16,
-    pub cell: u16,
+    pub cell: u64,
     pub standing: Standing,
     pub size: f64,
     pub started: Option<Nanos>,
@@ -271,6 +271,8 @@
     Broken,
     CalledOff,
     NeverSent,
+    /// This machine knew no way to the host when it was called: its own trouble, or the host's where that lasts.
+    Unroutable,
     /// It goes on in another process.
     PassedOn,
 }
@@ -287,13 +289,14 @@
             Ending::Broken => "broken",
             Ending::CalledOff => "called-off",
             Ending::NeverSent => "never-sent",
+            Ending::Unroutable => "unroutable",
             Ending::PassedOn => "passed-on",
         }
     }
 
     /// Whether this ending proves that the hand-off never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Ending::Refused | Ending::Unconnected | Ending::NeverSent)
+        matches!(self, Ending::Refused | Ending::Unconnected | Ending::NeverSent | Ending::Unroutable)
     }
 }
 
@@ -348,7 +351,7 @@
     /// way goes by its own offering, which is still there, and keeps its count of hand-offs.
     Renewed(Box<Charter>, Vec<usize>),
     /// Another process takes this one's place: it has its legacy, and takes in the clients; or has gone again.
-    Heir(bool),
+    Successor(bool),
     /// What the process before this one has learned.
     Inherited(Box<Legacy>),
     Probed {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -248,20 +248,20 @@
     for step in 0..100 {
         // A new process for node 0 in the middle of each second, which both then take clients for.
         if step % 20 == 10 {
-            let elder = fleet.nodes.len() - 1 - usize::from(fleet.nodes.len() == 2);
-            let legacy = Box::new(fleet.nodes[elder].leave());
-            fleet.tell(elder, Event::Heir(true));
+            let predecessor = fleet.nodes.len() - 1 - usize::from(fleet.nodes.len() == 2);
+            let legacy = Box::new(fleet.nodes[predecessor].leave());
+            fleet.tell(predecessor, Event::Successor(true));
             let mut out = Vec::new();
             fleet.nodes.push(Balancer::new(charter(0, 2), step, fleet.now, &mut out));
-            let heir = fleet.nodes.len() - 1;
-            fleet.note(heir, out);
+            let successor = fleet.nodes.len() - 1;
+            fleet.note(successor, out);
             let mut all = hosts.to_vec();
             all.push(back);
-            fleet.tell(heir, Event::Roll { kind: RollKind::Cached, hosts: all });
-            fleet.tell(heir, Event::Inherited(legacy));
+            fleet.tell(successor, Event::Roll { kind: RollKind::Cached, hosts: all });
+            fleet.tell(successor, Event::Inherited(legacy));
             for n in 0..100 {
                 let arrival = Arrival { id: AttachmentId(1 << 40 | step << 20 | n), ..Arrival::default() };
-                fleet.tell(heir, Event::PassedOn(arrival, HostId(n % 4 + 1), START));
+                fleet.tell(successor, Event::PassedOn(arrival, HostId(n % 4 + 1), START));
             }
         }
         for node in 0..fleet.nodes.len() {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -252,7 +252,7 @@
                     "gone" => listing.standing = Standing::Gone,
                     "size" => listing.size = num(value),
                     "zone" => listing.zone = num(value) as u16,
-                    "cell" => listing.cell = num(value) as u16,
+                    "cell" => listing.cell = num(value) as u64,
                     "started" => listing.started = Some(START + ms(value)),
                     _ => panic!("unknown word {key}"),
                 }
