Cut a host once for one late message, and leave one with next to nothing without a ceiling

Cause: shift asked whether the last late message was under 2.5 s old, not whether there was one since the cut, and set a ceiling where there was nothing to cut; a ceiling rises by hundredths a second. Change: may_cut wants later word than the cut's; cut leaves a host at its floor alone. Before: 1 of 16 clients to a host that is well beside two with 20 each; after: its share, both tests of tests/late_messages.rs pass.

--- a/src/ceilings.rs
+++ b/src/ceilings.rs
@@ -62,9 +62,10 @@
         self.ceiling = risen.filter(|&c| c < 4.0 * self.borne() + least);
     }
 
-    /// Whether the last cut has had its time.
+    /// Whether the last cut has had its time. Guards: a host cut down to what is left there once its clients have gone, by a
+    /// message that it was cut for.
     fn may_cut(&self, now: Nanos) -> bool {
-        self.slowness_at_cut <= 0.0 || now >= self.cut + CUT_EVERY
+        self.slowness_at_cut <= 0.0 || now >= self.cut + CUT_EVERY && self.slow_told > self.cut
     }
 
     /// Takes the ceiling down, and sends away what is over it.
@@ -76,6 +77,10 @@
         let floor = if part < 1.0 { FLOOR * mean * self.listing.size } else { 0.0 };
         let own = self.borne();
         let ceiling = (self.ceiling.unwrap_or(own).min(own) * (1.0 - part)).max(floor);
+        // Guards: a host that has next to nothing when a message is late, held to that for long after it is well.
+        if own <= floor {
+            return;
+        }
         self.ceiling = Some(ceiling);
         let conns = self.conns.len();
         log!(at.out, "cut host={:x} slow={slow:.1} load={own:.2} to={ceiling:.2} conns={conns}", self.id.0);
