Keep a repeat in the group in which its first attempt may have run, by the list of then

Cause: a labelled repeat was matched against the group in which the first attempt's host is listed now; a host that came back under its name in another group let the repeat run a second time. Change: FirstRun keeps how the host was listed when the attempt was sent; in_circle wants both, the list of then and of now. Before: a_repeat_stays_in_the_circle_in_which_the_first_attempt_may_have_run fails over sockets (zone: sent out of its circle); after: passes, all four of relisted.rs.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -708,7 +708,11 @@
             }
             Note::TakenUp(arrival, hand_offs, ran, tried) => {
                 let slot = self.desk.admit(now, arrival, &self.charter);
-                let first_run = |(host, sent): (usize, Nanos)| FirstRun { host, sent };
+                let first_run = |(host, sent): (usize, Nanos)| FirstRun {
+                    host,
+                    listed: self.hosts.get(host).map(|host| host.listing).unwrap_or_default(),
+                    sent,
+                };
                 if let Some(attachment) = self.desk.slots[slot].as_mut() {
                     (attachment.hand_offs, attachment.may_have_run, attachment.tried) =
                         (hand_offs, ran.map(first_run), tried);
@@ -753,8 +757,8 @@
                         (attachment.errors, attachment.failed) = (attachment.errors + 1, Some(host));
                     }
                     if !ending.never_ran() {
-                        let sent = attachment.sent;
-                        attachment.may_have_run.get_or_insert(FirstRun { host, sent });
+                        let (listed, sent) = (attachment.sent_to, attachment.sent);
+                        attachment.may_have_run.get_or_insert(FirstRun { host, listed, sent });
                     }
                 }
                 self.place(now, slot, out);
@@ -878,6 +882,7 @@
         if let Some(attachment) = self.desk.slots[slot].as_mut() {
             (attachment.hand_offs, attachment.at, attachment.sent) =
                 (attachment.hand_offs + 1, Some(host), now);
+            attachment.sent_to = self.hosts[host].listing;
         }
         self.desk.refused_since = None;
         self.desk.purse = (self.desk.purse + PURSE).min(FULL_PURSE);
@@ -971,7 +976,8 @@
     fn in_circle(&self, place: &Listing, attachment: &Attachment) -> bool {
         let offering = &self.charter.offerings[attachment.arrival.offering];
         let Some(ran) = &attachment.may_have_run else { return true };
-        may_repeat_at(offering, Some(&self.hosts[ran.host].listing), place).is_ok()
+        let places = [&ran.listed, &self.hosts[ran.host].listing];
+        places.into_iter().all(|first| may_repeat_at(offering, Some(first), place).is_ok())
     }
 
     /// The design's two-part score, and the leanings to homes and to the own zone.
--- a/src/records.rs
+++ b/src/records.rs
@@ -316,10 +316,11 @@
     }
 }
 
-/// A hand-off that may have run: its host, and when it was sent.
+/// A hand-off that may have run: its host, how that was listed then, and when it was sent.
 #[derive(Clone, Copy)]
 pub(crate) struct FirstRun {
     pub host: usize,
+    pub listed: Listing,
     pub sent: Nanos,
 }
 
@@ -338,8 +339,9 @@
     pub moved: bool,
     /// The first hand-off that may have run.
     pub may_have_run: Option<FirstRun>,
-    /// When the last hand-off was sent.
+    /// When the last hand-off was sent, and how its host was listed then.
     pub sent: Nanos,
+    pub sent_to: Listing,
     pub tried: Vec<usize>,
     /// Hand-offs that hosts failed, and the last of those hosts.
     pub errors: u32,
