Log how late a turn began and who had the time; try answers of a process woken late (red)

Change: each 'rule violated' says for how long what was due waited for the process itself, for how long it overslept, and what processor time it used; a turn that begins over 50 ms late is logged once a second. Red, listed: with each wait held up by 75 ms, 3 of 8 final answers are 51 to 68 ms late (overslept_ms 65 to 75, processor_ms 1): the node gives a request up 8 ms before its expiry.

--- a/node/src/connections/audit.rs
+++ b/node/src/connections/audit.rs
@@ -33,7 +33,7 @@
         context.tally.add(Count::Violated(rule));
         let connection = &self.slab[slot];
         error!(context.log, "rule violated"; "rule" => rule.name(), "id" => connection.id(),
-            "attempts" => connection.hand_offs, "ms" => figure / MILLI);
+            "attempts" => connection.hand_offs, "ms" => figure / MILLI, context.turn.account(context.clock.read()));
     }
 
     /// The last byte of an attempt has been written.
--- a/node/src/context.rs
+++ b/node/src/context.rs
@@ -6,6 +6,7 @@
 use crate::operators::counts::Count;
 use crate::operators::papers::Papers;
 use crate::operators::tally::Tally;
+use crate::turn::Turn;
 use crate::AtStart;
 use reedferry::{Event, Nanos, Offering, MILLI, SECOND};
 use reedferry_quay::errors::patiently;
@@ -61,6 +62,8 @@
 pub const LONGEST_MOVE: Nanos = 800 * MILLI;
 /// For how long a start waits for what the machine is short of: nine in ten are to be ready within 10 s.
 pub const START_WITHIN: Duration = Duration::from_secs(5);
+/// How late a turn begins where that is logged: what the rules allow on sockets.
+const LATE_TURN: Nanos = 50 * MILLI;
 /// Log lines on single requests in a second.
 const MOST_REQUEST_LINES: u32 = 20;
 /// How long after operators ask for it a node that stands by holds no client any more.
@@ -78,6 +81,8 @@
     pub start: Nanos,
     /// The last turn that saw to all that was ready.
     caught_up: Nanos,
+    /// How the current turn began.
+    pub turn: Turn,
     pub poller: Poller,
     pub budget: Budget,
     pub pool: Pool,
@@ -95,6 +100,8 @@
     /// The same where the program has been asked to stop.
     pub stopped_by: Option<Nanos>,
     pub tally: Tally,
+    /// Log lines on turns that began late are bounded.
+    late_turn_lines: LineLimit,
     /// Log lines on single requests are bounded.
     pub request_lines: LineLimit,
     /// Whether new work was last held off for want of descriptors or buffers.
@@ -119,6 +126,7 @@
             clock: clock.clone(),
             start: now,
             caught_up: now,
+            turn: Turn::default(),
             poller,
             budget: Budget::new(papers.sockets),
             // A quarter of the memory; the rest is the program's own and a reserve.
@@ -133,6 +141,7 @@
             standby: None,
             stopped_by: None,
             tally,
+            late_turn_lines: LineLimit::new(1),
             request_lines: LineLimit::new(MOST_REQUEST_LINES),
             scarce: false,
             deaf: Nanos::MAX..Nanos::MAX,
@@ -148,6 +157,10 @@
             self.caught_up = before;
         }
         self.hosts.stalls.looked(self.caught_up, waited, now);
+        self.turn.begin(self.poller.next_due(), waited, now);
+        if self.turn.lateness() > LATE_TURN && self.late_turn_lines.room(now) {
+            info!(self.log, "woken late"; self.turn.account(now));
+        }
         before
     }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod roles;
 mod stalls;
+mod turn;
 
 use clap::{Args, Parser, Subcommand};
 use reedferry::{Nanos, MILLI};
--- a/node/tests/machine.rs
+++ b/node/tests/machine.rs
@@ -349,3 +349,32 @@
         assert!(spoiler.spoilt() > 20, "{fault:?}: too tame");
     }
 }
+
+/// Guards: final answers that are late by more than sockets are allowed, as a process that is woken a little late had left
+/// itself next to no time before the expiry.
+#[test]
+fn final_answers_are_in_time_though_the_process_is_woken_late() {
+    let (hosts, discovery, spoiler) = (Hosts::start(1), Discovery::start(), Spoiler::default());
+    let mut papers = papers(&hosts, discovery.address);
+    papers["ops"] = json!("127.0.0.1:0");
+    papers["settings"]["offerings"][0]["effect"] = json!("single_shot");
+    let node = Node::start_spoilt(&papers, &spoiler);
+    let mut clients = Vec::new();
+    for n in 0..8 {
+        // Each at another distance from the next look round.
+        thread::sleep(Duration::from_millis(23));
+        let line = OPEN.replace("9b1f", &format!("9b{n}"));
+        clients.push(node.open(&line));
+    }
+    let silent: Vec<_> = clients.iter().map(|_| hosts.accept()).collect();
+    spoiler.set(&[Fault {
+        call: Call::EpollWait,
+        outcome: Outcome::HeldUp(Duration::from_millis(75)),
+        every: 1,
+    }]);
+    clients.iter_mut().for_each(|client| client.hears("ERR"));
+    assert!(spoiler.spoilt() > 5, "too tame");
+    spoiler.clear();
+    assert_eq!(node.figure("violations.answered_late"), 0, "{:#?}", node.logged());
+    drop(silent);
+}
--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -1,6 +1,7 @@
 //! The soak, in short: a dozen processes under troubles that overlap, judged by the rules. `reedferry-rig soak` plays more
 //! seeds, larger and longer.
 
+use reedferry_rig::soak::troubles::Schedule;
 use reedferry_rig::soak::{play, Size};
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
         let found = play(seed, &size);
         let count = |name: &str| found.figures.get(name).and_then(|v| v.as_u64()).unwrap_or(0);
         assert!(count("served") > 100 && count("calls spoilt") > 20, "too tame: {:?}", found.figures);
-        assert!(found.broken.is_empty(), "seed {seed}: {:#?}", found.broken);
+        let drawn = Schedule::draw(seed, &size);
+        assert!(found.broken.is_empty(), "seed {seed}: {:#?} under\n{drawn}", found.broken);
     }
 }
--- a/quay/src/clock.rs
+++ b/quay/src/clock.rs
@@ -20,6 +20,12 @@
     time.tv_sec as Nanos * 1_000_000_000 + time.tv_nsec as Nanos
 }
 
+/// The processor time that the calling thread has used.
+pub fn processor_time() -> Nanos {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    time.tv_sec as Nanos * 1_000_000_000 + time.tv_nsec as Nanos
+}
+
 impl Clock {
     pub fn start() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as Nanos);
--- a/quay/src/poller.rs
+++ b/quay/src/poller.rs
@@ -106,6 +106,11 @@
         self.due.push(Reverse((time, self.set, mark, word)));
     }
 
+    /// When the first timer falls due.
+    pub fn next_due(&self) -> Option<Nanos> {
+        self.due.peek().map(|Reverse((time, ..))| *time)
+    }
+
     /// The next timer due at `now`.
     pub fn due(&mut self, now: Nanos) -> Option<(Mark, u64)> {
         let Reverse((time, ..)) = self.due.peek()?;
@@ -117,7 +122,7 @@
 
     /// Waits until something is ready or due, or not at all, and appends what is ready.
     pub fn wait(&mut self, now: Nanos, at_once: bool, into: &mut Vec<Readiness>) -> Result<(), Errno> {
-        let next = self.due.peek().map(|Reverse((time, ..))| time.saturating_sub(now));
+        let next = self.next_due().map(|time| time.saturating_sub(now));
         let span = if at_once { Some(0) } else { next };
         let span =
             span.map(|n| Timespec { tv_sec: (n / 1_000_000_000) as i64, tv_nsec: (n % 1_000_000_000) as _ });
