Answer a request that fails 50 ms or a twentieth of its time before its expiry

The same line stood in the module once and in the forwarder six times. Change: permission::answer_by, used by both: a twentieth of the time the request had, 50 ms at the most, 2 rounds at the least.

--- a/link/src/duty.rs
+++ b/link/src/duty.rs
@@ -4,7 +4,7 @@
 //! hand-off that may have run.
 
 use crate::frames::{Asked, Past};
-use reedferry::{permission, Arrival, Ending, HostId, Nanos, Offering};
+use reedferry::{permission, Arrival, Charter, Ending, HostId, Nanos, Offering};
 
 /// Hosts of past hand-offs that are remembered: more than any charter allows hand-offs.
 const MOST_TRIED: usize = 16;
@@ -83,6 +83,11 @@
         self.hand_offs < most && permission::may_repeat(offering, first_sent, now).is_ok()
     }
 
+    /// When it gets its final answer at the latest, where nothing succeeds.
+    pub fn answer_by(&self, charter: &Charter) -> Nanos {
+        permission::answer_by(self.expiry, self.arrival.time_left, charter.round)
+    }
+
     /// Whether it may be dismissed: a retry does no harm.
     pub fn harmless(&self, offering: &Offering) -> bool {
         permission::may_dismiss(offering, self.ran.is_some())
--- a/link/src/forwarder.rs
+++ b/link/src/forwarder.rs
@@ -405,7 +405,7 @@
             return;
         }
         let offering = offering(charter, duty);
-        let last = duty.expiry.saturating_sub(2 * charter.round);
+        let last = duty.answer_by(charter);
         if now >= last || !duty.may_go(offering, charter.most_hand_offs, now) {
             return self.answer(id, out);
         }
@@ -512,7 +512,7 @@
     fn want(&mut self, now: Nanos, id: u64, out: &mut Vec<Deed>) {
         let Some(duty) = self.duties.get(&id) else { return };
         let charter = &self.keeps.charter;
-        let last = duty.expiry.saturating_sub(2 * charter.round);
+        let last = duty.answer_by(charter);
         if now >= last || !duty.may_go(offering(charter, duty), charter.most_hand_offs, now) {
             return self.answer(id, out);
         }
@@ -540,7 +540,7 @@
     /// Tells the planner that a hand-off it ordered came to nothing, and awaits its next word.
     fn ask_on(&mut self, now: Nanos, id: u64, ending: Ending) {
         let Some(duty) = self.duties.get(&id) else { return };
-        let last = duty.expiry.saturating_sub(2 * self.keeps.charter.round);
+        let last = duty.answer_by(&self.keeps.charter);
         self.due.push(Reverse((last.min(now + self.keeps.decide_within), id, duty.step)));
         let step = duty.step;
         self.tell(Up::Ended { id, step, came: ending.into(), over: false });
@@ -551,7 +551,7 @@
     fn decide_alone(&mut self, now: Nanos, id: u64, out: &mut Vec<Deed>) {
         let Some(duty) = self.duties.get_mut(&id) else { return };
         let charter = &self.keeps.charter;
-        let last = duty.expiry.saturating_sub(2 * charter.round);
+        let last = duty.answer_by(charter);
         let planned = if duty.hand_offs == 0 && now < self.plan_until.min(last) && self.leaving.is_none() {
             let barred = &self.barred;
             self.plan.take(&mut self.rng, |host| Self::may_take(barred, host, now))
@@ -633,7 +633,7 @@
             return;
         }
         duty.came_back(ending);
-        let last = duty.expiry.saturating_sub(2 * self.keeps.charter.round);
+        let last = duty.answer_by(&self.keeps.charter);
         if duty.known && now < last && self.led(now) {
             self.ask_on(now, id, ending);
         } else {
@@ -677,8 +677,7 @@
             self.due.pop();
             let waits = |d: &&Duty| d.phase == Phase::Waiting && d.step == step;
             let Some(duty) = self.duties.get(&id).filter(waits) else { continue };
-            if now < self.patience && duty.expiry.saturating_sub(2 * self.keeps.charter.round) > self.patience
-            {
+            if now < self.patience && duty.answer_by(&self.keeps.charter) > self.patience {
                 self.due.push(Reverse((self.patience, id, step)));
             } else {
                 self.decide_alone(now, id, out);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 //! may look at another's record; only the part itself changes it.
 
 use crate::calls::{Call, Pace};
-use crate::permission::{may_dismiss, may_repeat_at, repeat_deadline};
+use crate::permission::{answer_by, may_dismiss, may_repeat_at, repeat_deadline};
 use crate::records::*;
 use crate::slow_start::{by_lot, many, BEARS, LOT};
 use crate::types::*;
@@ -840,7 +840,7 @@
         let ran = attachment.may_have_run;
         // Guards: one that has its answer only after the node that stops was ended from outside.
         let last = attachment.expiry.min(self.desk.leaving.unwrap_or(Nanos::MAX));
-        let last = last.saturating_sub(2 * self.charter.round);
+        let last = answer_by(last, attachment.arrival.time_left, self.charter.round);
         // Guards: a store that fails at once, asked five times over for each attachment.
         let most = if self.desk.common() { 1 } else { attachment.most };
         // Guards: what no host will have, as bad clients send it, offered to host after host.
--- a/src/permission.rs
+++ b/src/permission.rs
@@ -10,6 +10,11 @@
 /// How long a process may be held up between reading its clock and writing. The grace of a draining host has to cover it.
 pub const LONGEST_STALL: Nanos = 150 * MILLI;
 
+/// What part of its whole time a request is answered before its expiry at the latest, and the most of that: what the rules
+/// allow on sockets is for the peers, and a busy machine wakes a process later than that.
+const ANSWER_RESERVE: Nanos = 20;
+const LONGEST_RESERVE: Nanos = 50 * MILLI;
+
 /// Why an attempt may not begin, or not go on, now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Refusal {
@@ -101,6 +106,13 @@
     may_go_on(at.now, at.not_after)
 }
 
+/// When a request that has had no success gets its final answer at the latest: early enough before its expiry for two messages
+/// that take a `round` each, and for a process that is woken late. `time_left` is what it had when it came.
+pub fn answer_by(expiry: Nanos, time_left: Nanos, round: Nanos) -> Nanos {
+    let reserve = (time_left / ANSWER_RESERVE).min(LONGEST_RESERVE);
+    expiry.saturating_sub(reserve.max(2 * round))
+}
+
 /// Whether what is left of an attempt that has begun may still be written: a repeat counts by its last byte.
 ///
 /// # Errors
--- a/src/permission_tests.rs
+++ b/src/permission_tests.rs
@@ -88,3 +88,15 @@
         assert_eq!(may_repeat_at(&offering(Effect::Redoable, circle), Some(&first), &other), Ok(()));
     }
 }
+
+/// Guards: requests with little time that get no attempt, and answers that a process woken 70 ms late gives too late.
+#[test]
+fn the_reserve_before_an_expiry_grows_with_the_time_there_was_and_is_bounded() {
+    let expiry = 100 * SECOND;
+    let reserve = |time_left, round| expiry - answer_by(expiry, time_left, round);
+    assert_eq!(reserve(2 * SECOND, 4 * MILLI), 50 * MILLI);
+    assert_eq!(reserve(30 * SECOND, 4 * MILLI), 50 * MILLI);
+    assert_eq!(reserve(300 * MILLI, 4 * MILLI), 15 * MILLI);
+    assert_eq!(reserve(20 * MILLI, 4 * MILLI), 8 * MILLI, "two messages at the least");
+    assert_eq!(answer_by(MILLI, SECOND, 4 * MILLI), 0);
+}
