Wait longer for a set-up in a fleet of many where a node sees too few to tell a late store

Change: Balancer::patience adds up to 6 s (2 s where loads are heard) to the contract time, less by the square of the set-ups that come within a second; fleets of few nodes wait as before, and tests/scenarios/patience.txt is as it was.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,6 +26,12 @@
 const BUSY: f64 = 1.2;
 /// How many times steeper the balance counts beyond that.
 const STEEP: f64 = 5.0;
+/// How much longer than its contract time a set-up is waited for by a node of many that sees next to none; where probes or
+/// connections tell what hosts bear, one that hangs is found out by that. Half as long by a node to which so many come in a
+/// second.
+const UNSURE: Nanos = 6 * SECOND;
+const UNSURE_HEARING_LOADS: Nanos = 2 * SECOND;
+const TELLING: f64 = 5.0;
 /// How much longer a set-up is waited for where all fail.
 const PATIENCE: f64 = 20.0;
 /// Share of the last connections that met late messages from which some are dismissed, and how many.
@@ -869,9 +875,7 @@
             self.desk.refused_since.get_or_insert(now);
         }
         let Some(host) = chosen else { return self.answer(slot, out) };
-        // Guards: a store that all set-ups share, whose answers come when the node has asked anew already.
-        let patience = (offering.contract_time as f64).max(6.0 * self.ledger.set_up);
-        let patience = (patience * (1.0 + PATIENCE * self.desk.trouble)) as Nanos;
+        let patience = self.patience(now, offering);
         let only = attachment.hand_offs + 1 >= attachment.most || offering.effect == Effect::Irreversible;
         let until = if only { last } else { last.min(now + patience) };
         self.helm.next = (vector + 1) % self.helm.vectors.len();
@@ -888,6 +892,21 @@
         self.desk.purse = (self.desk.purse + PURSE).min(FULL_PURSE);
     }
 
+    /// How long a set-up is waited for before another host is asked. Guards: a store that all set-ups share, whose answers come
+    /// when the node has asked anew already. The fewer set-ups a node sees, the less it can tell such a store from a host that
+    /// hangs, and the longer it waits.
+    fn patience(&self, now: Nanos, offering: &Offering) -> Nanos {
+        let hears_loads = self.charter.probe_for_gauges || self.ledger.weighed > 0;
+        let longest = match (many(&self.charter), hears_loads) {
+            (false, _) => 0,
+            (true, true) => UNSURE_HEARING_LOADS,
+            (true, false) => UNSURE,
+        };
+        let unsure = longest as f64 / (1.0 + (self.desk.came_of_late(now) / TELLING).powi(2));
+        let usual = (offering.contract_time as f64 + unsure).max(6.0 * self.ledger.set_up);
+        (usual * (1.0 + PATIENCE * self.desk.trouble)) as Nanos
+    }
+
     /// The host with the lowest score of those that may and can take the attachment; ties at random.
     fn choose(&self, now: Nanos, attachment: &Attachment, vector: usize, tie: u64) -> Option<usize> {
         let arrival = &attachment.arrival;
--- a/src/records.rs
+++ b/src/records.rs
@@ -390,7 +390,7 @@
     }
 
     /// How many came within about the last second.
-    fn came_of_late(&self, now: Nanos) -> f64 {
+    pub fn came_of_late(&self, now: Nanos) -> f64 {
         self.coming.0 * (-(now.saturating_sub(self.coming.1) as f64) / SECOND as f64).exp()
     }
 
