--- a/node/tests/two_tier.rs
+++ b/node/tests/two_tier.rs
@@ -2,8 +2,9 @@
 //! from outside. The rules are judged by what hosts and clients saw.
 
 use reedferry_rig::acting::{Clients, Way};
-use reedferry_rig::program::path;
-use reedferry_rig::tiers::{until, Tiers, FAULTS};
+use reedferry_rig::program::{path, Node};
+use reedferry_rig::syscalls::{Call, Fault, Outcome, Spoiler};
+use reedferry_rig::tiers::{self, until, Tiers, FAULTS};
 use reedferry_rig::{eventually, Peer};
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -304,3 +305,37 @@
     assert!(said.contains(".toml:9: lease is 300ms, not between 40ms and 299ms"), "{said}");
     assert_eq!(Command::new(path()).arg("frobnicate").output().unwrap().status.code(), Some(2));
 }
+
+/// Guards: an answer that is due while a forwarder's turn goes on with all that is ready, each write of which may hold it up.
+#[test]
+fn a_forwarder_answers_what_is_due_in_time_though_each_turn_has_much_to_do() {
+    const TALKING: usize = 60;
+    let _turn = alone();
+    let (tiers, spoiler) = (Tiers::start(1, 1, 1, 8), Spoiler::default());
+    let papers = tiers::papers("held-up", &tiers.hosts, &tiers.discovery, 8);
+    let forwarder = Node::start_as_spoilt("forward", &tiers.articles(0, 1), &papers, &spoiler);
+    forwarder.logs("follows planner");
+    let open = |n: usize| {
+        let mut client = Peer::connect(forwarder.address);
+        client.say(&format!("OPEN c{n} {n:x} c=free,t=acme,d=2000"));
+        let said = client.hear();
+        assert!(said.starts_with("UP"), "{said}");
+        client
+    };
+    let mut talking: Vec<Peer> = (0..TALKING).map(open).collect();
+    tiers.hosts.go(0, Way::Silent);
+    let mut waits = Peer::connect(forwarder.address);
+    waits.say("OPEN late 7f c=once,t=acme,d=1000");
+    let asked = Instant::now();
+    _ = until(ms(1000), || asked.elapsed() >= ms(500));
+    spoiler.set(&[Fault { call: Call::Send, outcome: Outcome::HeldUp(ms(100)), every: 2 }]);
+    // All their lines lie ready in the moment in which the answer is due.
+    _ = until(ms(1000), || asked.elapsed() >= ms(900));
+    talking.iter_mut().for_each(|client| client.say("hello"));
+    let said = waits.hear();
+    let took = asked.elapsed();
+    spoiler.clear();
+    assert_eq!(said, "ERR");
+    // One turn more, its own sending, and what the first turn had begun.
+    assert!(took < ms(1450), "{said} after {took:?}");
+}
--- a/rig/src/program.rs
+++ b/rig/src/program.rs
@@ -130,6 +130,15 @@
     piped(command)
 }
 
+/// The program in a role, with the files that tell it: papers, and the operator's.
+fn command_as(program: &Path, role: &str, articles: &str, papers: &Value) -> (Command, PathBuf, PathBuf) {
+    let papers = file("json", &papers.to_string());
+    let articles = file("toml", &articles.replace("PAPERS", &papers.display().to_string()));
+    let mut command = Command::new(program);
+    command.arg(role).arg("--config").arg(&articles);
+    (piped(command), papers, articles)
+}
+
 /// The file that a command names as its papers.
 fn told_by(command: &Command) -> PathBuf {
     let named = command.get_envs().find(|(name, _)| *name == "GW_CONFIG");
@@ -201,12 +210,15 @@
         Node::start_of_as(&path(), role, articles, papers)
     }
 
+    /// The same, whose system calls and wall clock this spoils.
+    pub fn start_as_spoilt(role: &str, articles: &str, papers: &Value, spoiler: &Spoiler) -> Self {
+        let (command, papers, articles) = command_as(&path(), role, articles, papers);
+        Node::run_spoilt(command, articles.clone(), vec![papers, articles], spoiler)
+    }
+
     pub fn start_of_as(program: &Path, role: &str, articles: &str, papers: &Value) -> Self {
-        let papers = file("json", &papers.to_string());
-        let articles = file("toml", &articles.replace("PAPERS", &papers.display().to_string()));
-        let mut command = Command::new(program);
-        command.arg(role).arg("--config").arg(&articles);
-        Node::run(piped(command), articles.clone(), vec![papers, articles])
+        let (command, papers, articles) = command_as(program, role, articles, papers);
+        Node::run(command, articles.clone(), vec![papers, articles])
     }
 
     fn launch(command: Command) -> Self {
