Bound the turn of a forwarder like that of a single node

Change: node/src/ready.rs holds what is ready and what a turn had no time left for, used by both roles; the 50 ms and the order of what goes first are as they were in the single node. Before: ERR after 6.97 s; after: the test passes in 1.39 s. Seen to fail again with the bound taken out of the forwarder alone.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -7,6 +7,7 @@
 mod listing;
 mod operators;
 mod peers;
+mod ready;
 mod roles;
 mod stalls;
 mod turn;
--- a/node/src/roles/alone.rs
+++ b/node/src/roles/alone.rs
@@ -16,19 +16,16 @@
 use crate::peers::fleet::Fleet;
 use crate::peers::wards::Wards;
 use crate::peers::words::{Correspondence, Peers};
+use crate::ready::Ready;
 use crate::roles::succession::{Knowledge, Succession};
 use crate::{AtStart, BEYOND_EXPIRY, SWEEP};
-use reedferry::{Action, Balancer, Charter, Effect, Event, Nanos, MILLI};
+use reedferry::{Action, Balancer, Charter, Effect, Event};
 use reedferry_members::State;
-use reedferry_quay::{merged, Clock, Errno, Readiness, Signal, Socket};
+use reedferry_quay::{Clock, Errno, Signal, Socket};
 use reedferry_terms::renewal;
 use slog::{info, warn};
 use std::path::Path;
 
-/// How long one turn goes on with what is ready. Guards: an answer that is due, and waits for hundreds of writes each of which
-/// the system may hold up.
-const LONGEST_TURN: Nanos = 50 * MILLI;
-
 /// Where a node finds its papers.
 pub enum Told<'a> {
     /// In the file that the environment names, as the platform has it.
@@ -76,8 +73,7 @@
     unread: bool,
     papers: Papers,
     actions: Vec<Action>,
-    /// What was ready in the turn before and had no time left.
-    put_off: Vec<Readiness>,
+    ready: Ready,
     /// Whether every event and action of the module is logged.
     trace: bool,
 }
@@ -139,7 +135,7 @@
         unread: false,
         papers,
         actions,
-        put_off: Vec::new(),
+        ready: Ready::default(),
         trace: std::env::var_os("REEDFERRY_TRACE").is_some(),
     };
     // Guards: clients handed to hosts that drain, by a process that asks for a pushed list only when it first looks round:
@@ -165,18 +161,17 @@
 impl Node<'_> {
     /// Gathers what has come since the last turn.
     fn gather(&mut self, clock: &Clock) -> Result<(), Errno> {
-        let left = std::mem::take(&mut self.put_off);
-        let behind = !left.is_empty();
+        let behind = self.ready.is_behind();
         let mut ready = Vec::new();
         let at_once = behind || !self.context.events.is_empty() || self.connections.busy();
         let waited = clock.read();
         self.context.poller.wait(waited, at_once, &mut ready)?;
         let before = self.context.look_round(waited, clock.read(), behind);
-        let mut ready = merged(left, ready);
+        self.ready.add(ready);
         self.fleet.iter_mut().for_each(|fleet| fleet.mind(&mut self.context));
         // Guards: an operator who waits behind a crowd of clients; clients handed to a host that drains, by the word
         // of a list that came before them, while the process stood still.
-        ready.sort_by_key(|one| match one.mark.part {
+        self.ready.order_by(|one| match one.mark.part {
             context::DISCOVERY => 0,
             context::OPS | context::OPS_LISTENER => 1,
             _ => 2,
@@ -184,12 +179,7 @@
         if self.context.now > before + 2 * SWEEP {
             self.discovery.look(&mut self.context);
         }
-        let mut ready = ready.into_iter();
-        while let Some(one) = ready.next() {
-            if clock.read() > self.context.now + LONGEST_TURN {
-                self.put_off = std::iter::once(one).chain(ready).collect();
-                break;
-            }
+        while let Some(one) = self.ready.next(self.context.now, clock) {
             let context = &mut self.context;
             match one.mark.part {
                 context::LISTENER => self.connections.accept(context, self.succession.listener()),
--- a/node/src/roles/forward.rs
+++ b/node/src/roles/forward.rs
@@ -7,6 +7,7 @@
 use crate::connections::Connections;
 use crate::context::{self, mark, Context, LINK, STOP, TICK};
 use crate::operators::articles::{Articles, Forwards, Role};
+use crate::ready::Ready;
 use crate::{AtStart, BEYOND_EXPIRY, SWEEP};
 use reedferry::Nanos;
 use reedferry_link::{Covenant, Deed, Forwarder, PlannerAt};
@@ -30,6 +31,7 @@
     /// When the core is to be called next, as far as the poller knows.
     armed: Nanos,
     deeds: Vec<Deed>,
+    ready: Ready,
 }
 
 pub fn run(path: &Path, start: AtStart) -> Result<(), String> {
@@ -70,6 +72,7 @@
         planners,
         armed: 0,
         deeds: Vec::new(),
+        ready: Ready::default(),
     };
     loop {
         forward.turn();
@@ -93,11 +96,13 @@
             self.context.poller.remind(next, mark(TICK), 0);
         }
         let mut ready = Vec::new();
-        let at_once = !self.context.events.is_empty() || self.connections.busy() || self.wires.more;
+        let behind = self.ready.is_behind();
+        let at_once = behind || !self.context.events.is_empty() || self.connections.busy() || self.wires.more;
         let waited = clock.read();
         self.context.poller.wait(waited, at_once, &mut ready)?;
-        self.context.look_round(waited, clock.read(), false);
-        for one in ready {
+        self.context.look_round(waited, clock.read(), behind);
+        self.ready.add(ready);
+        while let Some(one) = self.ready.next(self.context.now, clock) {
             let context = &mut self.context;
             match one.mark.part {
                 context::LISTENER => self.connections.accept(context, Some(&self.listener)),
