Repeat nothing taken up whose first host was listed in another group since

Change: a host's record keeps when it was last listed in another group; what was sent there before that counts as sent where nobody knows the group, as for a host that is known no more.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -142,6 +142,10 @@
                 if self.listing.standing != Standing::Draining || listing.standing != Standing::Draining {
                     self.draining = now;
                 }
+                let group = |listing: &Listing| (listing.zone, listing.cell);
+                if !self.never_listed() && group(&listing) != group(&self.listing) {
+                    self.regrouped = Some(now);
+                }
                 self.listed = listing.standing != Standing::Gone;
                 (self.gone_since, self.listing) = (now, listing);
                 self.listing.size = if listing.size > 0.0 { listing.size } else { 1.0 };
@@ -448,8 +452,11 @@
             (Event::Arrived(arrival), ..) => post(To::Desk, Note::Arrived(arrival)),
             (Event::TakenUp(arrival, past), ..) => {
                 let known = |id: &HostId| self.known.get(id).copied();
-                // Guards: a repeat sent on where nobody knows any more which circle would drop it.
-                let ran = past.ran.map(|(host, sent)| known(&host).map_or((0, 0), |h| (h, sent)));
+                // Guards: a repeat sent on where nobody knows any more which group would drop it.
+                let same_group = |host: &usize, sent| self.hosts[*host].regrouped.is_none_or(|at| at < sent);
+                let ran = past.ran.map(|(id, sent)| {
+                    known(&id).filter(|host| same_group(host, sent)).map_or((0, 0), |host| (host, sent))
+                });
                 let tried = past.tried.iter().filter_map(known).collect();
                 post(To::Desk, Note::TakenUp(arrival, past.hand_offs, ran, tried));
             }
--- a/src/records.rs
+++ b/src/records.rs
@@ -153,6 +153,8 @@
     pub listing: Listing,
     pub listed: bool,
     pub gone_since: Nanos,
+    /// When it was last listed in another group than before.
+    pub regrouped: Option<Nanos>,
     /// When it last took no connection.
     pub down: Option<Nanos>,
     /// Calls in a row for which this machine knew no way there.
@@ -294,6 +296,11 @@
         (self.ceiling, self.good, self.cut) = (by.ceiling, by.good, by.cut);
     }
 
+    /// Whether no list has named it so far.
+    pub fn never_listed(&self) -> bool {
+        self.listing.size <= 0.0
+    }
+
     pub fn drop_conn(&mut self, at: usize) -> Conn {
         let conn = self.conns.swap_remove(at);
         (self.ahead, self.load) = (self.ahead - conn.ahead, self.load - conn.counted);
