Bind each process of a soak by its own watches; log when calls to discovery were sent

Cause: the checker. The checker counted 6 s from the end of the planned fault and knew no wait. Change: the stand-in records each call with its caller, wait, answer and silence, and its outages; notification.rs binds each process by these alone. A soak prints the log of each seat it names. The discovery stand-in is split by job.

--- a/node/src/discovery/client/failures.rs
+++ b/node/src/discovery/client/failures.rs
@@ -60,7 +60,10 @@
         let call = &mut self.calls[which];
         call.connection = None;
         call.in_flight = false;
-        warn!(context.log, "discovery call failed"; "watch" => which == WATCH, "why" => error.to_string());
+        let sent_ms_ago = context.now.saturating_sub(call.started_at) / MILLI;
+        let wait_ms = call.max_wait / MILLI;
+        warn!(context.log, "discovery call failed"; "watch" => which == WATCH, "why" => error.to_string(),
+            "sent_ms_ago" => sent_ms_ago, "wait_ms" => wait_ms);
         if which == WATCH {
             self.watching = false;
             let next = self.staleness.record_failure(context.now, failure);
@@ -82,6 +85,8 @@
     /// The watch has been silent beyond its wait: it is kept until the call in its place is answered.
     pub(super) fn on_watch_silent(&mut self, context: &mut Context) {
         let mut watch = std::mem::take(&mut self.calls[WATCH]);
+        self.calls[WATCH].started_at = watch.started_at;
+        self.calls[WATCH].max_wait = watch.max_wait;
         if let Some(connection) = &mut watch.connection {
             let token = PollToken {
                 component: DISCOVERY,
--- a/node/src/discovery/hosts.rs
+++ b/node/src/discovery/hosts.rs
@@ -7,7 +7,7 @@
 use super::zones::ZoneIndex;
 use crate::connections::protocol::keys::fnv1a;
 use crate::stalls::Stalls;
-use reedferry::{Endpoint, EndpointUpdate, Event, HostId, HostState, Nanos};
+use reedferry::{Endpoint, EndpointUpdate, Event, HostId, HostState, Nanos, MILLI};
 use reedferry_control_plane::HostEntry;
 use slog::{info, Logger};
 use std::collections::{HashMap, HashSet};
@@ -39,6 +39,8 @@
     next_reusable: usize,
     /// Hosts named for the first time.
     new_hosts: usize,
+    /// Hosts that drain or are gone, and were not before.
+    new_drains: usize,
 }
 
 fn host_id(name: &str) -> HostId {
@@ -212,7 +214,11 @@
         let host = self
             .index(id)
             .unwrap_or_else(|| self.add_host(now, id, &member.name, progress, log));
+        let known_to_drain = self.records[host].left_since.is_some();
         let member = self.records[host].apply_member(now, source, member);
+        if !known_to_drain {
+            self.log_drain(now, host, progress, log);
+        }
         Endpoint {
             id,
             zone: self.zones.index(&member.zone),
@@ -223,6 +229,19 @@
         }
     }
 
+    /// Logs that a host drains or is gone, and since when this counts as told.
+    fn log_drain(&self, now: Nanos, host: usize, progress: &mut ListProgress, log: &Logger) {
+        let record = &self.records[host];
+        let Some(told_at) = record.left_since else {
+            return;
+        };
+        progress.new_drains += 1;
+        if progress.new_drains <= MAX_LOGGED_HOSTS {
+            let told_ms_ago = now.saturating_sub(told_at) / MILLI;
+            info!(log, "host drains"; "name" => &record.name, "told_ms_ago" => told_ms_ago);
+        }
+    }
+
     /// A record for a host that is named for the first time. Those of hosts long gone are reused, as a node
     /// runs for months.
     fn add_host(
--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -1,8 +1,8 @@
 //! The soak, in short: a dozen processes under faults that overlap, judged by the rules. `reedferry-testkit soak` plays more
 //! seeds, larger and longer.
 
-use reedferry_testkit::soak::soak_faults::SoakSchedule;
-use reedferry_testkit::soak::{play, SoakSize};
+use reedferry_testkit::soak::soak_faults::{PlannedFault, SoakFault, SoakSchedule};
+use reedferry_testkit::soak::{play, play_schedule, SoakSize};
 use std::time::Duration;
 
 /// Prevents broken rules where stops, reloads, replacements, failing calls, stepped clocks and peers that
@@ -38,3 +38,31 @@
         );
     }
 }
+
+/// Guards against a drain held against a process whose watch fell silent before it, and may wait on.
+#[test]
+fn a_drain_that_a_silent_watch_hides_is_no_violation_before_the_watch_has_to_end() {
+    const DRAINED: usize = 1;
+    let size = SoakSize {
+        processes: 4,
+        hosts: 2,
+        span: Duration::from_secs(10),
+        rate: 100.0,
+        overlap: 1,
+    };
+    let planned = |start, duration, fault| PlannedFault {
+        start: Duration::from_millis(start),
+        duration: Duration::from_millis(duration),
+        fault,
+    };
+    // The times of soak 77002.
+    let schedule = SoakSchedule {
+        seed: 77002,
+        planned: vec![
+            planned(999, 2167, SoakFault::ServiceSilent),
+            planned(9558, 993, SoakFault::Drain(DRAINED)),
+        ],
+    };
+    let found = play_schedule(&schedule, &size);
+    assert!(found.broken.is_empty(), "{:#?}", found.broken);
+}
--- a/testkit/src/discovery.rs
+++ b/testkit/src/discovery/mod.rs
@@ -2,7 +2,13 @@
 //! second as a test allows, with faults as a test sets them. It serves nothing but its list, unless a test sets another
 //! answer.
 
+mod call;
+mod history;
+
+pub use history::{CallRecord, DiscoveryHistory, Outage};
+
 use crate::peers::MAX_WAIT;
+use call::Call;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -41,6 +47,8 @@
     silences: u64,
     /// The answer to a poll for the whole list.
     cached_list: Option<CachedList>,
+    /// What became of each call, and when the service was down.
+    history: DiscoveryHistory,
 }
 
 struct Member {
@@ -71,14 +79,6 @@
     body: Arc<str>,
 }
 
-/// A poll, or a watch where it names the revision that the caller has.
-struct Call {
-    path: String,
-    from_revision: Option<u64>,
-    /// How long a watch waits for a change.
-    hold: Duration,
-}
-
 /// What becomes of a call.
 enum Reply {
     Answer(String),
@@ -111,14 +111,31 @@
             address: listener.local_addr().unwrap(),
             shared: Arc::default(),
         };
-        let service = discovery.clone();
+        discovery.accept_calls(listener, 0);
+        discovery
+    }
+
+    /// Another address of the same service, whose calls are recorded as this caller's.
+    pub fn listen_for(&self, caller: u64) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        self.accept_calls(listener, caller);
+        address
+    }
+
+    fn accept_calls(&self, listener: TcpListener, caller: u64) {
+        let service = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let service = service.clone();
-                thread::spawn(move || service.serve(stream));
+                thread::spawn(move || service.serve(stream, caller));
             }
         });
-        discovery
+    }
+
+    /// What became of each call up to now, and when the service was down.
+    pub fn history(&self) -> DiscoveryHistory {
+        self.state().history.clone()
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -145,14 +162,21 @@
     /// It is down: watches end, and no call is answered.
     pub fn go_down(&self) {
         let mut state = self.state();
-        state.down = true;
+        if !std::mem::replace(&mut state.down, true) {
+            let from = Instant::now();
+            state.history.outages.push(Outage { from, to: None });
+        }
         state.incarnation += 1;
         self.changed().notify_all();
     }
 
     /// Answers calls again after [`Discovery::go_down`].
     pub fn come_up(&self) {
-        self.state().down = false;
+        let mut state = self.state();
+        state.down = false;
+        if let Some(outage) = state.history.outages.last_mut() {
+            outage.to.get_or_insert_with(Instant::now);
+        }
     }
 
     /// From now on it accepts calls and answers none, or begins an answer and goes silent; watches stay open.
@@ -172,7 +196,11 @@
 
     /// Watches that wait now are never answered, and stay open; later calls are answered.
     pub fn silence_watches(&self) {
-        self.state().silences += 1;
+        let mut state = self.state();
+        state.silences += 1;
+        let now = Instant::now();
+        let waiting = state.history.calls.iter_mut().filter(|call| call.waiting);
+        waiting.for_each(|call| _ = call.silenced_at.get_or_insert(now));
     }
 
     /// Rejects so many of ten calls.
@@ -244,10 +272,11 @@
             .collect()
     }
 
-    fn serve(&self, mut stream: TcpStream) {
+    fn serve(&self, mut stream: TcpStream, caller: u64) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         while let Some(call) = Call::read(&mut reader) {
-            match self.reply(&call) {
+            let record = self.record_call(&call, caller);
+            match self.reply(&call, record) {
                 Reply::Answer(answer) => {
                     if stream.write_all(answer.as_bytes()).is_err() {
                         return;
@@ -266,6 +295,7 @@
                 }
                 Reply::Silence => {
                     _ = reader.read_line(&mut String::new());
+                    self.state().history.calls[record].closed_at = Some(Instant::now());
                     return;
                 }
             }
@@ -277,13 +307,23 @@
         drop(self.changed().wait_while(self.state(), hangs));
     }
 
-    /// Waits for as long as a call takes, and says what becomes of it.
-    fn reply(&self, call: &Call) -> Reply {
+    /// Records that a call has come, and returns the index of its record.
+    fn record_call(&self, call: &Call, caller: u64) -> usize {
         let mut state = self.state();
-        let (now, incarnation) = (Instant::now(), state.incarnation);
+        let now = Instant::now();
         state.called.push(now);
         state.asked.push(call.path.clone());
+        let calls = &mut state.history.calls;
+        calls.push(CallRecord::new(caller, now, call.hold));
+        let record = calls.len() - 1;
         self.changed().notify_all();
+        record
+    }
+
+    /// Waits for as long as a call takes, and says what becomes of it.
+    fn reply(&self, call: &Call, record: usize) -> Reply {
+        let mut state = self.state();
+        let (now, incarnation) = (Instant::now(), state.incarnation);
         if state.down {
             return Reply::Close;
         }
@@ -308,12 +348,14 @@
         }
         if let Some(from) = call.from_revision {
             let silences = state.silences;
+            state.history.calls[record].waiting = true;
             let unchanged =
                 |state: &mut State| state.revision <= from && state.incarnation == incarnation;
             let waited = self
                 .changed()
                 .wait_timeout_while(state, call.hold, unchanged);
             state = waited.unwrap().0;
+            state.history.calls[record].waiting = false;
             if state.silences != silences {
                 return Reply::Silence;
             }
@@ -322,7 +364,7 @@
             return Reply::Close;
         }
         let body = state.list(call.from_revision);
-        state.answered.push(Instant::now());
+        state.record_answer(record);
         drop(state);
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
         Reply::Answer(head + &*body)
@@ -330,6 +372,13 @@
 }
 
 impl State {
+    /// A list is about to be written in answer to a call.
+    fn record_answer(&mut self, record: usize) {
+        let now = Instant::now();
+        self.answered.push(now);
+        self.history.calls[record].answered_at = Some(now);
+    }
+
     /// Accepts a call, and returns when it will have been worked off; or notes that it is rejected.
     fn accept(&mut self, now: Instant) -> Option<Instant> {
         let in_turn = self.called.len() % 10 < self.rejected_of_ten;
@@ -380,26 +429,3 @@
         Arc::from(list.to_string())
     }
 }
-
-impl Call {
-    /// The next call on a connection, unless it ends.
-    fn read(reader: &mut BufReader<TcpStream>) -> Option<Call> {
-        let mut head = String::new();
-        while !head.ends_with("\r\n\r\n") {
-            if !matches!(reader.read_line(&mut head), Ok(1..)) {
-                return None;
-            }
-        }
-        let path = head.split(' ').nth(1).unwrap();
-        let parameter = |name: &str| -> Option<u64> {
-            path.split(['?', '&'])
-                .find_map(|part| part.strip_prefix(name))
-                .map(|value| value.parse().unwrap())
-        };
-        Some(Call {
-            from_revision: parameter("from="),
-            hold: Duration::from_millis(parameter("hold_ms=").unwrap_or(0)),
-            path: path.to_string(),
-        })
-    }
-}
--- a/testkit/src/soak/mod.rs
+++ b/testkit/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! from the outside and by the violations that the processes count themselves. The same seed draws the same faults.
 
 mod clients;
+mod notification;
 mod process_group;
 mod process_slot;
 mod soak_checker;
@@ -59,8 +60,10 @@
         reached: process_group.checker.reached(),
         slots: process_group.slots(),
         fault_history: &process_group.fault_history,
+        services: process_group.discovery_history(),
     };
     broken.extend(soak_checker.violations());
+    print_logs(&process_group, &broken, start);
     let mut figures = Map::new();
     figures.insert("clients".into(), json!(soak_checker.observations.len()));
     figures.insert("served".into(), json!(soak_checker.served()));
@@ -73,6 +76,27 @@
     Report { figures, broken }
 }
 
+/// Prints what the processes of each slot have logged where something is broken, or of all with `SOAK_VERBOSE`.
+fn print_logs(process_group: &ProcessGroup, broken: &[String], start: Instant) {
+    for slot in 0..process_group.slots().len() {
+        let names = [format!("seat {slot}:"), format!("seat {slot},")];
+        let is_named = |what: &String| names.iter().any(|name| what.contains(name));
+        if !is_verbose() && !broken.iter().any(is_named) {
+            continue;
+        }
+        eprintln!("log of seat {slot}, milliseconds from the start:");
+        for (at, line) in process_group.log(slot) {
+            let millis = at.saturating_duration_since(start).as_millis();
+            eprintln!("  {millis:6} {line}");
+        }
+    }
+}
+
+/// Whether the environment asks for each fault and all logs.
+fn is_verbose() -> bool {
+    std::env::var_os("SOAK_VERBOSE").is_some()
+}
+
 /// Plays so many seeds one after the other; violations are printed with the schedule.
 pub fn measure(first: u64, count: u64, size: &SoakSize) -> Report {
     let (mut figures, mut broken) = (Map::new(), Vec::new());
--- a/testkit/src/soak/process_group/faults.rs
+++ b/testkit/src/soak/process_group/faults.rs
@@ -1,8 +1,9 @@
 //! How each fault of a soak begins and ends, and when it was on.
 
-use super::super::process_slot::{Drain, FaultSpan};
+use super::super::is_verbose;
+use super::super::process_slot::{Drain, FaultSpan, Reload};
 use super::super::soak_faults::{FaultTransition, SoakFault, SyscallFaultFamily};
-use super::{ActiveFaults, ProcessGroup, StoppingProcess};
+use super::ProcessGroup;
 use crate::discovery::Discovery;
 use crate::program::Node;
 use crate::simulated::HostBehavior;
@@ -20,7 +21,7 @@
     pub fn apply(&mut self, transition: FaultTransition) {
         self.restart_ended();
         let FaultTransition { begins, fault, .. } = transition;
-        if std::env::var_os("SOAK_VERBOSE").is_some() {
+        if is_verbose() {
             eprintln!("{} {fault:?}", if begins { "begin" } else { "end" });
         }
         if begins {
@@ -47,27 +48,17 @@
             SoakFault::Calls(slot, family) => self.begin_syscall_faults(slot, family),
             SoakFault::Host(host, behavior) => self.hosts.go(host, behavior),
             SoakFault::Drain(host) => self.begin_drain(host),
-            SoakFault::ServiceDown => {
-                self.services.iter().for_each(Discovery::go_down);
-                self.note_begin("service down".into());
-            }
-            SoakFault::ServiceSilent => {
-                self.services.iter().for_each(Discovery::silence_watches);
-                self.note_begin("service silent".into());
-            }
-            SoakFault::ServiceRefuses => {
-                self.services
-                    .iter()
-                    .for_each(|service| service.reject_of_ten(REJECTED_OF_TEN));
-                self.note_begin("service refuses".into());
-            }
+            SoakFault::ServiceDown => self.services.iter().for_each(Discovery::go_down),
+            SoakFault::ServiceSilent => self.services.iter().for_each(Discovery::silence_watches),
+            SoakFault::ServiceRefuses => self.reject_of_ten(REJECTED_OF_TEN),
         }
     }
 
     fn end(&mut self, fault: &SoakFault) {
         match *fault {
             SoakFault::Stop(slot) => self.end_stop(slot),
-            SoakFault::Replace(_) | SoakFault::StepClock(..) => {}
+            // What fell silent stays so.
+            SoakFault::Replace(_) | SoakFault::StepClock(..) | SoakFault::ServiceSilent => {}
             SoakFault::ReplaceSpoilt(slot) | SoakFault::Calls(slot, _) => {
                 self.end_syscall_faults(slot);
             }
@@ -77,83 +68,43 @@
             SoakFault::StandStill(slot) => self.end_suspension(slot),
             SoakFault::Host(host, _) => self.hosts.go(host, HostBehavior::Accepts),
             SoakFault::Drain(host) => self.end_drain(host),
-            SoakFault::ServiceDown => {
-                self.services.iter().for_each(Discovery::come_up);
-                self.note_service_fault("service down");
-            }
-            SoakFault::ServiceSilent => self.note_service_fault("service silent"),
-            SoakFault::ServiceRefuses => {
-                self.services
-                    .iter()
-                    .for_each(|service| service.reject_of_ten(0));
-                self.note_service_fault("service refuses");
-            }
-        }
-    }
-
-    /// Notes that a fault is on: several of a kind may overlap.
-    fn note_begin(&mut self, kind: String) {
-        let now = Instant::now();
-        let active = self.active_faults.entry(kind).or_insert(ActiveFaults {
-            count: 0,
-            since: now,
-        });
-        if active.count == 0 {
-            active.since = now;
+            SoakFault::ServiceDown => self.services.iter().for_each(Discovery::come_up),
+            SoakFault::ServiceRefuses => self.reject_of_ten(0),
         }
-        active.count += 1;
     }
 
-    /// Notes that a fault is over, and returns since when faults of its kind have been on.
-    fn note_end(&mut self, kind: String) -> FaultSpan {
-        let now = Instant::now();
-        let active = self.active_faults.entry(kind).or_insert(ActiveFaults {
-            count: 0,
-            since: now,
-        });
-        active.count = active.count.saturating_sub(1);
-        FaultSpan {
-            from: active.since,
-            to: now,
-        }
-    }
-
-    fn note_service_fault(&mut self, kind: &str) {
-        let span = self.note_end(kind.into());
-        self.fault_history.service_faults.push(span);
+    fn reject_of_ten(&self, of_ten: usize) {
+        self.services
+            .iter()
+            .for_each(|service| service.reject_of_ten(of_ten));
     }
 
     fn begin_syscall_faults(&mut self, slot: usize, family: SyscallFaultFamily) {
         let process = &mut self.processes[slot];
         process.syscall_faults = family.faults();
         process.injector.set(&process.syscall_faults);
-        self.note_begin(format!("calls {slot}"));
     }
 
     fn end_syscall_faults(&mut self, slot: usize) {
         let process = &mut self.processes[slot];
         process.syscall_faults.clear();
         process.injector.set(&process.syscall_faults);
-        let span = self.note_end(format!("calls {slot}"));
-        self.slots[slot].lock().unwrap().syscall_faults.push(span);
     }
 
     /// Tells the process of a slot to stop; the front still sends clients for a while.
     fn begin_stop(&mut self, slot: usize) {
-        let Some(node) = self.processes[slot].node.take() else {
+        let Some(process) = self.processes[slot].running.take() else {
             return;
         };
-        self.continue_process(slot, &node);
+        self.continue_process(slot, &process.node);
         self.slots[slot].lock().unwrap().closed = Some(Instant::now() + FRONT_NOTICE_DELAY);
-        self.processes[slot]
-            .stopping
-            .push(StoppingProcess::stop(node));
+        self.processes[slot].stopping.push(process.stop());
     }
 
     /// Starts a process again once those that were told to stop have ended.
     pub(super) fn end_stop(&mut self, slot: usize) {
         self.wait_for_stopped(slot);
-        if self.processes[slot].node.is_none() {
+        if self.processes[slot].running.is_none() {
             self.start_process(slot);
         }
     }
@@ -163,20 +114,18 @@
         if self.processes[slot].shared.is_none() {
             return;
         }
-        let Some(mut predecessor) = self.processes[slot].node.take() else {
+        let Some(mut predecessor) = self.processes[slot].running.take() else {
             return;
         };
-        self.continue_process(slot, &predecessor);
+        self.continue_process(slot, &predecessor.node);
         self.start_process(slot);
         if !self.ended_unexpectedly(slot, &mut predecessor) {
-            self.processes[slot]
-                .stopping
-                .push(StoppingProcess::stop(predecessor));
+            self.processes[slot].stopping.push(predecessor.stop());
         }
     }
 
     fn kill(&mut self, slot: usize) {
-        let Some(mut node) = self.processes[slot].node.take() else {
+        let Some(mut process) = self.processes[slot].running.take() else {
             return;
         };
         {
@@ -184,12 +133,12 @@
             slot.closed = Some(Instant::now());
             slot.killed.push(Instant::now());
         }
-        node.kill();
-        self.check_log(slot, &node);
+        process.node.kill();
+        self.note_end(slot, &process);
     }
 
     fn end_kill(&mut self, slot: usize) {
-        if self.processes[slot].node.is_none() {
+        if self.processes[slot].running.is_none() {
             self.wait_for_stopped(slot);
             self.start_process(slot);
         }
@@ -197,20 +146,23 @@
 
     /// Has the process of a slot use the other list service.
     fn reload(&mut self, slot: usize) {
-        self.processes[slot].service = 1 - self.processes[slot].service;
-        let node_config = self.node_config(slot).to_string();
-        if let Some(node) = &self.processes[slot].node {
-            node.reload(&node_config);
-            let mut slot = self.slots[slot].lock().unwrap();
-            slot.reloaded.push(Instant::now());
+        let service = 1 - self.processes[slot].service;
+        self.processes[slot].service = service;
+        if let Some(process) = &self.processes[slot].running {
+            let node_config = self.node_config(slot, process.addresses[service]);
+            let at = Instant::now();
+            self.slots[slot].lock().unwrap().runs[process.run]
+                .reloads
+                .push(Reload { at, service });
+            process.node.reload(&node_config.to_string());
         }
     }
 
     fn begin_suspension(&mut self, slot: usize) {
-        let Some(node) = &self.processes[slot].node else {
+        let Some(process) = &self.processes[slot].running else {
             return;
         };
-        node.suspend();
+        process.node.suspend();
         let now = Instant::now();
         self.slots[slot]
             .lock()
@@ -223,8 +175,8 @@
     }
 
     pub(super) fn end_suspension(&mut self, slot: usize) {
-        if let Some(node) = &self.processes[slot].node {
-            self.continue_process(slot, node);
+        if let Some(process) = &self.processes[slot].running {
+            self.continue_process(slot, &process.node);
         }
     }
 
--- a/testkit/src/soak/process_group/health.rs
+++ b/testkit/src/soak/process_group/health.rs
@@ -1,7 +1,7 @@
 //! Whether the processes of a soak end, serve and count violations as they should, by their exit, their logs and their
 //! metrics.
 
-use super::{ProcessGroup, StoppingProcess};
+use super::{ProcessGroup, RunningProcess, StoppingProcess};
 use crate::peers::Peer;
 use crate::program::Node;
 use std::thread;
@@ -19,9 +19,10 @@
 impl ProcessGroup {
     /// Waits until all processes of a slot that were told to stop have ended.
     pub(super) fn wait_for_stopped(&mut self, slot: usize) {
-        for StoppingProcess { mut node, since } in
+        for StoppingProcess { mut process, since } in
             std::mem::take(&mut self.processes[slot].stopping)
         {
+            let node = &mut process.node;
             while node.runs() && since.elapsed() < MAX_STOP_TIME {
                 thread::sleep(Duration::from_millis(5));
             }
@@ -34,14 +35,22 @@
                 self.failures
                     .push(format!("seat {slot}: ended with {}", node.wait()));
             }
-            self.check_log(slot, &node);
+            self.note_end(slot, &process);
         }
     }
 
+    /// Notes that a process has ended, and what it logged.
+    pub(super) fn note_end(&mut self, slot: usize, process: &RunningProcess) {
+        self.slots[slot].lock().unwrap().runs[process.run].ended = Some(Instant::now());
+        self.check_log(slot, &process.node);
+    }
+
     /// Notes panics and violations in the log of a process. Returns the lines that are excused.
     pub(super) fn check_log(&mut self, slot: usize, node: &Node) -> Vec<String> {
         let mut excused = Vec::new();
-        for (at, line) in node.drain_log_timed() {
+        let lines = node.drain_log_timed();
+        self.logs[slot].extend(lines.iter().cloned());
+        for (at, line) in lines {
             if !line.contains("panicked") && !line.contains("rule violated") {
                 continue;
             }
@@ -69,30 +78,38 @@
     /// Starts a process in each slot whose process has ended unexpectedly.
     pub(super) fn restart_ended(&mut self) {
         for slot in 0..self.processes.len() {
-            let Some(mut node) = self.processes[slot].node.take() else {
+            let Some(mut process) = self.processes[slot].running.take() else {
                 continue;
             };
-            if self.ended_unexpectedly(slot, &mut node) {
+            if self.ended_unexpectedly(slot, &mut process) {
                 self.start_process(slot);
             } else {
-                self.processes[slot].node = Some(node);
+                self.processes[slot].running = Some(process);
             }
         }
     }
 
     /// Whether a process that nobody told to stop has ended, which is noted as a failure.
-    pub(super) fn ended_unexpectedly(&mut self, slot: usize, node: &mut Node) -> bool {
-        if node.runs() {
+    pub(super) fn ended_unexpectedly(&mut self, slot: usize, process: &mut RunningProcess) -> bool {
+        if process.node.runs() {
             return false;
         }
-        let log = last_lines(node);
+        self.note_end(slot, process);
+        let log = self.last_lines(slot);
         self.failures.push(format!(
             "seat {slot}: ended unasked with {}: {log:#?}",
-            node.wait()
+            process.node.wait()
         ));
         true
     }
 
+    /// The last lines that processes of a slot have logged.
+    fn last_lines(&self, slot: usize) -> Vec<&str> {
+        let log = &self.logs[slot];
+        let shown = &log[log.len().saturating_sub(SHOWN_LOG_LINES)..];
+        shown.iter().map(|(_, line)| line.as_str()).collect()
+    }
+
     /// Which processes don't serve again within this time.
     pub fn recovery_failures(&mut self, timeout: Duration) -> Vec<String> {
         let deadline = Instant::now() + timeout;
@@ -102,7 +119,7 @@
     }
 
     fn recovery_failure(
-        &self,
+        &mut self,
         slot: usize,
         timeout: Duration,
         deadline: Instant,
@@ -115,8 +132,11 @@
             }
             attempt += 1;
             if Instant::now() > deadline {
-                let log = self.processes[slot].node.as_ref().map(last_lines);
-                let log = log.unwrap_or_default().join("\n    ");
+                if let Some(process) = self.processes[slot].running.take() {
+                    self.check_log(slot, &process.node);
+                    self.processes[slot].running = Some(process);
+                }
+                let log = self.last_lines(slot).join("\n    ");
                 return Some(format!(
                     "seat {slot}: does not serve {timeout:?} after all troubles are over, but says {answer} at try {attempt}\n    {log}"
                 ));
@@ -127,10 +147,10 @@
 
     /// The answer of the process in a slot to a request.
     fn request(&self, slot: usize, attempt: usize) -> String {
-        let Some(node) = &self.processes[slot].node else {
+        let Some(process) = &self.processes[slot].running else {
             return "no process".to_string();
         };
-        let mut client = Peer::connect(node.address);
+        let mut client = Peer::connect(process.node.address);
         client.send_line(&format!("OPEN r{slot}-{attempt} 7f c=free,t=acme,d=1000"));
         client.receive_line()
     }
@@ -139,27 +159,21 @@
     pub fn violations(&mut self) -> Vec<String> {
         let mut violations = Vec::new();
         for slot in 0..self.processes.len() {
-            let Some(node) = self.processes[slot].node.take() else {
+            let Some(process) = self.processes[slot].running.take() else {
                 continue;
             };
-            let excused = self.check_log(slot, &node);
-            let (_, metrics) = node.call("GET /status/metrics");
+            let excused = self.check_log(slot, &process.node);
+            let (_, metrics) = process.node.call("GET /status/metrics");
             let unexcused = metrics
                 .lines()
                 .filter(|metric| exceeds_excused(metric, &excused));
             violations.extend(unexcused.map(|metric| format!("seat {slot}: {metric}")));
-            self.processes[slot].node = Some(node);
+            self.processes[slot].running = Some(process);
         }
         violations
     }
 }
 
-/// The last log lines of a process that were not read yet.
-fn last_lines(node: &Node) -> Vec<String> {
-    let mut log = node.drain_log();
-    log.split_off(log.len().saturating_sub(SHOWN_LOG_LINES))
-}
-
 /// Whether a metric counts a rule as violated more often than the excused log lines name it.
 fn exceeds_excused(metric: &str, excused: &[String]) -> bool {
     let Some((rule, count)) = metric
--- a/testkit/src/soak/process_group/mod.rs
+++ b/testkit/src/soak/process_group/mod.rs
@@ -4,16 +4,15 @@
 mod faults;
 mod health;
 
-use super::process_slot::{FaultHistory, ProcessSlots};
+use super::process_slot::{FaultHistory, ProcessRun, ProcessSlots};
 use super::SoakSize;
-use crate::discovery::Discovery;
+use crate::discovery::{Discovery, DiscoveryHistory};
 use crate::program::{folder, listener, Node};
 use crate::simulated::{HostBehavior, Hosts, InvariantChecker};
 use crate::syscalls::{Fault, SyscallInjector};
 use crate::two_tier_cluster;
 use serde_json::{json, Value};
-use std::collections::HashMap;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
@@ -29,13 +28,15 @@
     seed: u64,
     /// What processes did that they must not.
     failures: Vec<String>,
-    /// By what they are at: faults that are on.
-    active_faults: HashMap<String, ActiveFaults>,
+    /// By slot: what its processes have logged.
+    logs: Vec<Vec<(Instant, String)>>,
+    /// Processes that were started.
+    started: u64,
 }
 
 /// The processes of one slot.
 struct ManagedProcess {
-    node: Option<Node>,
+    running: Option<RunningProcess>,
     /// Present where processes of the slot inherit the listener from each other.
     shared: Option<SharedListener>,
     injector: SyscallInjector,
@@ -53,23 +54,29 @@
     folder: PathBuf,
 }
 
-struct StoppingProcess {
+/// A process that nobody has told to stop.
+struct RunningProcess {
     node: Node,
-    since: Instant,
+    /// Its index among the runs of its slot.
+    run: usize,
+    /// Where the list services listen for it.
+    addresses: [SocketAddr; 2],
 }
 
-impl StoppingProcess {
-    /// Tells a process to stop.
-    fn stop(node: Node) -> Self {
+impl RunningProcess {
+    /// Tells it to stop.
+    fn stop(self) -> StoppingProcess {
         let since = Instant::now();
-        node.stop();
-        StoppingProcess { node, since }
+        self.node.stop();
+        StoppingProcess {
+            process: self,
+            since,
+        }
     }
 }
 
-/// Faults of one kind at one place that overlap.
-struct ActiveFaults {
-    count: u32,
+struct StoppingProcess {
+    process: RunningProcess,
     since: Instant,
 }
 
@@ -81,7 +88,7 @@
             folder: folder(),
         });
         ManagedProcess {
-            node: None,
+            running: None,
             shared,
             injector: SyscallInjector::default(),
             syscall_faults: Vec::new(),
@@ -112,7 +119,8 @@
             slots,
             seed,
             failures: Vec::new(),
-            active_faults: HashMap::new(),
+            logs: vec![Vec::new(); size.processes],
+            started: 0,
         };
         (0..size.processes).for_each(|slot| process_group.start_process(slot));
         process_group
@@ -130,14 +138,15 @@
             .sum()
     }
 
-    fn node_config(&self, slot: usize) -> Value {
-        let service = &self.services[self.processes[slot].service];
+    /// The configuration of a process in this slot, which calls the list service at this address.
+    fn node_config(&self, slot: usize, service: SocketAddr) -> Value {
         let mut node_config = two_tier_cluster::node_config(
             &format!("n{slot}"),
             &self.hosts,
-            service,
+            &self.services[0],
             self.seed + slot as u64,
         );
+        node_config["discovery"] = json!(service.to_string());
         node_config["limits"] = json!({"cores": 1.0, "memory_mb": 128, "sockets": 512});
         node_config["settings"]["balancers"] = json!(self.processes.len());
         node_config["settings"]["index"] = json!(slot);
@@ -150,24 +159,44 @@
 
     /// Starts a process in this slot.
     fn start_process(&mut self, slot: usize) {
-        let node_config = self.node_config(slot);
+        self.started += 1;
+        let caller = self.started;
+        let addresses = [0, 1].map(|service: usize| self.services[service].listen_for(caller));
+        let service = self.processes[slot].service;
+        let node_config = self.node_config(slot, addresses[service]);
         let process = &mut self.processes[slot];
         let injector = SyscallInjector::default();
+        let started = Instant::now();
         let node = match &process.shared {
             Some(SharedListener { listener, folder }) => {
                 Node::start_injected_at(&node_config, listener, folder, &injector)
             }
             None => Node::start_injected(&node_config, &injector),
         };
-        {
+        let run = {
             let mut slot = self.slots[slot].lock().unwrap();
             slot.address = Some(node.address);
             slot.closed = None;
-            slot.started.push(Instant::now());
-        }
+            slot.runs.push(ProcessRun::new(caller, service, started));
+            slot.runs.len() - 1
+        };
         injector.set(&process.syscall_faults);
-        process.node = Some(node);
         process.injector = injector;
+        process.running = Some(RunningProcess {
+            node,
+            run,
+            addresses,
+        });
+    }
+
+    /// What happened at the list services.
+    pub fn discovery_history(&self) -> [DiscoveryHistory; 2] {
+        [0, 1].map(|service: usize| self.services[service].history())
+    }
+
+    /// What the processes of a slot have logged, as far as it was read.
+    pub fn log(&self, slot: usize) -> &[(Instant, String)] {
+        &self.logs[slot]
     }
 
     /// Ends all faults; every slot has its process then.
@@ -191,8 +220,8 @@
     /// Stops all processes, and returns what any of them did that it must not.
     pub fn stop_all(&mut self) -> Vec<String> {
         for process in &mut self.processes {
-            if let Some(node) = process.node.take() {
-                process.stopping.push(StoppingProcess::stop(node));
+            if let Some(running) = process.running.take() {
+                process.stopping.push(running.stop());
             }
         }
         (0..self.processes.len()).for_each(|slot| self.wait_for_stopped(slot));
--- a/testkit/src/soak/soak_checker.rs
+++ b/testkit/src/soak/soak_checker.rs
@@ -2,7 +2,9 @@
 //! killed are excused, and so is lateness while a process was suspended; nothing else is.
 
 use super::clients::{ClientBehavior, ClientObservation, Received};
+use super::notification::notified_at;
 use super::process_slot::{FaultHistory, ProcessSlots};
+use crate::discovery::DiscoveryHistory;
 use crate::simulated::{
     HostBehavior, ObservedAttempt, DRAIN_GRACE, REQUEST_TIMEOUT, SOCKET_SLACK, WINDOW,
 };
@@ -11,12 +13,6 @@
 
 /// How late a busy machine may note what is seen here, and a process with delayed system calls may act.
 const BUSY_SLACK: Duration = Duration::from_millis(350);
-/// How soon after a fault of the list service, or of the calls to it, a process has the list again.
-const LIST_RECOVERY_TIME: Duration = Duration::from_secs(6);
-/// How soon after its start a process has the list.
-const FIRST_POLL_TIME: Duration = Duration::from_secs(1);
-/// How soon after a reload a process has the list of the other service.
-const RELOAD_TIME: Duration = Duration::from_secs(4);
 /// How soon misbehaving clients are to have their error or their end.
 const BAD_CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long after a client has closed an attempt may still begin.
@@ -37,6 +33,8 @@
     pub reached: Vec<ObservedAttempt>,
     pub slots: ProcessSlots,
     pub fault_history: &'a FaultHistory,
+    /// What happened at the list services.
+    pub services: [DiscoveryHistory; 2],
 }
 
 impl SoakChecker<'_> {
@@ -196,28 +194,16 @@
         })
     }
 
-    /// When, by `at`, a process of this slot has to know what the list services had at `announced`.
+    /// When the processes of this slot that may have made an attempt at `at` have to know what the list services had
+    /// at `announced`: the latest of them, as nobody sees which one made it.
     fn notified_at(&self, slot: usize, announced: Instant, at: Instant) -> Instant {
         let slot = self.slots[slot].lock().unwrap();
-        let started = slot.started.iter().copied().filter(|start| *start < at);
-        let mut notified = match started.max() {
-            Some(start) => announced.max(start + FIRST_POLL_TIME),
-            None => announced,
-        };
-        // Faults by which a poll may have failed.
-        let faults = self
-            .fault_history
-            .service_faults
+        slot.runs
             .iter()
-            .chain(&slot.syscall_faults);
-        for span in faults.filter(|span| span.from < at && span.to + LIST_RECOVERY_TIME > announced)
-        {
-            notified = notified.max(span.to.max(announced) + LIST_RECOVERY_TIME);
-        }
-        for reloaded in slot.reloaded.iter().filter(|reloaded| **reloaded < at) {
-            notified = notified.max(*reloaded + RELOAD_TIME);
-        }
-        notified
+            .filter(|run| run.ran_at(at, BUSY_SLACK))
+            .map(|run| notified_at(run, &self.services, announced))
+            .max()
+            .unwrap_or(announced)
     }
 }
 
