Pass on what a client has sent before it is told to move

Callers: a line sent on an open connection up to 0.3 s before MOVE reached no host. Cause: try_migrate read nothing: it judged by what had been read in earlier turns, and threw away what lay unread in the client's socket, and what was read and not yet taken by the host's. New test a_line_that_came_before_its_client_was_told_to_move_reaches_the_host (process suspended until migrations are due, timers seen first): "end" for "hello" on. Change: a migration first relays what has come from the client, reported or not, and waits up to MAX_MIGRATION_WAIT for the host to take it; the end of a shutdown goes before that.

--- a/node/src/connections/migration.rs
+++ b/node/src/connections/migration.rs
@@ -2,14 +2,32 @@
 //! the client is being sent.
 
 use super::closing::LINGER_TIMEOUT;
-use super::connection::Stage;
+use super::connection::{Connection, Stage};
 use super::protocol::MOVE_LINE;
+use super::relay::RelayStatus;
 use super::Connections;
 use crate::context::{Context, MAX_MIGRATION_WAIT};
 use crate::operators::counters::CloseReason;
 use reedferry::{AttemptOutcome, Nanos, RequestId};
 use reedferry_runtime::Buffer;
 
+impl Connection {
+    /// Passes on to the host what has come from the client, reported by the poller or not. Returns whether the
+    /// host has all of it, as far as its connection goes on.
+    fn pass_on_arrived(&mut self, context: &mut Context) -> bool {
+        self.assume_client_readable();
+        let status = self.transfer_to_host(context).unwrap_or(RelayStatus::Idle);
+        match status {
+            RelayStatus::Idle => self.to_host.buffer.as_ref().is_none_or(Buffer::is_empty),
+            RelayStatus::MoreToDo | RelayStatus::LocalResources => false,
+            RelayStatus::Finished
+            | RelayStatus::SenderBroken
+            | RelayStatus::ReceiverBroken
+            | RelayStatus::Malformed => true,
+        }
+    }
+}
+
 impl Connections {
     /// Has a client connect elsewhere, as soon as its connection stands between two lines.
     pub fn migrate(&mut self, context: &mut Context, id: RequestId) {
@@ -22,8 +40,8 @@
         }
     }
 
-    /// Tells a client that is to be migrated so, once its connection stands between two lines. A line that
-    /// the client has begun is waited for until the migration is due.
+    /// Tells a client that is to be migrated so, once its connection stands between two lines and its host has
+    /// all that it sent. A line that the client has begun is waited for until the migration is due.
     pub(super) fn try_migrate(&mut self, context: &mut Context, slot: usize) {
         let Some(connection) = self.slab.get_mut(slot) else {
             return;
@@ -34,12 +52,15 @@
         let Some(migrate_by) = connection.migrate_by else {
             return;
         };
+        // Without this, a line that the client sent before it is told to go would reach no host.
+        let all_passed_on = connection.pass_on_arrived(context);
         let to_client = &connection.to_client;
         let all_sent = to_client.buffer.as_ref().is_none_or(Buffer::is_empty);
         if !all_sent || !to_client.scanner.between_lines() {
             return;
         }
-        if !connection.to_host.scanner.between_lines() && context.now < migrate_by {
+        let is_complete = all_passed_on && connection.to_host.scanner.between_lines();
+        if !is_complete && context.now < migrate_by {
             return;
         }
         let outcome = connection.migration_outcome;
--- a/node/src/connections/proxying.rs
+++ b/node/src/connections/proxying.rs
@@ -46,19 +46,25 @@
         }
     }
 
+    /// Moves the client's lines to its host, as far as the sockets allow.
+    pub(super) fn transfer_to_host(&mut self, context: &Context) -> Option<RelayStatus> {
+        let client = self.client.as_mut()?;
+        let host = self.host_connection.as_mut()?;
+        if self.client_finished_at.is_some() {
+            return Some(RelayStatus::Idle);
+        }
+        let unanswered_lines = &mut self.unanswered_lines;
+        let record_line = |_| unanswered_lines.push_back(context.now);
+        let relay = &mut self.to_host;
+        Some(relay.transfer(&context.pool, client, &mut host.peer, record_line))
+    }
+
     /// Moves lines both ways, as far as the sockets allow.
     fn transfer_lines(&mut self, context: &mut Context) -> Option<TransferStatus> {
+        let to_host = self.transfer_to_host(context)?;
         let client = self.client.as_mut()?;
         let host = self.host_connection.as_mut()?;
         let unanswered_lines = &mut self.unanswered_lines;
-        let to_host = if self.client_finished_at.is_some() {
-            RelayStatus::Idle
-        } else {
-            self.to_host
-                .transfer(&context.pool, client, &mut host.peer, |_| {
-                    unanswered_lines.push_back(context.now);
-                })
-        };
         let mut recorder = MessageRecorder {
             id: self.incoming.id,
             host: host.host,
--- a/node/tests/process_stalls.rs
+++ b/node/tests/process_stalls.rs
@@ -256,3 +256,22 @@
     }
     assert!(asked, "{}", client.receive_line());
 }
+
+/// Guards against a line lost that lay unread, as the process stood still, when its client was told to move.
+#[test]
+fn a_line_that_came_before_its_client_was_told_to_move_reaches_the_host() {
+    let (hosts, discovery) = (Hosts::start(1), Discovery::start());
+    let injector = SyscallInjector::default();
+    let node = Node::start_injected(&node_config(&hosts, discovery.address), &injector);
+    let (mut client, _, mut host) = node.served(&hosts);
+    node.stop();
+    node.wait_for_log("asked to stop");
+    interrupt_waits(&injector);
+    node.suspend();
+    client.send_line("hello");
+    // By then all clients were to be moved.
+    thread::sleep(Duration::from_millis(2450));
+    resume_with_timers_first(&node, &injector);
+    host.expect_line("hello");
+    client.expect_line("MOVE");
+}
