Count retries by class and reason and requests shed by class; log an attempt's class

Cause: in a store's storm neither log nor metrics told which class fails, is shed or asks again, and why. Change: retries.C.R and requests_shed.C in GET /status/metrics, from the first one on; the line `attempt ended` ends with the class.

--- a/node/src/connections/attempt_progress.rs
+++ b/node/src/connections/attempt_progress.rs
@@ -147,6 +147,10 @@
         attempt.request_written = true;
         attempt.request_written_at = context.now;
         context.metrics.record_attempt();
+        if let Some(reason) = connection.last_failure {
+            let class = &context.settings.classes[connection.incoming.class];
+            context.metrics.record_retry(class, reason);
+        }
         self.check_attempt(context, slot);
         true
     }
--- a/node/src/connections/attempts.rs
+++ b/node/src/connections/attempts.rs
@@ -205,6 +205,7 @@
         connection.to_host = Relay::default();
         connection.to_client = Relay::default();
         connection.host_errors += u32::from(outcome == AttemptOutcome::Error);
+        connection.last_failure = Some(outcome);
         if attempt.request_written && !outcome.never_ran() {
             connection
                 .may_have_run_since
@@ -213,8 +214,9 @@
         context.metrics.add(Counter::AttemptEnded(outcome));
         if context.request_lines.allow(context.now) {
             let took = context.now.saturating_sub(attempt.started_at) / MILLI;
+            let class = &context.settings.classes[connection.incoming.class];
             info!(context.log, "attempt ended"; "id" => connection.log_id(), "attempt" => attempt.attempt,
-                "host" => &record.name, "why" => outcome.as_str(), "ms" => took);
+                "host" => &record.name, "why" => outcome.as_str(), "ms" => took, "class" => class);
         }
         if connection.stage == Stage::Pending {
             let client_gone = connection.client.is_none();
--- a/node/src/connections/closing.rs
+++ b/node/src/connections/closing.rs
@@ -53,6 +53,9 @@
             };
             let class = &context.settings.classes[connection.incoming.class];
             context.metrics.record_outcome(class, outcome);
+            if rejected && connection.attempts == 0 {
+                context.metrics.record_shed(class);
+            }
         }
         connection.request_line = None;
         connection.host_connection = None;
--- a/node/src/connections/connection.rs
+++ b/node/src/connections/connection.rs
@@ -62,6 +62,8 @@
     /// What flows from the host to the client.
     pub(super) to_client: Relay,
     pub(super) attempts: u32,
+    /// How its last attempt ended, where that failed.
+    pub(super) last_failure: Option<AttemptOutcome>,
     /// When the first attempt that may have run was written.
     pub(super) may_have_run_since: Option<Nanos>,
     /// When each line of the client passed that its host has not answered.
@@ -102,6 +104,7 @@
             to_host: Relay::default(),
             to_client: Relay::default(),
             attempts: 0,
+            last_failure: None,
             may_have_run_since: None,
             unanswered_lines: VecDeque::new(),
             migrate_by: None,
--- a/node/src/operators/metrics.rs
+++ b/node/src/operators/metrics.rs
@@ -2,6 +2,8 @@
 //! module must never count what nobody saw happen on a socket, nor count a request twice or backwards.
 
 use crate::operators::counters::{Counter, Counters};
+use reedferry::AttemptOutcome;
+use std::collections::BTreeMap;
 use std::fmt::Write;
 
 /// The outcomes of the requests of one class.
@@ -12,6 +14,24 @@
     served: u64,
     rejected: u64,
     failed: u64,
+    /// Rejected without an attempt.
+    shed: u64,
+    /// Attempts after a first one, by how the one before ended.
+    retries: BTreeMap<&'static str, u64>,
+}
+
+impl ClassOutcomes {
+    /// Appends a line for each count that is not named with the outcomes, once there is something to count.
+    fn append_counts(&self, text: &mut String) {
+        let name = &self.name;
+        if self.shed > 0 {
+            _ = writeln!(text, "app.requests_shed.{name}:{}|c", self.shed);
+        }
+        for (reason, count) in &self.retries {
+            let reason = metric_name_part(&reason.replace('-', "_"));
+            _ = writeln!(text, "app.retries.{name}.{reason}:{count}|c");
+        }
+    }
 }
 
 /// How a request ended its wait, by what the client heard.
@@ -71,8 +91,7 @@
 
     /// Counts the outcome of a request.
     pub fn record_outcome(&mut self, class: &str, outcome: RequestOutcome) {
-        let name = metric_name_part(class);
-        let Some(outcomes) = self.classes.iter_mut().find(|class| class.name == name) else {
+        let Some(outcomes) = self.class_mut(class) else {
             return;
         };
         match outcome {
@@ -82,6 +101,25 @@
         }
     }
 
+    /// Counts a request that was rejected without an attempt.
+    pub fn record_shed(&mut self, class: &str) {
+        if let Some(outcomes) = self.class_mut(class) {
+            outcomes.shed += 1;
+        }
+    }
+
+    /// Counts an attempt whose last byte was written after another one had ended so.
+    pub fn record_retry(&mut self, class: &str, reason: AttemptOutcome) {
+        if let Some(outcomes) = self.class_mut(class) {
+            *outcomes.retries.entry(reason.as_str()).or_default() += 1;
+        }
+    }
+
+    fn class_mut(&mut self, class: &str) -> Option<&mut ClassOutcomes> {
+        let name = metric_name_part(class);
+        self.classes.iter_mut().find(|class| class.name == name)
+    }
+
     /// Adds one to a counter.
     pub fn add(&mut self, count: Counter) {
         self.counters.add(count);
@@ -118,6 +156,9 @@
         line("hosts_excluded", now.hosts_excluded as u64, "g");
         line("reloads_ok", self.reloads_succeeded, "c");
         line("reloads_failed", self.reloads_failed, "c");
+        for class in &self.classes {
+            class.append_counts(&mut text);
+        }
         text + &self.counters.text()
     }
 }
--- a/node/src/operators/metrics_tests.rs
+++ b/node/src/operators/metrics_tests.rs
@@ -25,3 +25,19 @@
         app.hosts_excluded:2|g\napp.reloads_ok:1|c\napp.reloads_failed:1|c\n";
     assert_eq!(text, wanted.to_string() + &Counters::default().text());
 }
+
+/// Guards against a store's storm of which nobody can see which class is shed, and which one asks again and why.
+#[test]
+fn retries_are_counted_by_class_and_reason_and_requests_shed_by_class() {
+    let mut metrics = Metrics::default();
+    metrics.add_classes(&["chat".into(), "a.b".into()]);
+    metrics.record_retry("chat", AttemptOutcome::Error);
+    metrics.record_retry("chat", AttemptOutcome::Error);
+    metrics.record_retry("chat", AttemptOutcome::TimedOut);
+    metrics.record_shed("a.b");
+    metrics.record_shed("nobody's");
+    let text = metrics.text(&Gauges::default());
+    let wanted =
+        "app.retries.chat.error:2|c\napp.retries.chat.silent:1|c\napp.requests_shed.a_b:1|c\n";
+    assert!(text.contains(wanted), "{text}");
+}
