Reject at once what a slow store cannot set up in the time that is left

Cause: the store's queue stays two seconds long. Set-ups of a class with 1.8 s can't end in time and are worked on all the same: 73 to 141 a second time out after 1.749 s, against 0 to 3 of all other classes; the work thrown away keeps the queue long. Change: the module keeps how long the last two set-ups took; where both, at several hosts, took longer than a request has left, it is rejected with its Retry-After. A time-out counts for a quarter longer; 8 s; one try after 2 s without any; large fleets alone. Why it works: the store's time goes to set-ups that are still waited for, and its queue falls below the deadline sooner.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -33,6 +33,7 @@
 use crate::messages::{
     HistoryMessage, HostMessage, Message, MessageQueue, PollerMessage, RequestMessage,
 };
+use crate::recent_setups::RecentSetups;
 use crate::request::{AttemptOutcome, RequestId};
 use crate::request_table::RequestTable;
 use crate::settings::BalancerSettings;
@@ -67,6 +68,7 @@
     history: ConnectionHistory,
     poller: EndpointPoller,
     setup_failures: SetupFailures,
+    recent_setups: RecentSetups,
     load_shedding: LoadShedding,
     gossip_budget: GossipBudget,
     arrival_rate: ArrivalRate,
@@ -98,6 +100,7 @@
             weight_optimizer: WeightOptimizer::new(),
             poller: EndpointPoller::default(),
             setup_failures: SetupFailures::default(),
+            recent_setups: RecentSetups::default(),
             load_shedding: LoadShedding::default(),
             gossip_budget: GossipBudget::new(),
             arrival_rate: ArrivalRate::default(),
@@ -326,7 +329,14 @@
             }
             HistoryMessage::FinalLoad { key, load } => self.history.final_load(key, load, now),
             HistoryMessage::LoadMeasured { class, load } => self.history.load_measured(class, load),
-            HistoryMessage::SetupTook { host, took } => self.history.setup_took(host, took),
+            HistoryMessage::SetupEnded {
+                host,
+                took,
+                timed_out,
+            } => {
+                self.history.setup_took(host, took);
+                self.recent_setups.setup_ended(host, took, timed_out, now);
+            }
             HistoryMessage::ClassesChanged { count, replaced } => {
                 self.history.classes_changed(count, replaced);
             }
--- a/src/balancer/placement.rs
+++ b/src/balancer/placement.rs
@@ -34,7 +34,7 @@
         let class = &self.settings.classes[request.incoming.class];
         let answer_by = self.answer_by(request);
         let write_by = repeat_deadline(class, request.first_run.map(|first| first.sent_at));
-        let shed = self.should_shed(now, request, random);
+        let shed = self.should_shed(now, request, random) || self.is_in_vain(now, answer_by);
         let out_of_attempts = now >= answer_by || now >= write_by || self.has_failed(request);
         let vector = self.weight_optimizer.current();
         let host = if out_of_attempts || shed {
@@ -132,6 +132,17 @@
         hash_to_unit_interval(random, 0) < self.load_shedding.rejected_share(unseen_share)
     }
 
+    /// Whether an attempt would be given up before a set-up can end, as the last ones show. Without
+    /// this, a class with a short deadline would get nothing from a slow store and take its time
+    /// from all others: the store works on what its client has given up. A small fleet sees enough
+    /// set-ups to wait for each.
+    fn is_in_vain(&self, now: Nanos, answer_by: Nanos) -> bool {
+        let shortest = self.recent_setups.shortest(now);
+        is_large_fleet(&self.settings)
+            && shortest.is_some_and(|shortest| now + shortest >= answer_by)
+            && !self.load_shedding.should_try(now)
+    }
+
     fn priority_per_load(&self, class: usize) -> f64 {
         let worth = self.settings.classes[class].priority_weight / self.history.load(class, None);
         worth.max(f64::MIN_POSITIVE)
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -128,7 +128,7 @@
         connection.since = now;
         self.no_route_in_a_row = 0;
         self.pending_attempts -= 1;
-        self.setup_took(took, now, context);
+        self.setup_ended(took, false, now, context);
     }
 
     fn connection_ended(
@@ -145,7 +145,7 @@
         let duration = now.saturating_sub(connection.since);
         self.report_to_history(&connection, duration, outcome, context);
         if outcome == AttemptOutcome::TimedOut {
-            self.setup_took(duration, now, context);
+            self.setup_ended(duration, true, now, context);
         }
         let lost = connection.established && outcome == AttemptOutcome::ConnectionLost;
         self.broken_connections = if self.connections.is_empty() {
@@ -195,7 +195,7 @@
 
     /// Takes a slow set-up for late messages. Without this, clients would be left at a slow host
     /// whose messages are not measured.
-    fn setup_took(&mut self, took: Nanos, now: Nanos, context: &mut HostContext) {
+    fn setup_ended(&mut self, took: Nanos, timed_out: bool, now: Nanos, context: &mut HostContext) {
         let objective = context.settings.shortest_message_latency_objective();
         let known_latency = self.latency.ratio(now) * objective as f64;
         // Without this, hosts would count as late one after the other while a shared store is slow.
@@ -205,8 +205,11 @@
         if !shared_cause && self.report.load(now).is_none() && slow {
             self.latency_measured(now, took, context);
         }
-        let host = self.id;
-        context.update_history(HistoryMessage::SetupTook { host, took });
+        context.update_history(HistoryMessage::SetupEnded {
+            host: self.id,
+            took,
+            timed_out,
+        });
     }
 
     /// Ejects the host where the outcome of an attempt is its own fault. An error is that only once
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 mod load_shedding;
 mod messages;
 pub mod permission;
+mod recent_setups;
 mod request;
 mod request_table;
 mod settings;
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -129,13 +129,31 @@
 
 /// Updates of the connection history.
 pub(crate) enum HistoryMessage {
-    ConnectionEnded { key: Option<u64>, duration: Nanos },
-    FinalLoad { key: Option<u64>, load: f64 },
-    LoadMeasured { class: usize, load: f64 },
-    SetupTook { host: HostId, took: Nanos },
-    ClassesChanged { count: usize, replaced: Vec<usize> },
+    ConnectionEnded {
+        key: Option<u64>,
+        duration: Nanos,
+    },
+    FinalLoad {
+        key: Option<u64>,
+        load: f64,
+    },
+    LoadMeasured {
+        class: usize,
+        load: f64,
+    },
+    SetupEnded {
+        host: HostId,
+        took: Nanos,
+        timed_out: bool,
+    },
+    ClassesChanged {
+        count: usize,
+        replaced: Vec<usize>,
+    },
     StateInherited(Box<InheritedState>),
-    Tick { open_requests: f64 },
+    Tick {
+        open_requests: f64,
+    },
 }
 
 /// Updates of the endpoint poller.
--- a/tests/single_node/main.rs
+++ b/tests/single_node/main.rs
@@ -4,3 +4,4 @@
 mod node;
 mod settings_change;
 mod setup_timeout;
+mod slow_store;
--- /dev/null
+++ b/tests/single_node/slow_store.rs
@@ -0,0 +1,121 @@
+//! What a node of a large fleet does with requests whose set-ups take longer than they have left, as a store that all set-ups
+//! share is slow.
+
+use crate::node::{completed, endpoint, Node, START};
+use reedferry::*;
+
+const HOSTS: u64 = 20;
+const SHORT_TIMEOUT: Nanos = 1800 * MILLI;
+const LONG_TIMEOUT: Nanos = 3000 * MILLI;
+/// How long the slow store takes: longer than the short timeout leaves.
+const SLOW_SETUP: Nanos = 2200 * MILLI;
+const QUICK_SETUP: Nanos = 20 * MILLI;
+
+/// One node of a fleet of so many.
+fn start(node_count: u32) -> Node {
+    let class = RequestClass {
+        latency_objective: 300 * MILLI,
+        ..RequestClass::default()
+    };
+    let settings = BalancerSettings {
+        node_count,
+        classes: vec![class],
+        max_attempts: 3,
+        max_request_timeout: LONG_TIMEOUT,
+        max_retry_after: SECOND,
+        ..BalancerSettings::default()
+    };
+    let endpoints = (1..=HOSTS).map(|id| endpoint(HostId(id))).collect();
+    let mut node = Node::start(settings, endpoints);
+    node.now = START + SECOND;
+    node
+}
+
+/// A request with this time left: where it was sent, if it was sent anywhere.
+fn request(node: &mut Node, timeout: Nanos) -> (RequestId, Option<HostId>, Vec<Action>) {
+    let incoming = node.new_request(timeout);
+    let actions = node.handle(Event::RequestArrived(incoming));
+    let host = actions.iter().find_map(|action| match action {
+        Action::StartAttempt { host, .. } => Some(*host),
+        _ => None,
+    });
+    (incoming.id, host, actions)
+}
+
+/// A request whose set-up takes so long, and whose client leaves then.
+fn set_up(node: &mut Node, took: Nanos) -> HostId {
+    let (id, host, _) = request(node, LONG_TIMEOUT);
+    let host = host.expect("it is sent to a host");
+    node.now += took;
+    node.handle(Event::ConnectionEstablished { id, took });
+    node.handle(completed(id, host));
+    host
+}
+
+/// Set-ups that take so long, until several hosts have shown it.
+fn set_up_at_several_hosts(node: &mut Node, took: Nanos) {
+    let first = set_up(node, took);
+    while set_up(node, took) == first {}
+}
+
+/// Guards against a class with a short deadline that gets nothing from a slow store, and takes the store's time from
+/// all others.
+#[test]
+fn what_a_slow_store_cannot_set_up_in_time_is_rejected_at_once() {
+    let mut node = start(300);
+    set_up_at_several_hosts(&mut node, SLOW_SETUP);
+    let (_, host, actions) = request(&mut node, SHORT_TIMEOUT);
+    assert_eq!(host, None, "{actions:?}");
+    let rejected = |action: &Action| matches!(action, Action::Reject { .. });
+    assert!(actions.iter().any(rejected), "{actions:?}");
+    let (_, host, _) = request(&mut node, LONG_TIMEOUT);
+    assert!(host.is_some());
+}
+
+/// Guards against a class that is rejected on and on, as nobody shows that the store is quick again.
+#[test]
+fn a_class_that_was_rejected_is_tried_again_after_a_while_and_served_once_set_ups_are_quick() {
+    let mut node = start(300);
+    set_up_at_several_hosts(&mut node, SLOW_SETUP);
+    assert_eq!(request(&mut node, SHORT_TIMEOUT).1, None);
+    node.now += 2 * SECOND;
+    assert!(request(&mut node, SHORT_TIMEOUT).1.is_some());
+    assert_eq!(request(&mut node, SHORT_TIMEOUT).1, None);
+    set_up(&mut node, QUICK_SETUP);
+    assert!(request(&mut node, SHORT_TIMEOUT).1.is_some());
+}
+
+/// Guards against requests rejected for one host that hangs, or by a node of a small fleet, which sees enough set-ups.
+#[test]
+fn one_slow_host_or_a_small_fleet_rejects_nothing() {
+    let mut node = start(300);
+    set_up(&mut node, SLOW_SETUP);
+    assert!(request(&mut node, SHORT_TIMEOUT).1.is_some());
+    let mut node = start(3);
+    set_up_at_several_hosts(&mut node, SLOW_SETUP);
+    assert!(request(&mut node, SHORT_TIMEOUT).1.is_some());
+}
+
+/// Guards against a store whose time-outs show a class nothing, as each request has a moment more than the one that timed out.
+#[test]
+fn set_ups_that_timed_out_count_for_longer_than_they_were_waited_for() {
+    let mut node = start(300);
+    let mut hosts = Vec::new();
+    while hosts.len() < 2 {
+        let (id, host, _) = request(&mut node, SHORT_TIMEOUT - MILLI);
+        let host = host.expect("it is sent to a host");
+        node.now += SHORT_TIMEOUT - MILLI;
+        node.handle(Event::AttemptEnded {
+            id,
+            attempt: 0,
+            host,
+            request_over: false,
+            ending: AttemptOutcome::TimedOut,
+            load_metrics: Vec::new(),
+        });
+        hosts.push(host);
+    }
+    assert_ne!(hosts[0], hosts[1]);
+    assert_eq!(request(&mut node, SHORT_TIMEOUT).1, None);
+    assert!(request(&mut node, LONG_TIMEOUT).1.is_some());
+}
