--- a/testkit/src/discovery/mod.rs
+++ b/testkit/src/discovery/mod.rs
@@ -92,7 +92,10 @@
         incarnation: u64,
     },
     /// Nothing, until the caller ends the connection.
-    Silence,
+    Silence {
+        /// The index of the call's record.
+        record: usize,
+    },
 }
 
 /// Discovery: keeps a list and answers watches on it.
@@ -275,8 +278,7 @@
     fn serve(&self, mut stream: TcpStream, caller: u64) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         while let Some(call) = Call::read(&mut reader) {
-            let record = self.record_call(&call, caller);
-            match self.reply(&call, record) {
+            match self.reply(&call, caller) {
                 Reply::Answer(answer) => {
                     if stream.write_all(answer.as_bytes()).is_err() {
                         return;
@@ -293,7 +295,7 @@
                     }
                     return self.wait_while_hanging(incarnation);
                 }
-                Reply::Silence => {
+                Reply::Silence { record } => {
                     _ = reader.read_line(&mut String::new());
                     self.state().history.calls[record].closed_at = Some(Instant::now());
                     return;
@@ -307,23 +309,13 @@
         drop(self.changed().wait_while(self.state(), hangs));
     }
 
-    /// Records that a call has come, and returns the index of its record.
-    fn record_call(&self, call: &Call, caller: u64) -> usize {
-        let mut state = self.state();
-        let now = Instant::now();
-        state.called.push(now);
-        state.asked.push(call.path.clone());
-        let calls = &mut state.history.calls;
-        calls.push(CallRecord::new(caller, now, call.hold));
-        let record = calls.len() - 1;
-        self.changed().notify_all();
-        record
-    }
-
     /// Waits for as long as a call takes, and says what becomes of it.
-    fn reply(&self, call: &Call, record: usize) -> Reply {
+    fn reply(&self, call: &Call, caller: u64) -> Reply {
         let mut state = self.state();
         let (now, incarnation) = (Instant::now(), state.incarnation);
+        // What a test sets once it has seen the call concerns later calls alone.
+        let record = state.record_call(call, caller, now);
+        self.changed().notify_all();
         if state.down {
             return Reply::Close;
         }
@@ -357,7 +349,7 @@
             state = waited.unwrap().0;
             state.history.calls[record].waiting = false;
             if state.silences != silences {
-                return Reply::Silence;
+                return Reply::Silence { record };
             }
         }
         if state.incarnation != incarnation {
@@ -372,6 +364,15 @@
 }
 
 impl State {
+    /// Records that a call has come, and returns the index of its record.
+    fn record_call(&mut self, call: &Call, caller: u64, now: Instant) -> usize {
+        self.called.push(now);
+        self.asked.push(call.path.clone());
+        let calls = &mut self.history.calls;
+        calls.push(CallRecord::new(caller, now, call.hold));
+        calls.len() - 1
+    }
+
     /// A list is about to be written in answer to a call.
     fn record_answer(&mut self, record: usize) {
         let now = Instant::now();
