Give a process of a soak six seconds only where a call of its own failed

Cause: gave any process to which nothing was written 6 s from an announcement, also one whose calls had all been answered and which just stops asking: wider than the check before, which gave it none without a fault. Found in review of the change. Change: the 6 s need a call of that process without an answer within 6 s, or faulty system calls of it then; else it has no time, and the second after its start. One test expects 9558 ms where it allowed 15558; a new one fails on the code before.

--- a/testkit/src/soak/notification.rs
+++ b/testkit/src/soak/notification.rs
@@ -1,7 +1,7 @@
 //! From when on a process of a soak counts as notified of a drain: by what the list services wrote to it, and by the
 //! users' pages where they wrote nothing. One bound for each case, none for a whole run.
 
-use super::process_slot::ProcessRun;
+use super::process_slot::{FaultSpan, ProcessRun};
 use crate::discovery::{CallRecord, DiscoveryHistory};
 use std::time::{Duration, Instant};
 
@@ -20,6 +20,7 @@
 pub fn notified_at(
     run: &ProcessRun,
     services: &[DiscoveryHistory; 2],
+    syscall_faults: &[FaultSpan],
     announced: Instant,
 ) -> Instant {
     let since = announced.max(run.started);
@@ -31,9 +32,12 @@
         .max();
     // Both services are down together.
     let reachable = services[0].reachable_from(since);
+    let may_have_failed =
+        has_failed_call(run, services, since) || overlaps_any(syscall_faults, since);
     let mut notified = match (silent_until, reachable) {
         (Some(deadline), _) => deadline,
-        (None, Some(reachable)) => reachable + NOTIFICATION_TIMEOUT,
+        (None, Some(reachable)) if may_have_failed => reachable + NOTIFICATION_TIMEOUT,
+        (None, Some(reachable)) => reachable.max(run.started + FIRST_POLL_TIMEOUT),
         (None, None) => return since + NOTIFICATION_TIMEOUT,
     };
     if let Some(written) = written_at(run, services, since) {
@@ -59,6 +63,27 @@
         .filter(move |call| call.caller == caller)
 }
 
+/// Whether a call that came within the time in which a change has to be heard, before or after `since`, had no answer
+/// and was not silent: it was refused, or broke.
+fn has_failed_call(run: &ProcessRun, services: &[DiscoveryHistory; 2], since: Instant) -> bool {
+    let is_near = |call: &&CallRecord| {
+        call.called_at <= since + NOTIFICATION_TIMEOUT
+            && call.called_at + call.max_wait + NOTIFICATION_TIMEOUT >= since
+    };
+    services
+        .iter()
+        .flat_map(|service| calls_of(run, service))
+        .filter(is_near)
+        .any(|call| call.answered_at.is_none() && call.silenced_at.is_none())
+}
+
+/// Whether a fault was on within that time before `since`, or after it.
+fn overlaps_any(faults: &[FaultSpan], since: Instant) -> bool {
+    faults.iter().any(|span| {
+        span.from <= since + NOTIFICATION_TIMEOUT && span.to + NOTIFICATION_TIMEOUT >= since
+    })
+}
+
 fn was_silent_at(call: &CallRecord, at: Instant) -> bool {
     call.silenced_at.is_some()
         && call.called_at <= at
--- a/testkit/src/soak/notification_tests.rs
+++ b/testkit/src/soak/notification_tests.rs
@@ -9,6 +9,7 @@
     start: Instant,
     run: ProcessRun,
     services: [DiscoveryHistory; 2],
+    faults: Vec<FaultSpan>,
 }
 
 impl Case {
@@ -18,6 +19,7 @@
             start,
             run: ProcessRun::new(CALLER, 0, start),
             services: Default::default(),
+            faults: Vec::new(),
         }
     }
 
@@ -34,7 +36,8 @@
 
     /// When a drain that is announced then counts as told, in milliseconds.
     fn notified(&self, announced: u64) -> u128 {
-        (notified_at(&self.run, &self.services, self.at(announced)) - self.start).as_millis()
+        (notified_at(&self.run, &self.services, &self.faults, self.at(announced)) - self.start)
+            .as_millis()
     }
 }
 
@@ -63,11 +66,11 @@
     let (silenced, closed) = (case.at(999), case.at(5000));
     let call = case.call(0, 300, 19_000);
     (call.silenced_at, call.closed_at) = (Some(silenced), Some(closed));
-    assert_eq!(case.notified(9558), 9558 + 6000);
+    assert_eq!(case.notified(9558), 9558);
     case.services[0].calls[0].closed_at = None;
     case.services[0].calls[0].caller = CALLER + 1;
     case.call(0, 300, 0);
-    assert_eq!(case.notified(9558), 9558 + 6000);
+    assert_eq!(case.notified(9558), 9558);
 }
 
 /// Guards against a drain that was written to the process and is excused by any fault.
@@ -117,3 +120,15 @@
     case.call(0, 900, 0);
     assert_eq!(case.notified(500), 500 + 6000);
 }
+
+/// Guards against a process that just stops asking, with no call failed, and has six seconds for it.
+#[test]
+fn a_process_whose_calls_were_all_answered_is_given_no_time() {
+    let mut case = Case::new();
+    let answered = case.at(310);
+    case.call(0, 300, 0).answered_at = Some(answered);
+    assert_eq!(case.notified(9558), 9558);
+    let (from, to) = (case.at(9000), case.at(9300));
+    case.faults.push(FaultSpan { from, to });
+    assert_eq!(case.notified(9558), 9558 + 6000);
+}
--- a/testkit/src/soak/process_group/faults.rs
+++ b/testkit/src/soak/process_group/faults.rs
@@ -83,12 +83,21 @@
         let process = &mut self.processes[slot];
         process.syscall_faults = family.faults();
         process.injector.set(&process.syscall_faults);
+        let from = Instant::now();
+        let to = from + FAR_FUTURE;
+        let mut slot = self.slots[slot].lock().unwrap();
+        slot.syscall_faults.push(FaultSpan { from, to });
     }
 
     pub(super) fn end_syscall_faults(&mut self, slot: usize) {
         let process = &mut self.processes[slot];
         process.syscall_faults.clear();
         process.injector.set(&process.syscall_faults);
+        // The first to end ends all: the injector has none left.
+        let now = Instant::now();
+        for span in &mut self.slots[slot].lock().unwrap().syscall_faults {
+            span.to = span.to.min(now);
+        }
     }
 
     /// Tells the process of a slot to stop; the front still sends clients for a while.
--- a/testkit/src/soak/process_slot.rs
+++ b/testkit/src/soak/process_slot.rs
@@ -77,6 +77,8 @@
     pub crowds: Vec<FaultSpan>,
     /// When single sends of its process were delayed, in a soak of restarts.
     pub send_delays: Vec<FaultSpan>,
+    /// When its system calls were faulty.
+    pub syscall_faults: Vec<FaultSpan>,
     /// When its process was suspended.
     pub suspensions: Vec<FaultSpan>,
 }
--- a/testkit/src/soak/soak_checker.rs
+++ b/testkit/src/soak/soak_checker.rs
@@ -212,7 +212,7 @@
         slot.runs
             .iter()
             .filter(|run| run.ran_at(at, BUSY_SLACK))
-            .map(|run| notified_at(run, &self.services, announced))
+            .map(|run| notified_at(run, &self.services, &slot.syscall_faults, announced))
             .max()
             .unwrap_or(announced)
     }
