--- a/review/lib/common.rs
+++ b/review/lib/common.rs
@@ -16,8 +16,12 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64, ...) -> i32;
 }
 
+/// `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
@@ -119,6 +123,13 @@
         }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(fs::File::create(&log).unwrap());
         command.process_group(0);
+        // If this driver is killed, its programs end with it.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
         let child = command.spawn().unwrap_or_else(|e| give_up(record, &format!("cannot start {name}: {e}")));
         record.line(&format!("start {name} pid={} args='{}'", child.id(), arguments));
         Program { name: name.to_string(), child, log, ended: false }
