Review: each script names the record that it writes

Cause: the name of record.txt stood in review/lib/common.rs alone, so that a case's folder did not show who writes it. No product code.

--- a/review/lib/common.rs
+++ b/review/lib/common.rs
@@ -195,10 +195,11 @@
     std::panic::resume_unwind(Box::new("not run"))
 }
 
-/// Runs a case, whose folder is the first argument, and ends this process with its exit code.
+/// Runs a case, whose record is written to the file that the first argument names, and ends this process with its exit
+/// code.
 pub fn run_case(run: fn(&Record) -> i32) {
-    let case = std::env::args().nth(1).expect("the case's folder is the first argument");
-    let record = Record::create(&Path::new(&case).join("record.txt"));
+    let path = std::env::args().nth(1).expect("the first argument names the record's file");
+    let record = Record::create(Path::new(&path));
     let shared = record.clone();
     let code = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| run(&shared))).unwrap_or(NOT_RUN);
     record.line(&format!("exit code {code}"));
