Review case 10: a record expires before its request, which then runs twice

Cause: a request record expires a fixed time after it was written ahead and is not renewed while the attempt is in flight. Change: the case with its script.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review-2/case-10 review/10
