--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,87 +1,122 @@
-//! Two tiers, and a new configuration that gives a class a stricter effect, taken up by the forwarder first.
+//! A request that must not run twice, in a fleet with request records, whose node dies late in the request's time.
 #[path = "../stand-ins-2/common.rs"]
 mod common;
 use common::*;
 use std::net::SocketAddr;
+use std::time::Instant;
+
+/// How long a request record matters.
+const LIFE_MS: u64 = 3000;
+/// How long a client waits for its answer.
+const EXPIRY_MS: u64 = 3000;
+/// When the node dies, counted from when the request reached its host.
+const DEATH_MS: u64 = 2400;
+/// How long the client takes to come again after its connection broke.
+const COMES_AGAIN_MS: u64 = 850;
 
 fn main() {
     run(|platform| {
         let record = platform.record.clone();
         let discovery = Discovery::start(&record);
         let hosts = Hosts::new(&record);
-        let handles = [hosts.start("s-1"), hosts.start("s-2")];
-        for (cell, host) in handles.iter().enumerate() {
-            discovery.set_in_cell(&host.name, host.address, "active", cell as u32);
-        }
-        let ports = free_ports(3);
+        let host = hosts.start("s-1");
+        discovery.set("s-1", host.address, "active");
+        let ports = free_ports(9);
         let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-        let planners = format!("[[planner]]\nname = \"p0\"\naddress = \"{}\"\n", address(ports[0]));
-        let write = |platform: &Platform, offerings: &str| {
-            for (name, listen) in [("p0", ports[1]), ("f0", ports[2])] {
-                let config = Config { offerings: offerings.to_string(), ..Config::new(name, address(listen), &discovery) };
-                platform.write(&format!("{name}.json"), &config.text());
+        let mut nodes = Vec::new();
+        for n in 0..3 {
+            let config = Config {
+                ops: Some(address(ports[3 + n])),
+                balancers: 3,
+                index: n,
+                peers: true,
+                offerings: offering("pay", "single_shot", EXPIRY_MS),
+                ..Config::new(&format!("n{n}"), address(ports[n]), &discovery)
+            };
+            platform.write(&format!("n{n}.json"), &config.text());
+            let seeds: Vec<String> =
+                (0..3).filter(|other| *other != n).map(|other| format!("\"{}\"", address(ports[6 + other]))).collect();
+            let file = platform.write(
+                &format!("n{n}.toml"),
+                &format!(
+                    "papers = \"n{n}.json\"\n[fleet]\naddress = \"{}\"\nseeds = [{}]\nperiod = \"200ms\"\n[fleet.wards]\nlife = \"{LIFE_MS}ms\"\nwithin = \"200ms\"\n",
+                    address(ports[6 + n]),
+                    seeds.join(", ")
+                ),
+            );
+            nodes.push(platform.start(&format!("n{n}"), &format!("node --config {}", file.display()), &[]));
+        }
+        for node in &nodes {
+            if !node.wait_for_log("started", 1, ms(10_000)) {
+                return Verdict::CouldNotRun(format!("{} did not start: {}", node.name, node.log()));
             }
-        };
-        platform.write("p0.toml", &format!("papers = \"p0.json\"\n[plan]\nname = \"p0\"\n{planners}"));
-        platform.write("f0.toml", &format!("papers = \"f0.json\"\n[forward]\n{planners}"));
-        let file = |name: &str| platform.folder.join(name).display().to_string();
-        let (plan, forward) = (format!("plan --config {}", file("p0.toml")), format!("forward --config {}", file("f0.toml")));
-
-        // The old configuration: the class may run again anywhere.
-        write(platform, &offering("order", "free", 2000));
-        let mut planner = platform.start("p0", &plan, &[]);
-        let forwarder = platform.start("f0", &forward, &[]);
-        if !forwarder.wait_for_log("following planner", 1, ms(10_000)) {
-            return Verdict::CouldNotRun(format!("the forwarder follows no planner: {}", forwarder.log()));
         }
-        sleep(500);
-        let (client, answer) = ask(&record, "client a", address(ports[2]), "OPEN a1 00aa c=order,t=acme,d=2000", ms(2500));
+        // A node that starts has no vote for `life`.
+        sleep(LIFE_MS + 3000);
+        let line = |n: u32, more: &str| format!("OPEN b{n} 00bb c=pay,t=acme,d={EXPIRY_MS}{more}");
+        let (client, answer) = ask(&record, "client a at n0", address(ports[0]), &line(0, "").replace("00bb", "00aa"), ms(2500));
         if !answer.is_some_and(|answer| answer.starts_with("UP")) {
-            return Verdict::CouldNotRun("requests are not served".into());
+            return Verdict::CouldNotRun("the fleet does not serve the class that must not run twice".into());
         }
         drop(client);
-
-        // The new one: only the hosts of one cell drop each other's repeats.
-        record.note("new configuration: `order` becomes `guarded`, group `cell`, window 5 s");
-        write(platform, &offering_in_group("order", "guarded", "cell", 2000));
-        if !trouble() {
-            platform.signal(&planner, TERM);
-            sleep(1200);
-            planner = platform.start("p0", &plan, &[]);
-            if !planner.wait_for_log("started", 1, ms(5000)) {
-                return Verdict::CouldNotRun("the planner did not start again".into());
+        host.behave(Host::Hangs, &record);
+        let mut client = match Client::connect(&record, "client b at n0", address(ports[0])) {
+            Ok(client) => client,
+            Err(error) => return Verdict::CouldNotRun(error.to_string()),
+        };
+        client.send(&line(1, ""));
+        if !wait_until(ms(1500), || hosts.with_key("00bb").len() == 1) {
+            return Verdict::CouldNotRun("the request did not reach its host".into());
+        }
+        // The host answers other requests; the fleet goes on with its usual work.
+        host.behave(Host::Sound, &record);
+        let usual = |n: u32| {
+            for (node, port) in [(1, ports[1]), (2, ports[2])] {
+                let line = format!("OPEN u{node}{n} {:x} c=pay,t=acme,d={EXPIRY_MS}", 0xc00 + 2 * n + node);
+                ask(&record, &format!("another client at n{node}"), address(port), &line, ms(1000));
+            }
+        };
+        let death = if trouble() { DEATH_MS } else { 300 };
+        let sent = Instant::now();
+        for n in 0.. {
+            if sent.elapsed() >= ms(death) {
+                break;
             }
+            usual(n);
+            sleep(100);
         }
-        platform.signal(&forwarder, TERM);
-        if !wait_until(ms(4000), || platform.exited(&forwarder).is_some()) {
-            return Verdict::CouldNotRun("the forwarder did not stop".into());
+        platform.signal(&nodes[0], KILL);
+        let died = Instant::now();
+        client.receive(ms(2000));
+        // The client comes again at the next node, until it has an answer that is final.
+        let mut last = None;
+        let mut n = 1;
+        for n in 1000.. {
+            if died.elapsed() >= ms(COMES_AGAIN_MS) {
+                break;
+            }
+            usual(n);
+            sleep(100);
         }
-        let forwarder = platform.start("f0", &forward, &[]);
-        if !forwarder.wait_for_log("started", 1, ms(5000)) {
-            return Verdict::CouldNotRun("the forwarder did not start again".into());
+        while died.elapsed() < ms(LIFE_MS - 500) {
+            n += 1;
+            let (_, answer) = ask(&record, "client b at n1", address(ports[1]), &line(n, ",r=1,again=1"), ms(EXPIRY_MS + 500));
+            last = answer;
+            if !last.as_deref().is_some_and(|answer| answer.starts_with("BUSY")) {
+                break;
+            }
+            sleep(100);
         }
-        sleep(1500);
-        for host in &handles {
-            host.behave(Host::BreaksOnce, &record);
+        let arrivals = hosts.with_key("00bb");
+        for later in arrivals.iter().skip(1) {
+            platform.note(format!("a further line with key 00bb reached the host {} ms after its node's death", later.at.duration_since(died).as_millis()));
         }
-        let mut outside = 0;
-        for n in 0..5 {
-            let key = format!("b{n}");
-            let line = format!("OPEN c{n} {key} c=order,t=acme,d=2000");
-            ask(&record, &format!("client {n}"), address(ports[2]), &line, ms(2500));
-            let arrivals = hosts.with_key(&key);
-            let repeated = arrivals.iter().skip(1).filter(|a| a.host != arrivals[0].host).count();
-            if repeated > 0 {
-                record.note(format!("key {key}: may have run at {}, sent again to {}", arrivals[0].host, arrivals[1].host));
-            }
-            outside += repeated;
+        if arrivals.len() > 1 {
+            return Verdict::Broken(format!("a request that must not run twice reached its host {} times", arrivals.len()));
         }
-        record.note(format!("log of the forwarder: {}", forwarder.log().lines().filter(|l| l.contains("planner")).collect::<Vec<_>>().join(" | ")));
-        let _ = planner;
-        if outside > 0 {
-            Verdict::Broken(format!("{outside} requests that may have run were sent again to a host of another cell"))
-        } else {
-            Verdict::Held
+        if !last.is_some_and(|answer| answer.starts_with("ERR")) {
+            return Verdict::CouldNotRun("the second request had no final answer that tells".into());
         }
+        Verdict::Held
     })
 }
