Test kit: injected faults in system calls on arm64 as well as x86-64

Cause: the tracer named x86-64's registers, so the workspace did not compile on arm64, and nothing could be tested or landed there. Change: CallRegisters reads and sets the registers of a stopped process by PTRACE_GETREGSET and PTRACE_SETREGSET, which both architectures know; one small file for each says which register holds the call's number, its arguments, its result and the stack pointer, and how a call is skipped (on arm64 by the register set NT_ARM_SYSTEM_CALL). epoll_wait is a call on x86-64 alone. The rest is unchanged.

--- a/testkit/src/syscalls.rs
+++ b/testkit/src/syscalls.rs
@@ -5,7 +5,12 @@
 //!
 //! A call that is to fail is skipped, so that the kernel never sees it. A short call is made with a smaller length.
 //! The vDSO is hidden from the program at its start, so that it reads the wall clock by a system call.
+//!
+//! What differs between processor architectures is in `registers`.
+
+mod registers;
 
+use registers::{CallRegisters, EPOLL_WAIT_CALLS};
 use rustix::io::Errno;
 use std::io;
 use std::os::unix::process::{CommandExt, ExitStatusExt};
@@ -48,14 +53,7 @@
     (Call::Socket, &[libc::SYS_socket]),
     (Call::Connect, &[libc::SYS_connect]),
     (Call::EpollAdd, &[libc::SYS_epoll_ctl]),
-    (
-        Call::EpollWait,
-        &[
-            libc::SYS_epoll_wait,
-            libc::SYS_epoll_pwait,
-            libc::SYS_epoll_pwait2,
-        ],
-    ),
+    (Call::EpollWait, EPOLL_WAIT_CALLS),
     (Call::Send, &[libc::SYS_sendto]),
     (Call::Receive, &[libc::SYS_recvfrom]),
     (Call::SendMessage, &[libc::SYS_sendmsg]),
@@ -382,29 +380,13 @@
         self.injector.0 .1.notify_all();
     }
 
-    fn registers(&self) -> libc::user_regs_struct {
-        // SAFETY: all zeros are valid registers; the process is stopped, and traced by this thread.
-        unsafe {
-            let mut registers: libc::user_regs_struct = std::mem::zeroed();
-            libc::ptrace(libc::PTRACE_GETREGS, self.pid, 0, &mut registers);
-            registers
-        }
-    }
-
-    fn set_registers(&self, registers: &libc::user_regs_struct) {
-        // SAFETY: as above.
-        unsafe { libc::ptrace(libc::PTRACE_SETREGS, self.pid, 0, registers) };
-    }
-
-    /// Skips the call and makes it return `result`.
-    fn skip(&self, mut registers: libc::user_regs_struct, result: i64) {
-        (registers.orig_rax, registers.rax) = (u64::MAX, result as u64);
-        self.set_registers(&registers);
+    fn registers(&self) -> CallRegisters {
+        CallRegisters::read(self.pid)
     }
 
     fn handle_call(&self) {
         let mut registers = self.registers();
-        let number = registers.orig_rax as libc::c_long;
+        let number = registers.number();
         if number == libc::SYS_clock_gettime {
             return self.answer_clock_read(registers);
         }
@@ -412,33 +394,40 @@
             return;
         };
         // Removals from an epoll set never fail for lack of memory.
-        if *call == Call::EpollAdd && registers.rsi == libc::EPOLL_CTL_DEL as u64 {
+        if *call == Call::EpollAdd && registers.second_argument() == libc::EPOLL_CTL_DEL as u64 {
             return;
         }
-        if *call == Call::Open && !self.read_text(registers.rsi).ends_with(".json") {
+        if *call == Call::Open
+            && !self
+                .read_text(registers.second_argument())
+                .ends_with(".json")
+        {
             return;
         }
         match self.injector.outcome(*call) {
             None => {}
-            Some(Outcome::Fails(errno)) => self.skip(registers, -i64::from(errno.raw_os_error())),
+            Some(Outcome::Fails(errno)) => {
+                registers.skip_call(self.pid, -i64::from(errno.raw_os_error()));
+            }
             Some(Outcome::Short) => {
-                registers.rdx = registers.rdx.min(1);
-                self.set_registers(&registers);
+                registers.set_third_argument(registers.third_argument().min(1));
+                registers.write(self.pid);
             }
             Some(Outcome::Delayed(span)) => thread::sleep(span),
         }
     }
 
     /// Skips a read of the wall clock and returns the stepped time to the process.
-    fn answer_clock_read(&self, registers: libc::user_regs_struct) {
+    fn answer_clock_read(&self, mut registers: CallRegisters) {
         let real = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default()
             .as_nanos() as i64;
         let stepped = (real + self.injector.state().clock_offset_nanos).max(0);
-        self.poke(registers.rsi, (stepped / 1_000_000_000) as u64);
-        self.poke(registers.rsi + 8, (stepped % 1_000_000_000) as u64);
-        self.skip(registers, 0);
+        let time_address = registers.second_argument();
+        self.poke(time_address, (stepped / 1_000_000_000) as u64);
+        self.poke(time_address + 8, (stepped % 1_000_000_000) as u64);
+        registers.skip_call(self.pid, 0);
     }
 
     fn peek(&self, address: u64) -> u64 {
@@ -468,7 +457,7 @@
     /// Removes the vDSO from the auxiliary vector, which follows the arguments and the environment on the stack of
     /// the process at its start.
     fn hide_vdso(&self) {
-        let mut at = self.registers().rsp;
+        let mut at = self.registers().stack_pointer();
         let arguments = self.peek(at);
         at += 8 * (arguments + 2);
         while self.peek(at) != 0 {
