List staleness: a pushed list counts at once while its broken watch is being renewed

Callers saw: lists were pushed, the watch was reset and the renewed call waited 1.5 s for its turn; until its answer about half of the new requests went to a draining host. Cause: accountable_after had one rule for lists that are asked for and pushed, 6 s after the break. Evidence: the stale window between break and answer begins 6 s after the break (a test of the core); at the start the same service held requests back. Change: the core keeps since when no watch has been open. While the renewed call is up and waits, or was turned away after a wait of 0.2 s or more, the node counts as notified from then on. Test: a_drain_is_honored_at_once_though_the_renewed_call_for_a_pushed_list_waits failed before (attempts 0.6 s after the break and on) and passes; three tests of the core. The guard against the price, clients_are_served_while_a_pushing_service_ends_all_calls_at_once, passes before and after.

--- a/node/src/discovery/staleness.rs
+++ b/node/src/discovery/staleness.rs
@@ -11,6 +11,7 @@
 //! | a waiting watch is silent | [`NOTIFICATION_TIMEOUT`] after it was sent or [`NOTIFICATION_TIMEOUT_AFTER_WAIT`] after the end of its wait, whichever is later |
 //! | a call was rejected, timed out or broke | [`NOTIFICATION_TIMEOUT`] after the last moment up to which all changes are known |
 //! | no connection to the service has come up since the failure | [`NOTIFICATION_TIMEOUT`] after the previous attempt, as the service may have been up since then |
+//! | a pushed watch broke, and the renewed call has come up and waits or was turned away after a wait | at once: what a pushing service has counts as delivered whether or not it is watched |
 //! | a response could not be read | at once: a change counts as delivered when the service has written it |
 //! | the node was switched to another service | [`NOTIFICATION_TIMEOUT_AFTER_SWITCH`] after the switch |
 //! | a new process with pushed lists waits for its first call | at once: everything that the service has counts as delivered at the start |
@@ -57,6 +58,10 @@
 /// protocol, also the longest gap between two calls that still belong to one continuous watch.
 const MIN_EMPTY_WATCH_INTERVAL: Nanos = SECOND / 5;
 
+/// The shortest time after which a call that fails has waited for its turn at a busy service. A service that is down
+/// ends calls sooner.
+const MIN_QUEUE_TIME: Nanos = SECOND / 5;
+
 /// How a call failed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum CallFailure {
@@ -100,12 +105,19 @@
     watch_deadline: Option<Nanos>,
     /// The moment from which the node is accountable for what it may have missed; `None` if it missed nothing.
     accountable_from: Option<Nanos>,
+    /// Since when no watch has been open because the last one broke or the process is new; `None` if one is open, or
+    /// silent. A pushing service that is up makes the node accountable from this moment.
+    unwatched_since: Option<Nanos>,
+    /// Whether the service has been seen to be up and busy while no watch was open.
+    seen_busy: bool,
     /// Whether the service has been reached since the node may have missed something.
     service_reached: bool,
     /// When the last call was sent that could not reach the service.
     unreachable_at: Nanos,
     /// When the failure occurred that `accountable_from` follows from.
     failed_at: Nanos,
+    /// When the first call failed since the last answer.
+    first_failed_at: Nanos,
     /// The number of failed calls since the last answer.
     failures: u32,
     /// The number of successive watches that ended early without changes.
@@ -131,9 +143,12 @@
             connected_at: None,
             watch_deadline: None,
             accountable_from: None,
+            unwatched_since: None,
+            seen_busy: false,
             service_reached: false,
             unreachable_at: now,
             failed_at: now,
+            first_failed_at: now,
             failures: 0,
             empty_watches: 0,
             latency: 0,
@@ -190,7 +205,7 @@
         // draining hosts while it waits for that list.
         let first_pushed = self.pushed && !self.started;
         self.watch_deadline = Some(if first_pushed {
-            self.known_until
+            *self.unwatched_since.get_or_insert(self.known_until)
         } else {
             now + NOTIFICATION_TIMEOUT.max(max_wait + NOTIFICATION_TIMEOUT_AFTER_WAIT)
         });
@@ -235,6 +250,9 @@
         if let Some(accountable_from) = &mut self.accountable_from {
             *accountable_from = (*accountable_from).max(started_at + NOTIFICATION_TIMEOUT);
         }
+        if let Some(unwatched_since) = &mut self.unwatched_since {
+            *unwatched_since = (*unwatched_since).max(started_at);
+        }
     }
 
     /// Returns when a response that begins at `now` has to be complete.
@@ -248,6 +266,9 @@
         self.last_awake = now;
         self.watch_deadline = None;
         self.accountable_from = None;
+        self.unwatched_since = None;
+        self.seen_busy = false;
+        self.connected_at = None;
         self.service_reached = false;
         self.failures = 0;
         self.started = true;
@@ -282,18 +303,33 @@
     pub fn record_service_switch(&mut self, now: Nanos) {
         let deadline = now + NOTIFICATION_TIMEOUT_AFTER_SWITCH;
         let earlier = self
-            .accountable_from
+            .delivered_from()
             .map_or(deadline, |at| at.min(deadline));
         self.accountable_from = Some(earlier);
+        self.unwatched_since = Some(deadline);
+        self.seen_busy = false;
+        self.connected_at = None;
         self.watch_deadline = None;
         self.latency = 0;
     }
 
+    /// Returns the moment from which a change that the node may have missed counts as delivered; `None` if it has missed
+    /// nothing. What a pushing service has counts whether or not it is watched, unless it is down. A call that comes
+    /// up and waits for its turn shows that it is not.
+    fn delivered_from(&self) -> Option<Nanos> {
+        let is_up = self.seen_busy || self.connected_at.is_some();
+        let unwatched_since = self.unwatched_since.filter(|_| self.pushed && is_up);
+        self.accountable_from
+            .into_iter()
+            .chain(unwatched_since)
+            .min()
+    }
+
     /// Returns the moment from which the content of a list that arrives at `now` counts as delivered: before `now`
     /// if the node was already accountable for it. Otherwise the grace of a drain would start anew when a node
     /// learns of it late.
     pub fn effective_from(&self, now: Nanos) -> Nanos {
-        self.accountable_from
+        self.delivered_from()
             .or(self.watch_deadline)
             .map_or(now, |delivered| delivered.min(now))
     }
@@ -304,11 +340,12 @@
     /// is in flight and nothing was missed. Without it, draining hosts would get new work from a node that was
     /// stalled or whose calls a busy service rejected.
     pub fn stale_window(&self) -> Range<Nanos> {
-        let from = self
-            .accountable_from
-            .or(self.watch_deadline)
-            .map_or(Nanos::MAX, |delivered| delivered.saturating_add(self.grace));
-        from..from.saturating_add(self.max_poll_interval)
+        let after_grace = |delivered: Option<Nanos>| {
+            delivered.map_or(Nanos::MAX, |delivered| delivered.saturating_add(self.grace))
+        };
+        let from = after_grace(self.delivered_from().or(self.watch_deadline));
+        let counts_as_down_from = after_grace(self.accountable_from.or(self.watch_deadline));
+        from..counts_as_down_from.saturating_add(self.max_poll_interval)
     }
 
     /// Returns the moment from which the node is accountable for what it may have missed, given a call that fails
@@ -327,10 +364,7 @@
         if continuous {
             self.known_until = self.last_awake.max(self.call_started_at).min(now);
         }
-        let connected = self
-            .connected_at
-            .take()
-            .is_some_and(|at| at > self.known_until);
+        let connected = self.connected_at.is_some_and(|at| at > self.known_until);
         let reached_before = self.service_reached;
         self.service_reached |= connected && !continuous;
         let after_known = self.known_until + NOTIFICATION_TIMEOUT;
@@ -351,25 +385,53 @@
         }
     }
 
+    /// Records for a pushing service since when it has not been watched, and whether it was up, given a watch that
+    /// fails at `now`. `first` tells whether it is the first failure since the last answer. A call that is reset or
+    /// rejected sooner than it can have waited for its turn says nothing of that: the service may be down.
+    fn record_unwatched(&mut self, now: Nanos, failure: CallFailure, first: bool) {
+        let connected_at = self.connected_at.take();
+        let waited = connected_at.is_some_and(|at| now >= at + MIN_QUEUE_TIME);
+        match self.unwatched_since {
+            // Silence has a deadline of its own, from the first call of a process on.
+            _ if failure == CallFailure::Silent && !self.started => self.unwatched_since = None,
+            None if failure == CallFailure::Silent => {}
+            None if first => self.unwatched_since = Some(self.known_until),
+            // The silent watch is given up once a call in its place has failed too.
+            None => {
+                self.unwatched_since = Some(self.first_failed_at);
+                self.seen_busy = waited;
+            }
+            // The service was not there yet when the call was sent.
+            Some(since) if connected_at.is_none() && !self.seen_busy => {
+                self.unwatched_since = Some(since.max(self.call_started_at));
+            }
+            Some(_) => self.seen_busy |= waited,
+        }
+    }
+
     /// Records that the watch failed, and returns when to call again.
     pub fn record_failure(&mut self, now: Nanos, failure: CallFailure) -> Nanos {
         let watch_deadline = self.watch_deadline.take();
         // If the first call to a pushing service fails, nothing counts as delivered at the start.
         let watch_deadline = watch_deadline.filter(|_| self.started || !self.pushed);
-        self.started = true;
+        let first = self.accountable_from.is_none();
+        if self.failures == 0 {
+            self.first_failed_at = now;
+        }
         let accountable_from = self.accountable_after(now, failure, watch_deadline);
+        self.record_unwatched(now, failure, first);
+        self.started = true;
         if failure == CallFailure::Disconnected && !self.service_reached {
             self.unreachable_at = self.call_started_at.max(self.known_until);
         } else {
             self.service_reached = true;
         }
-        let first = self.failures == 0 && self.accountable_from.is_none();
-        if self.accountable_from.is_none() || failure == CallFailure::Malformed {
+        if first || failure == CallFailure::Malformed {
             self.failed_at = now;
         }
         self.accountable_from = Some(accountable_from);
         self.failures += 1;
-        self.retry_at(now, failure, first)
+        self.retry_at(now, failure, first && self.failures == 1)
     }
 
     /// Returns when to call again after a failure. `first` tells whether it is the first since the last answer.
--- a/node/src/discovery/staleness_tests.rs
+++ b/node/src/discovery/staleness_tests.rs
@@ -313,6 +313,84 @@
     assert!(stale_from > 30 * SECOND, "{stale_from}");
 }
 
+/// Returns the state of a node whose pushed watch broke at 15 s.
+fn pushed_watch_broken_at_15_s() -> WatchStaleness {
+    let mut staleness = staleness_of_node(0, 1, true);
+    staleness.record_answer(10 * SECOND);
+    staleness.record_watch_start(10 * SECOND, staleness.watch_wait());
+    staleness.record_awake(15 * SECOND);
+    let retry_at = staleness.record_failure(15 * SECOND, CallFailure::Disconnected);
+    assert_eq!(retry_at, 15 * SECOND, "a pushed watch is renewed at once");
+    staleness.record_watch_start(15 * SECOND, MILLI);
+    staleness
+}
+
+/// Guards against a node that goes by its old list for seconds while its renewed call for a pushed list waits.
+#[test]
+fn a_broken_pushed_watch_counts_at_once_while_the_renewed_call_waits() {
+    let at_once = 15 * SECOND + GRACE;
+    let mut staleness = pushed_watch_broken_at_15_s();
+    staleness.record_connected(15 * SECOND + MILLI);
+    assert_eq!(staleness.stale_window().start, at_once);
+    assert_eq!(staleness.effective_from(16 * SECOND), 15 * SECOND);
+    // A call that is turned away after its turn has shown that the service is up.
+    for failure in [
+        CallFailure::Disconnected,
+        CallFailure::Rejected,
+        CallFailure::Silent,
+    ] {
+        let mut staleness = pushed_watch_broken_at_15_s();
+        staleness.record_connected(15 * SECOND + MILLI);
+        staleness.record_failure(16 * SECOND, failure);
+        assert_eq!(staleness.stale_window().start, at_once, "{failure:?}");
+        staleness.record_watch_start(17 * SECOND, MILLI);
+        staleness.record_failure(17 * SECOND, CallFailure::Disconnected);
+        assert_eq!(staleness.stale_window().start, at_once, "{failure:?}");
+    }
+    staleness.record_answer(17 * SECOND);
+    assert_eq!(staleness.stale_window().start, Nanos::MAX);
+}
+
+/// Guards against a node that rejects all work while a pushing service is down: nothing new counts as delivered then.
+#[test]
+fn a_broken_pushed_watch_counts_later_where_the_service_is_down() {
+    let later = 15 * SECOND + NOTIFICATION_TIMEOUT + GRACE;
+    assert_eq!(pushed_watch_broken_at_15_s().stale_window().start, later);
+    // A service that is down may accept a call and end it at once.
+    for failure in [CallFailure::Disconnected, CallFailure::Rejected] {
+        let mut staleness = pushed_watch_broken_at_15_s();
+        staleness.record_connected(15 * SECOND + MILLI);
+        staleness.record_failure(15 * SECOND + 2 * MILLI, failure);
+        assert_eq!(staleness.stale_window().start, later, "{failure:?}");
+    }
+    // What it has counts from the last call that did not reach it.
+    let mut staleness = pushed_watch_broken_at_15_s();
+    staleness.record_failure(15 * SECOND, CallFailure::Disconnected);
+    staleness.record_watch_start(20 * SECOND, MILLI);
+    staleness.record_failure(20 * SECOND, CallFailure::Disconnected);
+    staleness.record_watch_start(21 * SECOND, MILLI);
+    staleness.record_connected(21 * SECOND + MILLI);
+    assert_eq!(staleness.stale_window().start, 20 * SECOND + GRACE);
+}
+
+/// Guards against a pushed list that counts before the time that a switch to another service allows.
+#[test]
+fn a_pushed_list_of_another_service_counts_four_seconds_after_the_switch() {
+    let mut staleness = staleness_of_node(0, 1, true);
+    staleness.record_answer(10 * SECOND);
+    staleness.record_watch_start(10 * SECOND, staleness.watch_wait());
+    staleness.record_awake(10 * SECOND);
+    staleness.record_service_switch(10 * SECOND);
+    let from = 10 * SECOND + NOTIFICATION_TIMEOUT_AFTER_SWITCH + GRACE;
+    staleness.record_watch_start(10 * SECOND, 0);
+    staleness.record_connected(10 * SECOND + MILLI);
+    assert_eq!(staleness.stale_window().start, from);
+    staleness.record_failure(11 * SECOND, CallFailure::Rejected);
+    staleness.record_watch_start(12 * SECOND, 0);
+    staleness.record_connected(12 * SECOND + MILLI);
+    assert_eq!(staleness.stale_window().start, from);
+}
+
 /// Guards against a drain in an unreadable answer that becomes known seconds after the node is accountable for it,
 /// and against retrying such a service without a pause.
 #[test]
--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -571,6 +571,63 @@
     });
 }
 
+/// Guards against a node that goes on by its old list for seconds after a pushed watch broke, while its renewed call
+/// waits for its turn: what a pushing service has counts as delivered whether or not it is watched.
+#[test]
+fn a_drain_is_honored_at_once_though_the_renewed_call_for_a_pushed_list_waits() {
+    const CALL_TIME: Duration = Duration::from_millis(1500);
+    let site = Site::new("pushed", 1, 1);
+    site.service
+        .limit_rate(1.0 / CALL_TIME.as_secs_f64(), Duration::from_secs(60));
+    let members: Vec<_> = (0..HOSTS).map(|h| site.hosts.member(h, "active")).collect();
+    let ended = site.service.restart(1, &members);
+    (0..HOSTS - 1).for_each(|host| site.drain(host));
+    let mut clients = Clients::new(vec![site.nodes[0].address], &site.checker, 1);
+    clients.load(60.0, CALL_TIME + ms(2000), &[0], ms(20));
+    clients.end();
+    let late_from = ended + DRAIN_GRACE + SOCKET_SLACK + BUSY_MACHINE_DELAY;
+    let reached = site.checker.reached();
+    let late: Vec<Duration> = reached
+        .iter()
+        .filter(|one| one.host < HOSTS - 1 && one.at > late_from)
+        .map(|one| one.at - ended)
+        .collect();
+    assert!(
+        late.is_empty(),
+        "attempts at drained hosts: {late:?}, {:?}",
+        site.nodes[0].drain_log()
+    );
+    assert_eq!(site.checker.broken(ms(60_000)), Vec::<String>::new());
+    // The node serves again once the call has been answered.
+    let answered_by = ended + 2 * CALL_TIME;
+    assert!(
+        reached.iter().any(|one| one.at > answered_by),
+        "closed to new requests"
+    );
+}
+
+/// Guards against a node that rejects all work while a pushing service is down, as if each call that it ends at once
+/// showed that it is up.
+#[test]
+fn clients_are_served_while_a_pushing_service_ends_all_calls_at_once() {
+    const OUTAGE: Duration = Duration::from_secs(5);
+    let site = Site::new("pushed", 1, 1);
+    site.service.go_down();
+    let down_since = Instant::now();
+    let mut clients = Clients::new(vec![site.nodes[0].address], &site.checker, 1);
+    clients.load(40.0, OUTAGE, &[0], ms(20));
+    clients.end();
+    let reached = site.checker.reached();
+    for second in 0..OUTAGE.as_secs() as u32 {
+        let span = down_since + ms(1000) * second..down_since + ms(1000) * (second + 1);
+        let count = reached.iter().filter(|one| span.contains(&one.at)).count();
+        assert!(
+            count > 20,
+            "{count} requests served in second {second} of the outage"
+        );
+    }
+}
+
 /// Guards against processes that start while the discovery service is down and learn too late of a drain
 /// that it announces at its return; and against processes that serve nobody during the outage, or all call
 /// at once at its end.
