List staleness: the stale window is not over before a silent watch is noticed

Callers saw: a single node's watch fell silent, the next calls were rejected; from 17.4 s after the watch was sent new requests went to draining hosts. Cause: after the rejected call the window began 6 s after the watch was sent and lasted 10 s, so it ended 0.5 s after the silence was noticed (a wait of 15 s) and before the watch's own clock (17 s). Change: the window lasts for ask_within from when the node noticed, if that is later than its begin.

--- a/node/src/discovery/staleness.rs
+++ b/node/src/discovery/staleness.rs
@@ -336,7 +336,8 @@
 
     /// Returns the window in which the node must not send new work, as it may be accountable for a drain that it
     /// does not know of. The window begins when the grace of such a drain ends and lasts for the longest poll
-    /// interval of the settings; after that the service counts as down. It is empty, at `Nanos::MAX`, if no watch
+    /// interval of the settings, counted from when the node noticed if that is later; after that the service counts
+    /// as down. It is empty, at `Nanos::MAX`, if no watch
     /// is in flight and nothing was missed. Without it, draining hosts would get new work from a node that was
     /// stalled or whose calls a busy service rejected.
     pub fn stale_window(&self) -> Range<Nanos> {
@@ -344,8 +345,10 @@
             delivered.map_or(Nanos::MAX, |delivered| delivered.saturating_add(self.grace))
         };
         let from = after_grace(self.delivered_from().or(self.watch_deadline));
-        let counts_as_down_from = after_grace(self.accountable_from.or(self.watch_deadline));
-        from..counts_as_down_from.saturating_add(self.max_poll_interval)
+        // A silent watch is noticed only after its wait, when the node may long have been accountable.
+        let noticed_from =
+            after_grace(self.accountable_from.or(self.watch_deadline)).max(self.first_failed_at);
+        from..noticed_from.saturating_add(self.max_poll_interval)
     }
 
     /// Returns the moment from which the node is accountable for what it may have missed, given a call that fails
--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -436,6 +436,30 @@
     );
 }
 
+/// Guards against new attempts at draining hosts by a node that notices only after a long wait that its watch is silent,
+/// and whose next calls are rejected: the time for which it starts none was over before it had noticed.
+#[test]
+fn a_node_that_notices_a_silent_watch_late_starts_no_attempt_until_its_list_is_current() {
+    // The only node of its fleet waits the longest.
+    let site = Site::new("on_request", 1, 1);
+    site.service.silence_watches();
+    let silenced_at = Instant::now();
+    site.service.reject_of_ten(10);
+    (0..HOSTS - 1).for_each(|host| site.drain(host));
+    let notified_at = site.notified_at(silenced_at)[0];
+    site.load(notified_at + ms(3000));
+    let late_from = notified_at + DRAIN_GRACE + SOCKET_SLACK + BUSY_MACHINE_DELAY;
+    let (late, in_time): (Vec<_>, Vec<_>) = site
+        .checker
+        .reached()
+        .into_iter()
+        .filter(|one| one.host < HOSTS - 1)
+        .partition(|one| one.at > late_from);
+    assert!(!in_time.is_empty(), "no request reached a draining host");
+    assert_eq!(late.len(), 0, "attempts while the list may have been stale");
+    assert_eq!(site.checker.broken(ms(60_000)), Vec::<String>::new());
+}
+
 /// A node counts as notified of a change at the latest this long after the service has it and can be
 /// reached, even if an earlier wait would allow more.
 const NOTIFICATION_TIMEOUT: Duration = Duration::from_secs(6);
