List staleness: a failed call after a switch of service counts from the switch

Callers saw: after SIGHUP had moved the list service and the first call to the new one had failed, requests were rejected before the 4 s were over, or the stale window was over before they were. Cause: the switch did not record that the old watch had delivered all until then, so a silent or rejected call counted 6 s from the old service's last answer; a refused one counted from the last call that an earlier outage had refused, or from the process's start. Change: a switch records until when the old service's changes are known, unless something had been missed, and that no call has found the new service gone. Test: a_failed_call_after_a_switch_counts_from_the_switch failed before (silent: 16.05 s in place of 28.05) and passes.

--- a/node/src/discovery/staleness.rs
+++ b/node/src/discovery/staleness.rs
@@ -305,7 +305,13 @@
         let earlier = self
             .delivered_from()
             .map_or(deadline, |at| at.min(deadline));
+        if self.accountable_from.is_none() {
+            // The watch of the previous service has delivered all its changes.
+            self.known_until = self.known_until.max(self.last_awake);
+        }
         self.accountable_from = Some(earlier);
+        // No call has found the new service gone yet.
+        self.unreachable_at = deadline.saturating_sub(NOTIFICATION_TIMEOUT);
         self.unwatched_since = Some(deadline);
         self.seen_busy = false;
         self.connected_at = None;
--- a/node/src/discovery/staleness_tests.rs
+++ b/node/src/discovery/staleness_tests.rs
@@ -393,6 +393,28 @@
     assert_eq!(staleness.stale_window().start, from);
 }
 
+/// Guards against a node that goes by the last answer of the previous service when a call to the new one fails: its
+/// stale window then begins before the switch, and is over before the new service's list counts as delivered.
+#[test]
+fn a_failed_call_after_a_switch_counts_from_the_switch() {
+    for failure in [
+        CallFailure::Silent,
+        CallFailure::Rejected,
+        CallFailure::Disconnected,
+    ] {
+        let mut staleness = staleness_of_node(0, 1, false);
+        staleness.record_answer(10 * SECOND);
+        staleness.record_watch_start(10 * SECOND, staleness.watch_wait());
+        staleness.record_awake(24 * SECOND);
+        staleness.record_service_switch(24 * SECOND);
+        staleness.record_watch_start(24 * SECOND, 0);
+        staleness.record_failure(26 * SECOND, failure);
+        let from = 24 * SECOND + NOTIFICATION_TIMEOUT_AFTER_SWITCH + GRACE;
+        assert_eq!(staleness.stale_window().start, from, "{failure:?}");
+        assert!(staleness.stale_window().contains(&(from + 7 * SECOND)));
+    }
+}
+
 /// Guards against a drain in an unreadable answer that becomes known seconds after the node is accountable for it,
 /// and against retrying such a service without a pause.
 #[test]
