List staleness: the first call for a pushed list does not wait

Callers saw: a new process with pushed lists and a current known list rejected all requests for 10 s. Cause: it starts nothing until its first list, and its first call was a watch of up to 20 s that had nothing to tell. Calls that follow a failure do not wait, for this reason; the first one did. Change: may_have_missed holds for a new process whose lists are pushed, so its first call is answered at once.

--- a/node/src/discovery/staleness.rs
+++ b/node/src/discovery/staleness.rs
@@ -185,9 +185,10 @@
 
     /// Returns whether the node may have missed a change. The next call must then not wait, as only an answer
     /// shows that the connection works. A waiting call could fall silent unnoticed, and for its whole wait the
-    /// node would reject new work, or send it to draining hosts.
+    /// node would reject new work, or send it to draining hosts. A new process may have missed every pushed change
+    /// since its known list.
     pub fn may_have_missed(&self) -> bool {
-        self.accountable_from.is_some()
+        self.accountable_from.is_some() || (self.pushed && !self.started)
     }
 
     /// Returns how long a watch waits. The wait is shortened by the node's phase, so that watches that began
--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -846,6 +846,24 @@
     );
 }
 
+/// Guards against a new process that rejects all clients for seconds because its first call for a pushed list waits for a
+/// change, though the list that it knows is current.
+#[test]
+fn a_new_process_whose_known_list_is_current_serves_at_once_in_pushed_mode() {
+    const SPAN: Duration = Duration::from_secs(3);
+    let site = Site::new("pushed", 1, 1);
+    let started = Instant::now();
+    let mut clients = Clients::new(vec![site.nodes[0].address], &site.checker, 1);
+    clients.load(40.0, SPAN, &[0], ms(20));
+    clients.end();
+    let reached = site.checker.reached();
+    for second in 0..SPAN.as_secs() {
+        let span = started + ms(1000 * second)..started + ms(1000 * (second + 1));
+        let count = reached.iter().filter(|one| span.contains(&one.at)).count();
+        assert!(count > 20, "{count} requests served in second {second}");
+    }
+}
+
 /// Guards against a new process that rejects all clients for as long as the discovery service is down or
 /// silent.
 #[test]
