Planner: starts no attempt while its endpoint list may be stale

Callers saw: while the list service rejected a planner's calls, its forwarders sent new requests to hosts that had drained, beyond 6 s and the grace. Cause: a planner follows the service with the same staleness core as a node, but nothing read the window. Change: Planner::set_endpoints_stale, once a turn; a stale planner reports each attempt as not sent to its core, which gives the request up, and sends empty fallback plans. It stops when it counts as notified, as forwarders may start an attempt up to a lease later. skip_attempt serves slow start too.

--- a/control-plane/src/planner/mod.rs
+++ b/control-plane/src/planner/mod.rs
@@ -61,6 +61,8 @@
     /// The keys of records without a session that are still to be removed from the decision cores.
     orphans: VecDeque<RecordKey>,
     hosts: HostTable,
+    /// Whether the endpoint list may lack a drain that counts as delivered, so that no attempt may start.
+    endpoints_stale: bool,
     shutting_down: bool,
     placement_requests: u64,
 }
@@ -87,6 +89,7 @@
             requests: RequestTable::default(),
             orphans: VecDeque::new(),
             hosts: HostTable::default(),
+            endpoints_stale: false,
             shutting_down: false,
             placement_requests: 0,
         };
@@ -199,6 +202,13 @@
         }
     }
 
+    /// Sets whether the endpoint list may be stale. Meanwhile no attempt is started, and the fallback plans are empty.
+    pub fn set_endpoints_stale(&mut self, stale: bool) {
+        if std::mem::replace(&mut self.endpoints_stale, stale) != stale {
+            self.zones.iter_mut().for_each(Zone::invalidate_plan);
+        }
+    }
+
     /// Reports the end of a load probe to the decision cores of all zones.
     pub fn probe_ended(&mut self, now: Nanos, event: &Event, out: &mut Vec<PlannerAction>) {
         for zone in 0..self.zones.len() {
@@ -269,7 +279,8 @@
         session.send_host_changes(&self.hosts);
         let zone = &mut self.zones[session.zone];
         let warm_up = self.config.balancer_settings.warm_up;
-        session.send_plan(now, zone, &self.hosts, warm_up);
+        let plan_hosts = (!self.endpoints_stale).then_some(&self.hosts);
+        session.send_plan(now, zone, plan_hosts, warm_up);
         session.finish_frame(number);
     }
 
--- a/control-plane/src/planner/placement.rs
+++ b/control-plane/src/planner/placement.rs
@@ -103,8 +103,8 @@
         }
     }
 
-    /// Sends the forwarder the decision to start an attempt. If the host's slow start does not admit the attempt, the
-    /// decision core is asked to choose again.
+    /// Sends the forwarder the decision to start an attempt. If the host's slow start does not admit the attempt, or
+    /// the endpoint list may be stale, the decision core is asked to choose again.
     fn start_attempt(
         &mut self,
         now: Nanos,
@@ -117,18 +117,14 @@
         if self.requests.get(record_key).is_none() {
             return;
         }
+        if self.endpoints_stale {
+            // The host may be draining without this planner knowing it.
+            return self.skip_attempt(now, zone, id, host);
+        }
         let warm_up = self.config.balancer_settings.warm_up;
         if self.hosts.is_warming_up(host, now, warm_up) {
             if !self.admits_slow_start(now, zone) {
-                let event = Event::AttemptEnded {
-                    id,
-                    attempt: 0,
-                    host,
-                    request_over: false,
-                    ending: AttemptOutcome::NeverSent,
-                    load_metrics: Vec::new(),
-                };
-                return self.zones[zone].handle(now, event);
+                return self.skip_attempt(now, zone, id, host);
             }
         } else {
             self.zones[zone].shares.record(host, now);
@@ -148,6 +144,19 @@
         self.send_to(session, &message);
     }
 
+    /// Reports to the decision core that an attempt is not started, so that it chooses again or gives the request up.
+    fn skip_attempt(&mut self, now: Nanos, zone: usize, id: RequestId, host: HostId) {
+        let event = Event::AttemptEnded {
+            id,
+            attempt: 0,
+            host,
+            request_over: false,
+            ending: AttemptOutcome::NeverSent,
+            load_metrics: Vec::new(),
+        };
+        self.zones[zone].handle(now, event);
+    }
+
     /// Sends a host to a forwarder that lacks its present version, so that the forwarder knows the host before the
     /// attempt.
     fn send_host_if_unknown(&mut self, session: Option<usize>, host: HostId) {
--- a/control-plane/src/planner/planner_tests.rs
+++ b/control-plane/src/planner/planner_tests.rs
@@ -176,6 +176,34 @@
     assert!(attempts[0] == 0 && attempts[1] > 0, "{attempts:?}");
 }
 
+/// Guards against a planner that places requests on hosts that may drain, or leaves forwarders a plan with such hosts.
+#[test]
+fn a_planner_whose_list_may_be_stale_starts_no_attempt_and_sends_an_empty_plan() {
+    let mut linked = LinkedPlanner::new(&[(1, None), (2, None)]);
+    linked.send(&ForwarderMessage::StateSyncComplete);
+    let plan_hosts = |messages: &[PlannerMessage]| {
+        messages.iter().rev().find_map(|message| match message {
+            PlannerMessage::Plan { hosts, .. } => Some(hosts.len()),
+            _ => None,
+        })
+    };
+    let mut now = START;
+    for (id, stale) in [(1, false), (2, true), (3, false)] {
+        linked.planner.set_endpoints_stale(stale);
+        linked.request_placement(id);
+        let mut messages = linked.turn(now);
+        now += SECOND;
+        messages.extend(linked.turn(now));
+        let attempts = attempts_at(&messages, 1) + attempts_at(&messages, 2);
+        assert_eq!(attempts, usize::from(!stale), "{messages:?}");
+        let rejected = messages
+            .iter()
+            .any(|message| matches!(message, PlannerMessage::Reject { .. }));
+        assert_eq!(rejected, stale, "{messages:?}");
+        assert_eq!(plan_hosts(&messages) == Some(0), stale, "{messages:?}");
+    }
+}
+
 #[test]
 fn hosts_that_are_gone_are_removed_from_the_table() {
     let mut linked = LinkedPlanner::new(&[(1, None)]);
--- a/control-plane/src/planner/session.rs
+++ b/control-plane/src/planner/session.rs
@@ -139,8 +139,15 @@
         }
     }
 
-    /// Sends the fallback plan of its zone to a forwarder that follows this planner if the plan is due.
-    pub fn send_plan(&mut self, now: Nanos, zone: &mut Zone, hosts: &HostTable, warm_up: Nanos) {
+    /// Sends the fallback plan of its zone to a forwarder that follows this planner if the plan is due. The plan is
+    /// empty if no hosts are given.
+    pub fn send_plan(
+        &mut self,
+        now: Nanos,
+        zone: &mut Zone,
+        hosts: Option<&HostTable>,
+        warm_up: Nanos,
+    ) {
         if !self.follows || !zone.is_plan_due(now, self.plan_sent_at) {
             return;
         }
--- a/control-plane/src/planner/zone.rs
+++ b/control-plane/src/planner/zone.rs
@@ -84,20 +84,21 @@
         now >= sent_at + PLAN_INTERVAL || self.plan_computed_at.is_none()
     }
 
-    /// Returns the hosts of the fallback plan, which is computed again if it is outdated or [`PLAN_INTERVAL`] old.
+    /// Returns the hosts of the fallback plan, which is computed again if it is outdated or [`PLAN_INTERVAL`] old. The
+    /// plan is empty if no hosts are given.
     pub fn plan_weights(
         &mut self,
         now: Nanos,
-        hosts: &HostTable,
+        hosts: Option<&HostTable>,
         warm_up: Nanos,
     ) -> Vec<HostWeight> {
         if self
             .plan_computed_at
             .is_none_or(|computed_at| now >= computed_at + PLAN_INTERVAL)
         {
-            self.plan_weights = self
-                .shares
-                .weights(now, |host| hosts.is_ready_and_warm(host, now, warm_up));
+            self.plan_weights = self.shares.weights(now, |host| {
+                hosts.is_some_and(|hosts| hosts.is_ready_and_warm(host, now, warm_up))
+            });
             self.plan_computed_at = Some(now);
         }
         self.plan_weights.clone()
--- a/node/src/roles/plan.rs
+++ b/node/src/roles/plan.rs
@@ -10,6 +10,7 @@
 use crate::operators::node_config::NodeConfig;
 use crate::operators::operator_config::{OperatorConfig, PlannerOptions, Role};
 use crate::{Signals, SWEEP_INTERVAL};
+use reedferry::permission::usable_grace;
 use reedferry::{Endpoint, Event, Nanos, MILLI};
 use reedferry_control_plane::{HostEntry, Planner, PlannerAction, PlannerConfig};
 use reedferry_runtime::log::LogBacklog;
@@ -38,6 +39,8 @@
     role_config: PlannerOptions,
     /// The number of configured planners.
     planner_count: usize,
+    /// The part of a drain's grace in which a node may start attempts, which the stale window allows for.
+    grace: Nanos,
     /// The address of the list service in use.
     discovery_address: SocketAddr,
     /// The actions that are not carried out yet.
@@ -132,6 +135,7 @@
             config_path: config_path.to_path_buf(),
             role_config,
             planner_count: planners.len(),
+            grace: usable_grace(node_config.node_settings.drain_grace),
             discovery_address: node_config.discovery,
             actions,
         };
@@ -237,6 +241,7 @@
             self.handle_event(event);
         }
         self.handle_due_timers(now);
+        self.planner.set_endpoints_stale(self.are_endpoints_stale());
         self.planner.decide(now, &mut self.actions);
         self.connections_lost(closed);
         let planner = &mut self.planner;
@@ -251,6 +256,14 @@
         }
     }
 
+    /// Returns whether the endpoint list may lack a drain that counts as delivered. The grace of such a drain is left to
+    /// the forwarders, which may start an attempt up to a lease after the decision.
+    fn are_endpoints_stale(&self) -> bool {
+        let window = &self.context.stale_window;
+        let from = window.start.saturating_sub(self.grace);
+        (from..window.end).contains(&self.context.now)
+    }
+
     fn handle_due_timers(&mut self, now: Nanos) {
         while let Some((due, timer)) = self.context.poller.pop_expired(now) {
             match due.component {
--- a/node/tests/two_tier.rs
+++ b/node/tests/two_tier.rs
@@ -2,7 +2,7 @@
 //! The rules are checked by what hosts and clients saw.
 
 use reedferry_testkit::program::{path, Node};
-use reedferry_testkit::simulated::{Clients, HostBehavior};
+use reedferry_testkit::simulated::{Clients, HostBehavior, DRAIN_GRACE, SOCKET_SLACK};
 use reedferry_testkit::syscalls::{Call, Fault, Outcome, SyscallInjector};
 use reedferry_testkit::two_tier_cluster::{self, wait_until, TwoTierCluster, FAULT_KINDS};
 use reedferry_testkit::{eventually, Peer};
@@ -182,6 +182,58 @@
     );
 }
 
+/// Guards against a planner that goes on placing requests at draining hosts while a busy list service rejects its calls.
+#[test]
+fn no_attempt_reaches_a_drained_host_late_though_a_planner_gets_no_list() {
+    /// A change counts as delivered at the latest this long after the service has it and can be reached.
+    const NOTIFICATION_TIMEOUT: Duration = Duration::from_secs(6);
+    const HOSTS: usize = 4;
+    let _guard = one_test_at_a_time();
+    let cluster = TwoTierCluster::start(1, 1, HOSTS, 6);
+    let planner = cluster.planners[0].as_ref().unwrap();
+    planner.wait_for_log("watch begun");
+    cluster.discovery.reject_of_ten(10);
+    let members: Vec<_> = (0..HOSTS)
+        .map(|host| cluster.hosts.member(host, "active"))
+        .collect();
+    let drained = cluster.discovery.restart(100, &members);
+    (0..HOSTS - 1).for_each(|host| {
+        cluster
+            .discovery
+            .change(cluster.hosts.member(host, "leaving"));
+    });
+    let late_from = drained + NOTIFICATION_TIMEOUT + DRAIN_GRACE + SOCKET_SLACK + DISCOVERY_DELAY;
+    let mut clients = new_clients(&cluster, 6);
+    let until = late_from + ms(400);
+    clients.load(100.0, until - Instant::now(), &[0], ms(20));
+    clients.end();
+    let (late, in_time): (Vec<_>, Vec<_>) = cluster
+        .checker
+        .reached()
+        .into_iter()
+        .filter(|one| one.host < HOSTS - 1)
+        .partition(|one| one.at > late_from);
+    assert!(!in_time.is_empty(), "no request reached a draining host");
+    assert_eq!(late.len(), 0, "attempts at drained hosts");
+    // The forwarder serves again once the planner has the list.
+    cluster.discovery.reject_of_ten(0);
+    planner.wait_for_log("watch begun");
+    let back = Instant::now();
+    let mut clients = new_clients(&cluster, 7);
+    clients.load(100.0, ms(500), &[0], ms(20));
+    clients.end();
+    let reached = cluster.checker.reached();
+    let (wrong, right): (Vec<_>, Vec<_>) = reached
+        .iter()
+        .filter(|one| one.at > back)
+        .partition(|one| one.host < HOSTS - 1);
+    assert!(
+        wrong.is_empty() && !right.is_empty(),
+        "{} at drained hosts",
+        wrong.len()
+    );
+}
+
 #[test]
 fn planner_restarts_and_a_forwarder_shutdown_under_load_break_no_rule() {
     let _guard = one_test_at_a_time();
