--- a/node/src/discovery/staleness_tests.rs
+++ b/node/src/discovery/staleness_tests.rs
@@ -6,6 +6,9 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
+#[path = "staleness_rule_tests.rs"]
+mod rules;
+
 const SWEEP_INTERVAL: Nanos = 100 * MILLI;
 const GRACE: Nanos = 50 * MILLI;
 
