List staleness: a call that this machine could not make is no sign of a service that is gone

Lists pushed, the watch broke, and the renewed calls failed for want of a descriptor: the time without a watch counted from the last of them, not from the break, so a change in between could be taken for one that came later. Cause: record_unwatched took each call that had not come up for one that found the service gone. Change: only a refused or broken connection does; a call that fails as Rejected without a connection does not. Test: a_call_that_this_machine_could_not_make_says_nothing_of_a_pushing_service failed before (16.05 s in place of 15.05) and passes.

--- a/node/src/discovery/staleness.rs
+++ b/node/src/discovery/staleness.rs
@@ -57,7 +57,6 @@
 /// The minimum time between two watches that are answered without changes long before the end of their wait. By the
 /// protocol, also the longest gap between two calls that still belong to one continuous watch.
 const MIN_EMPTY_WATCH_INTERVAL: Nanos = SECOND / 5;
-
 /// The shortest time after which a call that fails has waited for its turn at a busy service. A service that is down
 /// ends calls sooner.
 const MIN_QUEUE_TIME: Nanos = SECOND / 5;
@@ -344,9 +343,8 @@
     /// Returns the window in which the node must not send new work, as it may be accountable for a drain that it
     /// does not know of. The window begins when the grace of such a drain ends and lasts for the longest poll
     /// interval of the settings, counted from when the node noticed if that is later; after that the service counts
-    /// as down. It is empty, at `Nanos::MAX`, if no watch
-    /// is in flight and nothing was missed. Without it, draining hosts would get new work from a node that was
-    /// stalled or whose calls a busy service rejected.
+    /// as down. It is empty, at `Nanos::MAX`, if no watch is in flight and nothing was missed. Without it, draining
+    /// hosts would get new work from a node that was stalled or whose calls a busy service rejected.
     pub fn stale_window(&self) -> Range<Nanos> {
         let after_grace = |delivered: Option<Nanos>| {
             delivered.map_or(Nanos::MAX, |delivered| delivered.saturating_add(self.grace))
@@ -411,11 +409,12 @@
                 self.unwatched_since = Some(self.first_failed_at);
                 self.seen_busy = waited;
             }
+            Some(_) if connected_at.is_some() || self.seen_busy => self.seen_busy |= waited,
             // The service was not there yet when the call was sent.
-            Some(since) if connected_at.is_none() && !self.seen_busy => {
+            Some(since) if failure == CallFailure::Disconnected => {
                 self.unwatched_since = Some(since.max(self.call_started_at));
             }
-            Some(_) => self.seen_busy |= waited,
+            Some(_) => {}
         }
     }
 
--- a/node/src/discovery/staleness_tests.rs
+++ b/node/src/discovery/staleness_tests.rs
@@ -356,6 +356,18 @@
     assert_eq!(staleness.stale_window().start, Nanos::MAX);
 }
 
+/// Guards against a call that this machine could not make, and that is taken for a sign that the service was not there.
+#[test]
+fn a_call_that_this_machine_could_not_make_says_nothing_of_a_pushing_service() {
+    let mut staleness = pushed_watch_broken_at_15_s();
+    staleness.record_failure(15 * SECOND, CallFailure::Rejected);
+    staleness.record_watch_start(16 * SECOND, MILLI);
+    staleness.record_failure(16 * SECOND, CallFailure::Rejected);
+    staleness.record_watch_start(17 * SECOND, MILLI);
+    staleness.record_connected(17 * SECOND + MILLI);
+    assert_eq!(staleness.stale_window().start, 15 * SECOND + GRACE);
+}
+
 /// Guards against a node that rejects all work while a pushing service is down: nothing new counts as delivered then.
 #[test]
 fn a_broken_pushed_watch_counts_later_where_the_service_is_down() {
