Forwarder: a drain holds until a list at least as new says otherwise

Cause: HostTable::update believed a planner with an older list once the drain report was 10 s old, and a host that was gone had no report at all.

Change: each report keeps its session and the version of its list. It ends by a list at least as new, or by the same planner in the same session (its list service may have been replaced by one that counts from below). Reports of ended sessions and of hosts that are gone are kept for an hour; a report that a host is ready and comes with too old a list is kept until then, since the planner sends no second one.

The new test of processes failed before. Failed try: reports expired from one queue in the order of arrival; a planner that connected over and over filled the queue and pushed a report out that still held (found by a_planner_that_connects_over_and_over_adds_no_reports). One expiry a host is kept now.

--- a/control-plane/src/forwarder/connections.rs
+++ b/control-plane/src/forwarder/connections.rs
@@ -40,13 +40,12 @@
                 }
             }
         }
-        out.extend(
-            previous
-                .iter()
-                .map(|session| ForwarderAction::DisconnectPlanner {
-                    connection: session.connection,
-                }),
-        );
+        for session in &previous {
+            self.end_host_reports(now, session.session(), out);
+            out.push(ForwarderAction::DisconnectPlanner {
+                connection: session.connection,
+            });
+        }
         self.followed = followed.and_then(|connection| self.session_index(connection));
         if followed.is_some() && self.followed.is_none() {
             self.reset_planner_state();
@@ -85,8 +84,10 @@
         let Some(index) = self.session_index(connection) else {
             return;
         };
+        let ended = self.sessions[index].session();
+        self.end_host_reports(now, ended, out);
         let session = &mut self.sessions[index];
-        if session.session().is_some() {
+        if ended.is_some() {
             let name = &session.planner.name;
             out.push(ForwarderAction::Log(format!(
                 "planner connection lost name={name} why={why} requests={}",
@@ -107,6 +108,19 @@
         }
     }
 
+    /// Records that a planner can no longer correct what it reported about hosts in a session.
+    fn end_host_reports(
+        &mut self,
+        now: Nanos,
+        session: Option<u64>,
+        out: &mut Vec<ForwarderAction>,
+    ) {
+        if let Some(session) = session {
+            let ready = self.hosts.end_session(now, session);
+            out.extend(ready.into_iter().map(ForwarderAction::HostLearned));
+        }
+    }
+
     fn disconnect(&mut self, now: Nanos, index: usize, why: &str, out: &mut Vec<ForwarderAction>) {
         let connection = self.sessions[index].connection;
         out.push(ForwarderAction::DisconnectPlanner { connection });
--- a/control-plane/src/forwarder/decisions.rs
+++ b/control-plane/src/forwarder/decisions.rs
@@ -123,7 +123,7 @@
         };
         // Asks the planner for another decision if this one has expired or its host no longer accepts attempts.
         // Without this, an attempt could reach a host after its drain.
-        if now >= decision.valid_until || !self.hosts.accepts_attempts(decision.host, now) {
+        if now >= decision.valid_until || !self.hosts.accepts_attempts(decision.host) {
             request.decision_sequence += 1;
             return self.request_next_decision(now, id, AttemptOutcome::NeverSent);
         }
@@ -225,7 +225,7 @@
         }
         let hosts = &self.hosts;
         self.fallback_plan
-            .draw(&mut self.rng, |host| hosts.accepts_attempts(host, now))
+            .draw(&mut self.rng, |host| hosts.accepts_attempts(host))
     }
 
     /// Gives the final answer at once and without a planner: a rejection if a retry is safe, otherwise a failure.
--- a/control-plane/src/forwarder/inbound.rs
+++ b/control-plane/src/forwarder/inbound.rs
@@ -6,7 +6,7 @@
 use crate::codec;
 use crate::error::{LinkError, ProtocolViolation};
 use crate::fallback_plan::FallbackPlan;
-use crate::messages::{HostEntry, PlannerMessage, Welcome, WireHostState, MAX_NAME_BYTES};
+use crate::messages::{HostEntry, PlannerMessage, Welcome, MAX_NAME_BYTES};
 use reedferry::{HostId, Nanos};
 
 impl Forwarder {
@@ -50,7 +50,9 @@
     ) -> Result<(), LinkError> {
         match message {
             PlannerMessage::Host(entry) => return self.handle_host(now, index, entry, out),
-            PlannerMessage::HostsComplete { .. } => self.handle_hosts_complete(index, out),
+            PlannerMessage::HostsComplete { list_version } => {
+                return self.handle_hosts_complete(now, index, list_version, out);
+            }
             PlannerMessage::ShuttingDown => self.sessions[index].shutting_down = true,
             // Ignores decisions and plans of a planner that is not followed.
             _ if self.followed != Some(index) => {}
@@ -94,33 +96,42 @@
         out: &mut Vec<ForwarderAction>,
     ) -> Result<(), LinkError> {
         self.hosts.check(&entry)?;
+        let Some(session) = self.sessions[index].session() else {
+            return Ok(());
+        };
         if let Some(hosts) = self.sessions[index].hosts_in_sync.as_mut() {
             hosts.insert(HostId(entry.id));
         }
-        if self.hosts.update(now, &entry)? {
+        if self.hosts.update(now, session, &entry)? {
             out.push(ForwarderAction::HostLearned(entry));
         }
         Ok(())
     }
 
     /// Ends the host sync with a planner. If this planner is followed, or none is, known hosts that it did not send
-    /// are gone.
-    fn handle_hosts_complete(&mut self, index: usize, out: &mut Vec<ForwarderAction>) {
-        let Some(listed) = self.sessions[index].hosts_in_sync.take() else {
-            return;
+    /// are gone. A list from the planner's own file may be old, so the sync goes on after it.
+    fn handle_hosts_complete(
+        &mut self,
+        now: Nanos,
+        index: usize,
+        list_version: u64,
+        out: &mut Vec<ForwarderAction>,
+    ) -> Result<(), LinkError> {
+        let planner_session = &mut self.sessions[index];
+        let Some(session) = planner_session.session().filter(|_| list_version > 0) else {
+            return Ok(());
+        };
+        let Some(listed) = planner_session.hosts_in_sync.take() else {
+            return Ok(());
         };
         if self.followed.is_some_and(|followed| followed != index) {
-            return;
-        }
-        for host in self.hosts.remove_unlisted(&listed) {
-            out.push(ForwarderAction::HostLearned(HostEntry {
-                id: host.0,
-                name: String::new(),
-                address: None,
-                state: WireHostState::Gone,
-                list_version: 0,
-            }));
+            return Ok(());
         }
+        let removed = self
+            .hosts
+            .remove_unlisted(now, session, &listed, list_version)?;
+        out.extend(removed.into_iter().map(ForwarderAction::HostLearned));
+        Ok(())
     }
 }
 
--- a/control-plane/src/forwarder/mod.rs
+++ b/control-plane/src/forwarder/mod.rs
@@ -10,6 +10,7 @@
 mod config;
 mod connections;
 mod decisions;
+mod drain_reports;
 mod events;
 mod host_table;
 mod inbound;
@@ -143,6 +144,8 @@
     pub fn tick(&mut self, now: Nanos, out: &mut Vec<ForwarderAction>) {
         self.detect_pause(now);
         self.maintain_connections(now, out);
+        let ready = self.hosts.expire(now);
+        out.extend(ready.into_iter().map(ForwarderAction::HostLearned));
         self.select_planner(now, out);
         self.synchronize_state(now, out);
         self.decide_overdue(now, out);
--- a/control-plane/src/messages.rs
+++ b/control-plane/src/messages.rs
@@ -131,10 +131,18 @@
     pub address: Option<SocketAddr>,
     /// The host's state.
     pub state: WireHostState,
-    /// The version of the endpoint list from which this entry comes.
+    /// The version of the endpoint list from which this entry comes; 0 if the planner has it from its own file and
+    /// the list service has not confirmed it.
     pub list_version: u64,
 }
 
+impl HostEntry {
+    /// Returns whether the list service has confirmed the entry.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        self.list_version > 0
+    }
+}
+
 /// A message from a forwarder to a planner. Requests are named by the forwarder's ids. `decision_sequence` numbers
 /// the forwarder's reports on one request, and each answer repeats the number of the report that it answers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -261,7 +269,8 @@
     Host(HostEntry),
     /// Announces that every host has been sent.
     HostsComplete {
-        /// The version of the endpoint list to which the sent hosts belong.
+        /// The version of the endpoint list to which the sent hosts belong; 0 if the planner has them from its own
+        /// file. They are announced once more when the list service has confirmed them.
         list_version: u64,
     },
     /// Replaces the fallback plan, by which the forwarder places requests that the planner cannot decide in time.
--- a/node/tests/two_tier.rs
+++ b/node/tests/two_tier.rs
@@ -234,6 +234,60 @@
     );
 }
 
+/// A restart of a planner by a file in which the drained host is active.
+fn restart_planner_after_drain(cluster: &mut TwoTierCluster, known_revision: u64) {
+    const DRAINED: usize = 0;
+    let mut clients = new_clients(cluster, 10);
+    clients.load(50.0, ms(500), &[0], ms(20));
+    cluster.set_draining(DRAINED, true);
+    cluster.forwarders[0].wait_for_log("host drains");
+    clients.load(20.0, ms(11_000), &[0], ms(20));
+    // The planner knows the list of its file alone until the service answers.
+    cluster.kill_planner(0);
+    cluster.discovery.hang(false);
+    cluster.known_revision = known_revision;
+    cluster.start_planner(0);
+    let restarted = Instant::now();
+    cluster.forwarders[0].wait_for_log("following planner");
+    clients.load(100.0, ms(500), &[0], ms(20));
+    cluster.discovery.stop_hanging();
+    cluster.planners[0]
+        .as_ref()
+        .unwrap()
+        .wait_for_log("watch begun");
+    clients.load(100.0, ms(500), &[0], ms(20));
+    clients.end();
+    assert_no_violation(cluster, "after a planner was started again");
+    let observations = cluster.checker.observations();
+    let after = observations.iter().filter(|c| c.asked > restarted);
+    let (served, rejected): (Vec<_>, Vec<_>) =
+        after.partition(|client| client.answers[0].1.starts_with("UP"));
+    assert!(
+        served.len() >= 19 * rejected.len(),
+        "{} served, {} not",
+        served.len(),
+        rejected.len()
+    );
+    // Once the service says that the host is active, it is used again.
+    cluster.set_draining(DRAINED, false);
+    eventually("the host is not used again", || {
+        clients.load(100.0, ms(50), &[0], ms(20));
+        let reached = cluster.checker.reached();
+        reached
+            .iter()
+            .any(|one| one.host == DRAINED && one.at > restarted)
+    });
+    clients.end();
+}
+
+/// Guards against a forwarder that forgets a drain once its planner has started again with an older list.
+#[test]
+fn a_drain_holds_for_a_forwarder_though_its_planner_starts_again_with_an_older_list() {
+    let _guard = one_test_at_a_time();
+    let mut cluster = TwoTierCluster::start(1, 1, 3, 10);
+    restart_planner_after_drain(&mut cluster, 0);
+}
+
 #[test]
 fn planner_restarts_and_a_forwarder_shutdown_under_load_break_no_rule() {
     let _guard = one_test_at_a_time();
--- a/testkit/src/two_tier_cluster.rs
+++ b/testkit/src/two_tier_cluster.rs
@@ -37,6 +37,9 @@
     pub forwarders: Vec<Node>,
     /// The relays on the links, by forwarder, then by planner.
     pub relays: Vec<Vec<Relay>>,
+    /// The revision of the endpoint list in the files of planners that are started from now on. All hosts are active
+    /// in it.
+    pub known_revision: u64,
     /// By forwarder: the planner that its last log line on this says it follows.
     followed_planners: Vec<usize>,
     seed: u64,
@@ -99,6 +102,7 @@
             planners: (0..planners).map(|_| None).collect(),
             forwarders: Vec::new(),
             relays: Vec::new(),
+            known_revision: 0,
             followed_planners: Vec::new(),
             seed,
         };
@@ -137,7 +141,8 @@
     pub fn start_planner(&mut self, index: usize) {
         let name = format!("plan-{index}");
         let seed = self.seed ^ (index as u64 + 99);
-        let node_config = node_config(&name, &self.hosts, &self.discovery, seed);
+        let mut node_config = node_config(&name, &self.hosts, &self.discovery, seed);
+        node_config["known"]["revision"] = self.known_revision.into();
         let list = nominal_planner_list(self.planners.len());
         let operator_config = format!(
             "papers = \"PAPERS\"\n[plan]\nname = \"p{index}\"\nlisten = \"127.0.0.1:0\"\n{list}"
