Planner: hosts from its own file count for less than what the list service has sent

Cause: the planner passed the list of its file on with the revision of the file, as if the list service had sent it. And hosts that a new service did not list were reported as gone by the highest version of the service before (read in the code).

Change: hosts from the file have version 0, which changes no host that the service has confirmed. Once the service has answered, if only with no changes, the hosts are sent again with its version, and announced as complete again.

The two new tests of the planner use a method that is new, so they were not run without the change.

--- a/control-plane/src/planner/host_table.rs
+++ b/control-plane/src/planner/host_table.rs
@@ -36,6 +36,8 @@
     pub(super) changes: BTreeMap<u64, HostId>,
     last_change: u64,
     list_version: u64,
+    /// Whether some hosts are known only from this process's own file.
+    has_unconfirmed: bool,
 }
 
 impl HostTable {
@@ -49,7 +51,7 @@
         self.last_change
     }
 
-    /// Returns the newest known version of the endpoint list; 0 before the first update.
+    /// Returns the version of the last list from the list service; 0 before the first.
     pub fn list_version(&self) -> u64 {
         self.list_version
     }
@@ -87,11 +89,18 @@
             .iter()
             .map(|endpoint| (endpoint.id, *endpoint))
             .collect();
+        let is_cached = kind == EndpointUpdate::Cached;
+        self.has_unconfirmed |= is_cached;
         for entry in entries {
             let Some(endpoint) = endpoints.get(&HostId(entry.id)).copied() else {
                 continue;
             };
-            self.list_version = self.list_version.max(entry.list_version);
+            let list_version = if is_cached { 0 } else { entry.list_version };
+            let entry = HostEntry {
+                list_version,
+                ..entry
+            };
+            self.list_version = list_version;
             self.record_change(entry, endpoint);
         }
         if matches!(kind, EndpointUpdate::Full | EndpointUpdate::Cached) {
@@ -99,6 +108,29 @@
         }
     }
 
+    /// Records that the list service has sent its list of this version, which confirms the hosts that are known from
+    /// this process's own file, unless an update that follows changes them.
+    pub fn confirm(&mut self, list_version: u64) {
+        self.list_version = list_version;
+        if !std::mem::take(&mut self.has_unconfirmed) {
+            return;
+        }
+        let mut unconfirmed: Vec<(HostEntry, Endpoint)> = self
+            .records
+            .values()
+            .filter(|record| !record.entry.is_confirmed())
+            .map(|record| (record.entry.clone(), record.endpoint))
+            .collect();
+        unconfirmed.sort_by_key(|(entry, _)| entry.id);
+        for (entry, endpoint) in unconfirmed {
+            let entry = HostEntry {
+                list_version,
+                ..entry
+            };
+            self.record_change(entry, endpoint);
+        }
+    }
+
     /// Marks the hosts that are missing from a complete list as gone.
     fn mark_missing_as_gone(&mut self, listed: &HashMap<HostId, Endpoint>) {
         let mut missing: Vec<(HostEntry, Endpoint)> = self
--- a/control-plane/src/planner/mod.rs
+++ b/control-plane/src/planner/mod.rs
@@ -202,6 +202,11 @@
         }
     }
 
+    /// Records that the list service has sent its list of this version. To be called before the update that it brings.
+    pub fn confirm_hosts(&mut self, list_version: u64) {
+        self.hosts.confirm(list_version);
+    }
+
     /// Sets whether the endpoint list may be stale. Meanwhile no attempt is started, and the fallback plans are empty.
     pub fn set_endpoints_stale(&mut self, stale: bool) {
         if std::mem::replace(&mut self.endpoints_stale, stale) != stale {
--- a/control-plane/src/planner/planner_tests.rs
+++ b/control-plane/src/planner/planner_tests.rs
@@ -204,6 +204,70 @@
     }
 }
 
+/// Returns the versions of the hosts and of the announcements that all hosts were sent, 0 for a list of a file.
+fn sent_versions(messages: &[PlannerMessage]) -> Vec<u64> {
+    messages
+        .iter()
+        .filter_map(|message| match message {
+            PlannerMessage::Host(entry) => Some(entry.list_version),
+            PlannerMessage::HostsComplete { list_version } => Some(*list_version),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Guards against a planner that passes the list of its file on as if the list service had sent it.
+#[test]
+fn hosts_from_the_planners_file_have_no_version_until_the_service_confirms_them() {
+    let mut linked = LinkedPlanner::new(&[]);
+    let out = &mut Vec::new();
+    let (endpoints, entries) = (1..=2).map(|id| ready_host(id, None)).unzip();
+    let planner = &mut linked.planner;
+    planner.update_hosts(START, EndpointUpdate::Cached, endpoints, entries, out);
+    assert_eq!(sent_versions(&linked.turn(START)), [0, 0, 0]);
+    // The service sends the changes since the revision of the file, which are none.
+    let planner = &mut linked.planner;
+    planner.confirm_hosts(7);
+    planner.update_hosts(START, EndpointUpdate::Delta, Vec::new(), Vec::new(), out);
+    assert_eq!(sent_versions(&linked.turn(START + MILLI)), [7, 7, 7]);
+    linked.planner.confirm_hosts(8);
+    assert_eq!(sent_versions(&linked.turn(START + 2 * MILLI)), []);
+}
+
+/// Guards against hosts that are reported as gone by the version of a list service that was replaced.
+#[test]
+fn a_host_that_a_new_service_does_not_list_is_gone_by_the_version_of_that_service() {
+    let mut linked = LinkedPlanner::new(&[]);
+    let out = &mut Vec::new();
+    for (version, ids) in [(90, 1..=2), (3, 1..=1)] {
+        let entry_of = |id| {
+            let (endpoint, entry) = ready_host(id, None);
+            let list_version = version;
+            (
+                endpoint,
+                HostEntry {
+                    list_version,
+                    ..entry
+                },
+            )
+        };
+        let (endpoints, entries) = ids.map(entry_of).unzip();
+        linked.planner.confirm_hosts(version);
+        linked
+            .planner
+            .update_hosts(START, EndpointUpdate::Full, endpoints, entries, out);
+    }
+    let messages = linked.turn(START);
+    let gone = messages.iter().find_map(|message| match message {
+        PlannerMessage::Host(entry) if entry.state == WireHostState::Gone => Some(entry),
+        _ => None,
+    });
+    assert_eq!(
+        gone.map(|entry| (entry.id, entry.list_version)),
+        Some((2, 3))
+    );
+}
+
 #[test]
 fn hosts_that_are_gone_are_removed_from_the_table() {
     let mut linked = LinkedPlanner::new(&[(1, None)]);
--- a/control-plane/src/planner/session.rs
+++ b/control-plane/src/planner/session.rs
@@ -51,7 +51,8 @@
     pub requests: FxHashMap<u64, RecordKey>,
     /// The number of the last host change that the forwarder was sent, along with all earlier ones.
     pub sent_change: u64,
-    all_hosts_sent: bool,
+    /// The version of the list of which all hosts were last announced as sent; `None` before the first time.
+    announced_version: Option<u64>,
     /// The number of requested placements, which decays over time.
     pub recent_placements: f64,
     plan_sent_at: Nanos,
@@ -80,7 +81,7 @@
             state_sync_until: None,
             requests: FxHashMap::default(),
             sent_change: 0,
-            all_hosts_sent: false,
+            announced_version: None,
             recent_placements: 0.0,
             plan_sent_at: 0,
             closing: false,
@@ -121,7 +122,7 @@
     }
 
     /// Sends the host changes that the forwarder lacks as far as its backlog allows, and announces once that all hosts
-    /// were sent.
+    /// were sent, or twice if those of the first time came from this process's own file.
     pub fn send_host_changes(&mut self, hosts: &HostTable) {
         for (change, entry) in hosts.changes_after(self.sent_change) {
             if self.writer.unsent_bytes() > HOST_BACKLOG_BYTES {
@@ -131,11 +132,14 @@
             self.send(&PlannerMessage::Host(entry.clone()));
         }
         let is_current = self.sent_change == hosts.last_change() && hosts.last_change() > 0;
-        if !self.all_hosts_sent && is_current {
-            self.all_hosts_sent = true;
-            self.send(&PlannerMessage::HostsComplete {
-                list_version: hosts.list_version(),
-            });
+        let list_version = hosts.list_version();
+        let is_news = match self.announced_version {
+            None => true,
+            Some(announced) => announced == 0 && list_version > 0,
+        };
+        if is_current && is_news {
+            self.announced_version = Some(list_version);
+            self.send(&PlannerMessage::HostsComplete { list_version });
         }
     }
 
--- a/node/src/discovery/client/mod.rs
+++ b/node/src/discovery/client/mod.rs
@@ -108,6 +108,11 @@
         self.versions.known()
     }
 
+    /// Returns the revision of the last list that this service has sent, or `None` before the first.
+    pub fn confirmed_revision(&self) -> Option<u64> {
+        self.last_list_at.and(self.versions.known())
+    }
+
     /// Reads everything that has arrived, whether or not the poller has reported it yet.
     pub fn read_all(&mut self, context: &mut Context) {
         for slot in ALL_CALLS {
--- a/node/src/roles/plan.rs
+++ b/node/src/roles/plan.rs
@@ -294,6 +294,9 @@
                     .iter()
                     .filter_map(|endpoint| self.host_entry(endpoint))
                     .collect();
+                if let Some(revision) = self.discovery.confirmed_revision() {
+                    self.planner.confirm_hosts(revision);
+                }
                 self.planner
                     .update_hosts(now, kind, endpoints, entries, &mut self.actions);
             }
@@ -310,7 +313,7 @@
             name: record.name.clone(),
             address: record.address,
             state: endpoint.state.into(),
-            list_version: self.discovery.revision().unwrap_or(0),
+            list_version: self.discovery.confirmed_revision().unwrap_or(0),
         })
     }
 
--- a/node/tests/two_tier.rs
+++ b/node/tests/two_tier.rs
@@ -288,6 +288,15 @@
     restart_planner_after_drain(&mut cluster, 0);
 }
 
+/// Guards against a planner whose file counts for newer than the list service, as one of a service that was replaced.
+#[test]
+fn a_drain_holds_for_a_forwarder_though_the_file_of_its_planner_has_a_higher_revision() {
+    const REVISION_OF_ANOTHER_SERVICE: u64 = 1000;
+    let _guard = one_test_at_a_time();
+    let mut cluster = TwoTierCluster::start(1, 1, 3, 11);
+    restart_planner_after_drain(&mut cluster, REVISION_OF_ANOTHER_SERVICE);
+}
+
 #[test]
 fn planner_restarts_and_a_forwarder_shutdown_under_load_break_no_rule() {
     let _guard = one_test_at_a_time();
