List of hosts: an older list ends a drain only by a later start of the host

A node keeps its drains when the list service comes back with an older list, unless the host has restarted since. Any other start time counted as a restart, also an earlier one: a host that had restarted before its drain got new requests again, as the older list was from before that restart.

Change: only a later start ends the drain. The new test failed before ([Ready, Draining, Ready] by starts before, at and after the known one; [Draining, Draining, Ready] now).

--- a/node/src/discovery/hosts.rs
+++ b/node/src/discovery/hosts.rs
@@ -101,7 +101,7 @@
             let host = self.index(host_id(&member.name));
             let listed = host.and_then(|host| self.records[host].listed.as_ref());
             let still_drains =
-                |old: &Member| old.state == HostState::Draining && old.started == member.started;
+                |old: &Member| old.state == HostState::Draining && member.started <= old.started;
             if listed.is_some_and(still_drains) {
                 member.state = HostState::Draining;
                 kept += 1;
--- a/node/src/discovery/hosts_tests.rs
+++ b/node/src/discovery/hosts_tests.rs
@@ -211,3 +211,37 @@
     );
     assert!(listings.iter().all(|l| l.state == HostState::Gone));
 }
+
+/// Reads a list.
+fn list(text: &str) -> EndpointList {
+    let mut reader = crate::discovery::list::ListReader::default();
+    reader.feed(text.as_bytes()).unwrap();
+    reader.finish().unwrap()
+}
+
+/// Returns the states in which an older list lets a host be that a newer one gave in this form. The older list gives it
+/// as active, started at 500, at 1000 (as in the newer list) and at 1500.
+fn states_by_older_lists(newer: &str) -> [HostState; 3] {
+    [500, 1000, 1500].map(|started| {
+        let mut hosts = Hosts::new(vec!["a".to_string()], 48 * MILLI);
+        apply(
+            &mut hosts,
+            r#"{"revision":40,"complete":true,"members":[{"id":"s-0","phase":"active","up_since_ms":1000}]}"#,
+        );
+        apply(&mut hosts, newer);
+        let member = format!(r#"{{"id":"s-0","phase":"active","up_since_ms":{started}}}"#);
+        let mut older = list(&format!(r#"{{"revision":30,"complete":true,"members":[{member}]}}"#));
+        hosts.keep_drains(&mut older);
+        older.members[0].state
+    })
+}
+
+/// Guards against a drain that is forgotten as the older list has an earlier start of the host.
+#[test]
+fn an_older_list_ends_a_drain_only_by_a_later_start_of_the_host() {
+    let drains = r#"{"revision":41,"complete":false,"members":[{"id":"s-0","phase":"leaving","up_since_ms":1000}]}"#;
+    assert_eq!(
+        states_by_older_lists(drains),
+        [HostState::Draining, HostState::Draining, HostState::Ready]
+    );
+}
