List of hosts: an older list brings no host back that had left

When the list service comes back with an older list, a node kept the drains that it knew, but took a host that had left, or that a whole list no longer named, for ready again if the older list had it.

Change: such a host counts as draining until the service reports a change of it, unless it has started since.

--- a/node/src/discovery/host_record.rs
+++ b/node/src/discovery/host_record.rs
@@ -91,6 +91,14 @@
         long_gone && Rc::strong_count(&self.lease) == 1
     }
 
+    /// Returns the last entry of a host that drains or is gone; `None` if the host is ready.
+    pub(super) fn drained_entry(&self) -> Option<&Member> {
+        match &self.listed {
+            Some(member) => Some(member).filter(|member| member.state == HostState::Draining),
+            None => self.last_listed.as_ref(),
+        }
+    }
+
     /// Records that a full list no longer names the host.
     pub(super) fn remove_from_list(&mut self, effective_from: Nanos) {
         self.drain_since.get_or_insert(effective_from);
--- a/node/src/discovery/hosts.rs
+++ b/node/src/discovery/hosts.rs
@@ -90,8 +90,8 @@
         &self.records[host]
     }
 
-    /// Marks hosts as draining in a list that is older than the known one, if they were known to drain and have
-    /// not restarted since. Returns the number of these hosts.
+    /// Marks hosts as draining in a list that is older than the known one, if they were known to drain or to be gone
+    /// and have not restarted since. Returns the number of these hosts.
     pub fn keep_drains(&self, list: &mut EndpointList) -> usize {
         let mut kept = 0;
         for member in &mut list.members {
@@ -99,10 +99,8 @@
                 continue;
             }
             let host = self.index(host_id(&member.name));
-            let listed = host.and_then(|host| self.records[host].listed.as_ref());
-            let still_drains =
-                |old: &Member| old.state == HostState::Draining && member.started <= old.started;
-            if listed.is_some_and(still_drains) {
+            let drained = host.and_then(|host| self.records[host].drained_entry());
+            if drained.is_some_and(|old| member.started <= old.started) {
                 member.state = HostState::Draining;
                 kept += 1;
             }
--- a/node/src/discovery/hosts_tests.rs
+++ b/node/src/discovery/hosts_tests.rs
@@ -245,3 +245,17 @@
         [HostState::Draining, HostState::Draining, HostState::Ready]
     );
 }
+
+/// Guards against a host that has left, or that a whole list no longer named, and that an older list brings back.
+#[test]
+fn an_older_list_brings_a_host_back_that_had_left_only_by_a_later_start() {
+    let left = r#"{"revision":41,"complete":false,"members":[{"id":"s-0","phase":"left"}]}"#;
+    let unlisted = r#"{"revision":41,"complete":true,"members":[]}"#;
+    for newer in [left, unlisted] {
+        assert_eq!(
+            states_by_older_lists(newer),
+            [HostState::Draining, HostState::Draining, HostState::Ready],
+            "{newer}"
+        );
+    }
+}
