Membership: a datagram longer than any message does not end the node

What was seen: the probe of client pressure sent datagrams of up to 1,400 bytes to the membership port, and the node ended with a panic (range end index 1205 out of range for slice of length 1201).

Cause: receive_from returns the full length of a datagram that the buffer does not hold, and on_readable sliced by it.

Change: such a datagram is dropped, counted and logged. The new test failed before (the node ended without the log line). Looked through: the static peers, the only other caller, compare the length first.

--- a/node/src/peers/membership.rs
+++ b/node/src/peers/membership.rs
@@ -47,6 +47,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum DropReason {
     Membership(MessageError),
+    TooLong,
     GossipFromNonMember,
     Replication,
 }
@@ -55,6 +56,7 @@
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
             DropReason::Membership(error) => error.fmt(f),
+            DropReason::TooLong => f.write_str("longer than any message"),
             DropReason::GossipFromNonMember => {
                 f.write_str("gossip from an address of no live member, or too long")
             }
@@ -214,7 +216,11 @@
         for _ in 0..MAX_DATAGRAMS_PER_TURN {
             let Some(socket) = &self.socket else { return };
             match socket.receive_from(&mut buffer) {
-                Ok((length, Some(from))) => self.on_datagram(context, from, &buffer[..length]),
+                // The length is that of the datagram, of which the buffer may hold only the beginning.
+                Ok((length, Some(from))) => match buffer.get(..length) {
+                    Some(bytes) => self.on_datagram(context, from, bytes),
+                    None => self.on_dropped(context, DropReason::TooLong, from),
+                },
                 Err(Errno::AGAIN) => return,
                 // The system reports that an earlier message could not be delivered to a member.
                 Ok((_, None)) | Err(_) => {}
--- a/node/tests/membership.rs
+++ b/node/tests/membership.rs
@@ -196,6 +196,24 @@
     assert_later_twin_counts(&mut fleet);
 }
 
+/// Guards against a node that a datagram ends which is longer than any message.
+#[test]
+fn a_datagram_that_is_longer_than_any_message_is_dropped_and_logged() {
+    let _lock = one_test_at_a_time();
+    let (_service, mut fleet) = converged_fleet(2, 9);
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let member_address = fleet.fleet_view().network.process_addresses[1];
+    for length in [1200, 1201, 1202, 1400, 9000, 60_000] {
+        stranger
+            .send_to(&vec![0xfe; length], member_address)
+            .unwrap();
+    }
+    let node = fleet.nodes[1].as_mut().unwrap();
+    node.wait_for_log("longer than any message");
+    assert!(node.runs());
+    assert_converges(&fleet, 5, "after datagrams that are too long");
+}
+
 /// Replays the datagrams that were sent while one member died and returned, first unchanged and then with another
 /// protocol version. Asserts that the tables still agree.
 fn assert_replays_change_nothing(fleet: &mut Fleet) {
