Open connections: lines that a host does not answer take bounded memory

Cause: the time of each forwarded line was kept until its answer, without a bound.

Change: the lines are counted in at most 64 groups; further ones join the last group. The oldest keeps its time, which tells a silent host. The handover passes up to 1,024 single times on, as before.

--- a/node/src/connections/connection.rs
+++ b/node/src/connections/connection.rs
@@ -4,9 +4,9 @@
 use super::host_connection::HostConnection;
 use super::peer_socket::PeerSocket;
 use super::relay::Relay;
+use super::unanswered_lines::UnansweredLines;
 use reedferry::{AttemptOutcome, HostId, IncomingRequest, Nanos, RequestId};
 use reedferry_runtime::Buffer;
-use std::collections::VecDeque;
 use std::rc::Rc;
 
 /// The stage of a connection.
@@ -72,8 +72,8 @@
     /// When the request line of the first attempt that the host may have run was written, or `None` if no
     /// attempt can have run.
     pub(super) may_have_run_since: Option<Nanos>,
-    /// When each client line that the host has not answered yet was forwarded, the oldest first.
-    pub(super) unanswered_lines: VecDeque<Nanos>,
+    /// The client's lines that the host has not answered yet.
+    pub(super) unanswered_lines: UnansweredLines,
     /// Until when a migration waits for the end of the client's line, or `None` if the client is not to be
     /// migrated.
     pub(super) migrate_by: Option<Nanos>,
@@ -113,7 +113,7 @@
             attempts: 0,
             last_failure: None,
             may_have_run_since: None,
-            unanswered_lines: VecDeque::new(),
+            unanswered_lines: UnansweredLines::default(),
             migrate_by: None,
             migration_outcome: AttemptOutcome::Cancelled,
             client_finished_at: None,
--- a/node/src/connections/handover.rs
+++ b/node/src/connections/handover.rs
@@ -17,7 +17,7 @@
 
 /// The most unanswered lines of a connection that is handed over. One with more is migrated instead, as a
 /// message to the successor has no space for them.
-const MAX_UNANSWERED_LINES: usize = 1024;
+const MAX_UNANSWERED_LINES: u64 = 1024;
 
 impl Connection {
     /// Returns whether the successor can adopt the connection: it is open or waits for a complete first line,
@@ -29,7 +29,7 @@
         match self.stage {
             Stage::Open => {
                 self.host_connection.is_some()
-                    && self.unanswered_lines.len() <= MAX_UNANSWERED_LINES
+                    && self.unanswered_lines.count() <= MAX_UNANSWERED_LINES
             }
             Stage::AwaitingRequest => true,
             _ => false,
@@ -65,7 +65,7 @@
         ));
         self.to_host = to_host;
         self.to_client = to_client;
-        self.unanswered_lines = open.unanswered_lines.into();
+        self.unanswered_lines = open.unanswered_lines.into_iter().collect();
         self.migrate_by = open.migrate_by;
         self.client_finished_at = open.client_finished_at;
         self.migration_outcome = if open.host_faulty {
--- a/node/src/connections/handover_snapshot.rs
+++ b/node/src/connections/handover_snapshot.rs
@@ -128,7 +128,7 @@
             load: reports.last_load,
             to_host: RelaySnapshot::capture(&connection.to_host),
             to_client: RelaySnapshot::capture(&connection.to_client),
-            unanswered_lines: connection.unanswered_lines.iter().copied().collect(),
+            unanswered_lines: connection.unanswered_lines.times().collect(),
             migrate_by: connection.migrate_by,
             host_faulty: connection.migration_outcome == AttemptOutcome::ConnectionLost,
             client_finished_at: connection.client_finished_at,
--- a/node/src/connections/host_connection.rs
+++ b/node/src/connections/host_connection.rs
@@ -3,9 +3,9 @@
 
 use super::peer_socket::PeerSocket;
 use super::protocol::HostMessage;
+use super::unanswered_lines::UnansweredLines;
 use crate::discovery::hosts::Hosts;
 use reedferry::{AttemptOutcome, Event, Nanos, RequestId};
-use std::collections::VecDeque;
 use std::rc::Rc;
 
 /// An attempt in flight, or the open connection that it became.
@@ -81,7 +81,7 @@
     pub(super) host: usize,
     pub(super) now: Nanos,
     pub(super) reports: &'a mut HostReports,
-    pub(super) unanswered_lines: &'a mut VecDeque<Nanos>,
+    pub(super) unanswered_lines: &'a mut UnansweredLines,
     pub(super) events: &'a mut Vec<Event>,
     pub(super) hosts: &'a mut Hosts,
 }
@@ -98,7 +98,7 @@
             HostMessage::Bye => self.reports.bye = true,
             HostMessage::Migrate => self.reports.migrating = true,
             _ => {
-                if let Some(asked_at) = self.unanswered_lines.pop_front() {
+                if let Some(asked_at) = self.unanswered_lines.pop() {
                     self.hosts.record_answer(self.host, asked_at, self.now);
                 }
             }
--- a/node/src/connections/mod.rs
+++ b/node/src/connections/mod.rs
@@ -33,6 +33,7 @@
 mod relay;
 mod resource_retry;
 mod sweep;
+mod unanswered_lines;
 mod waiting_client;
 
 use crate::context::{Context, CLIENT};
--- a/node/src/connections/proxying.rs
+++ b/node/src/connections/proxying.rs
@@ -56,7 +56,7 @@
             return Some(RelayStatus::Idle);
         }
         let unanswered_lines = &mut self.unanswered_lines;
-        let record_line = |_| unanswered_lines.push_back(context.now);
+        let record_line = |_| unanswered_lines.push(context.now);
         let relay = &mut self.to_host;
         Some(relay.transfer(&context.pool, client, &mut host.peer, record_line))
     }
@@ -169,8 +169,8 @@
     pub(super) fn check_open_connection(&mut self, context: &mut Context, slot: usize) {
         let now = context.now;
         let connection = &mut self.slab[slot];
-        let oldest_line = connection.unanswered_lines.front();
-        let silent = oldest_line.is_some_and(|&at| now >= at + HOST_SILENCE_TIMEOUT);
+        let oldest_line = connection.unanswered_lines.oldest();
+        let silent = oldest_line.is_some_and(|at| now >= at + HOST_SILENCE_TIMEOUT);
         if silent && connection.migrate_by.is_none() {
             // Reads the host's socket once more, as its answer may have arrived after the poller last
             // reported. Without this, a host would be taken for silent while its answer lies unread.
@@ -196,8 +196,8 @@
     fn check_host_silence(&mut self, context: &mut Context, slot: usize) {
         let now = context.now;
         let connection = &mut self.slab[slot];
-        let (Some(&sent_at), Some(host_connection)) = (
-            connection.unanswered_lines.front(),
+        let (Some(sent_at), Some(host_connection)) = (
+            connection.unanswered_lines.oldest(),
             connection.host_connection.as_ref(),
         ) else {
             return;
