Connections: a connection is queued once for each turn, however often it has more to do

Cause: the queue of connections with more to do took repeats. Such a connection queued itself again for each entry and was queued by each report of its sockets besides, so that it was advanced more often each turn; its events grew alike. Evidence: the log (event loop turn began late, 16 to 85 ms of processor time a turn) and stacks taken in resume_runnable.

Change: SlotQueue holds each slot once, for connections with more to do and for those that wait for resources of the machine.

--- a/node/src/connections/mod.rs
+++ b/node/src/connections/mod.rs
@@ -32,6 +32,7 @@
 mod rejection;
 mod relay;
 mod resource_retry;
+mod slot_queue;
 mod sweep;
 mod unanswered_lines;
 mod waiting_client;
@@ -45,6 +46,7 @@
 use resource_retry::RetryQueue;
 pub use resource_retry::LOCAL_RETRY_DELAY;
 use slab::Slab;
+use slot_queue::SlotQueue;
 
 /// All connections of a node or forwarder.
 #[derive(Default)]
@@ -54,7 +56,7 @@
     /// The number of bytes that may still be discarded, over all connections, before the next sweep.
     discard_allowance: usize,
     /// The slots of connections to advance in the next turn without waiting for their sockets.
-    runnable: Vec<usize>,
+    runnable: SlotQueue,
     retry_queue: RetryQueue,
 }
 
@@ -134,7 +136,7 @@
         if self.listener.may_have_pending {
             self.accept(context, listener);
         }
-        for slot in std::mem::take(&mut self.runnable) {
+        for slot in self.runnable.take() {
             self.advance(context, slot);
         }
     }
--- a/node/src/connections/resource_retry.rs
+++ b/node/src/connections/resource_retry.rs
@@ -1,6 +1,7 @@
 //! Retries operations that failed because this machine was short of a resource, such as memory or buffers.
 //! The poller does not report when such an operation may succeed, so it is retried after a fixed delay.
 
+use super::slot_queue::SlotQueue;
 use super::Connections;
 use crate::context::{self, Context};
 use reedferry::{Nanos, MILLI};
@@ -13,7 +14,7 @@
 #[derive(Default)]
 pub(super) struct RetryQueue {
     /// The slots of the connections to advance at the next retry.
-    slots: Vec<usize>,
+    slots: SlotQueue,
     /// The tokens of sockets that could not be registered with the poller.
     unregistered: Vec<PollToken>,
     /// Whether the timer of the next retry is set.
@@ -51,7 +52,9 @@
     /// runnable.
     pub fn retry(&mut self, context: &mut Context) {
         self.retry_queue.scheduled = false;
-        self.runnable.append(&mut self.retry_queue.slots);
+        for slot in self.retry_queue.slots.take() {
+            self.runnable.push(slot);
+        }
         for token in std::mem::take(&mut self.retry_queue.unregistered) {
             let slot = token.slot as usize;
             let Some(connection) = self.slab.get_mut(slot) else {
