Connections: a request that must not run twice is not sent again when its id comes again

Cause: an id was known only as long as its request waited or was open.

Change: the ids of ended requests that may have run, of classes that may not simply run twice, are remembered for twice the longest timeout (10 s at least), up to 65,536. One that comes again gets ERR at once. At the limit such requests get BUSY before any attempt, and are counted.

--- a/node/src/connections/attempt_progress.rs
+++ b/node/src/connections/attempt_progress.rs
@@ -133,6 +133,7 @@
                 buffer.append(piece);
             }
             connection.to_host.buffer = Some(buffer);
+            connection.line_begun = true;
         }
         match connection.to_host.write_to(&mut attempt.peer) {
             RelayStatus::Finished => {}
--- a/node/src/connections/attempts.rs
+++ b/node/src/connections/attempts.rs
@@ -216,6 +216,7 @@
         connection.to_client = Relay::default();
         connection.host_errors += u32::from(outcome == AttemptOutcome::Error);
         connection.last_failure = Some(outcome);
+        connection.line_begun = false;
         if attempt.request_written && !outcome.never_ran() {
             connection
                 .may_have_run_since
--- a/node/src/connections/closing.rs
+++ b/node/src/connections/closing.rs
@@ -82,7 +82,7 @@
 
     /// Begins to close the client's connection in order, after all queued bytes are sent.
     pub(super) fn begin_close(&mut self, context: &mut Context, slot: usize) {
-        self.release_id(slot);
+        self.release_id(context, slot);
         let connection = &mut self.slab[slot];
         connection.stage = Stage::Closing(context.now + LINGER_TIMEOUT);
         connection.started_at = context.now;
@@ -148,7 +148,7 @@
     /// client's socket if `reason` demands it.
     pub(super) fn remove(&mut self, context: &mut Context, slot: usize, reason: CloseReason) {
         self.check_close(context, slot, reason);
-        self.release_id(slot);
+        self.release_id(context, slot);
         let connection = self.slab.remove(slot);
         if let Some(client) = connection.client.filter(|_| reason.resets()) {
             client.socket.reset();
--- a/node/src/connections/connection.rs
+++ b/node/src/connections/connection.rs
@@ -72,6 +72,8 @@
     /// When the request line of the first attempt that the host may have run was written, or `None` if no
     /// attempt can have run.
     pub(super) may_have_run_since: Option<Nanos>,
+    /// Whether the request line of the attempt in flight, or of the open connection, has been begun.
+    pub(super) line_begun: bool,
     /// The client's lines that the host has not answered yet.
     pub(super) unanswered_lines: UnansweredLines,
     /// Until when a migration waits for the end of the client's line, or `None` if the client is not to be
@@ -113,6 +115,7 @@
             attempts: 0,
             last_failure: None,
             may_have_run_since: None,
+            line_begun: false,
             unanswered_lines: UnansweredLines::default(),
             migrate_by: None,
             migration_outcome: AttemptOutcome::Cancelled,
@@ -168,6 +171,11 @@
         self.client.iter_mut().chain(host)
     }
 
+    /// Returns whether any attempt, also one in flight, may have run or may yet run.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.line_begun || self.may_have_run_since.is_some()
+    }
+
     /// Returns the time by which the final answer must be sent.
     pub(super) fn answer_deadline(&self) -> Nanos {
         self.started_at.saturating_add(self.timeout)
--- a/node/src/connections/first_line.rs
+++ b/node/src/connections/first_line.rs
@@ -1,8 +1,9 @@
 //! Reads a client's first line, answers the pings that precede it, and admits the request that it opens. A
 //! request that is malformed or not served by this node is rejected and never reaches the decision module.
 
+use super::attempted_ids::{AttemptedIds, IdHash};
 use super::connection::{Connection, Stage};
-use super::listener::Listener;
+use super::listener::{must_not_run_twice, Listener};
 use super::protocol::keys::fnv1a;
 use super::protocol::{self, ClientMessage, OpenRequest, BUSY_LINE};
 use super::reconnect::RECONNECT_TIMEOUT;
@@ -125,7 +126,9 @@
                 }
                 Ok(Some(line)) => {
                     let length = line.length - CRLF_BYTES;
-                    match admit_line(context, &self.listener, connection.incoming.id, line.text) {
+                    let id = connection.incoming.id;
+                    let ids = (&self.listener, &mut self.attempted_ids);
+                    match admit_line(context, ids, id, line.text) {
                         Ok(request) => self.start_request(context, slot, request, length),
                         Err(reason) => self.reject_client(context, slot, reason),
                     }
@@ -188,7 +191,7 @@
 /// Returns why the line or the request is rejected.
 fn admit_line(
     context: &Context,
-    listener: &Listener,
+    (listener, attempted_ids): (&Listener, &mut AttemptedIds),
     id: RequestId,
     line: &[u8],
 ) -> Result<AdmittedRequest, RejectReason> {
@@ -200,6 +203,12 @@
     if listener.is_id_taken(request.id) {
         return Err(RejectReason::IdInUse);
     }
+    if attempted_ids.contains(context.now, IdHash::of(request.id)) {
+        return Err(RejectReason::IdAttempted);
+    }
+    if must_not_run_twice(context, incoming.class) && attempted_ids.is_full(context.now) {
+        return Err(RejectReason::TooManyIds);
+    }
     Ok(AdmittedRequest {
         incoming,
         wire_id: Rc::from(request.id),
--- a/node/src/connections/handover.rs
+++ b/node/src/connections/handover.rs
@@ -73,6 +73,7 @@
         } else {
             AttemptOutcome::Cancelled
         };
+        self.line_begun = true;
         self.stage = Stage::HandingOver(true);
         Some(())
     }
--- a/node/src/connections/idle.rs
+++ b/node/src/connections/idle.rs
@@ -146,7 +146,8 @@
         self.send_final_answer(context, slot, BUSY_LINE);
     }
 
-    /// Rejects a client with an error and closes its connection.
+    /// Rejects a client with an error and closes its connection. A client whose request may be repeated later is told
+    /// so.
     pub(super) fn reject_client(
         &mut self,
         context: &mut Context,
@@ -154,6 +155,11 @@
         reason: RejectReason,
     ) {
         self.listener.rejections.count(reason);
-        self.send_final_answer(context, slot, ERROR_LINE);
+        let answer = if reason == RejectReason::TooManyIds {
+            BUSY_LINE
+        } else {
+            ERROR_LINE
+        };
+        self.send_final_answer(context, slot, answer);
     }
 }
--- a/node/src/connections/listener.rs
+++ b/node/src/connections/listener.rs
@@ -1,12 +1,14 @@
 //! Accepts clients and tracks which request ids are in use. No two open requests may have the same id, as
 //! hosts could not tell them apart.
 
+use super::attempted_ids::{self, IdHash};
 use super::connection::{Connection, Stage};
 use super::idle::MIN_IDLE_AGE;
 use super::peer_socket::PeerSocket;
 use super::rejection::Rejections;
 use super::Connections;
 use crate::context::{Context, CLIENT};
+use reedferry::Idempotency;
 use reedferry_runtime::errors::{classify_accept, AcceptFailure};
 use reedferry_runtime::{PollToken, Socket};
 use std::collections::{HashSet, VecDeque};
@@ -49,6 +51,14 @@
     }
 }
 
+/// Returns whether requests of the class at this index must not run twice.
+pub(super) fn must_not_run_twice(context: &Context, class: usize) -> bool {
+    context
+        .classes
+        .get(class)
+        .is_some_and(|class| class.idempotency != Idempotency::Idempotent)
+}
+
 impl Connections {
     /// Accepts up to [`MAX_ACCEPTS_PER_TURN`] clients from the listening socket.
     pub fn accept(&mut self, context: &mut Context, listener: Option<&Socket>) {
@@ -99,13 +109,19 @@
     }
 
     /// Releases the id of a request that is answered or gone. Keeps rejecting the id if hosts have answered
-    /// the request with errors.
-    pub(super) fn release_id(&mut self, slot: usize) {
+    /// the request with errors, or if the request may have run and must not run twice.
+    pub(super) fn release_id(&mut self, context: &Context, slot: usize) {
         let connection = &mut self.slab[slot];
         let Some(id) = connection.wire_id.take() else {
             return;
         };
         self.listener.open_ids.remove(&id);
+        if connection.may_have_run() && must_not_run_twice(context, connection.incoming.class) {
+            let retention = attempted_ids::retention(context.settings.max_request_timeout);
+            let expires_at = context.now.saturating_add(retention);
+            self.attempted_ids
+                .remember(context.now, IdHash::of(&id), expires_at);
+        }
         if connection.host_errors >= HOST_ERRORS_TO_REJECT_ID && connection.stage == Stage::Pending
         {
             self.listener.remember_rejected_id(id);
--- a/node/src/connections/mod.rs
+++ b/node/src/connections/mod.rs
@@ -12,6 +12,7 @@
 //! here.
 
 mod attempt_progress;
+mod attempted_ids;
 mod attempts;
 mod closing;
 mod connection;
@@ -38,6 +39,7 @@
 mod waiting_client;
 
 use crate::context::{Context, CLIENT};
+use attempted_ids::AttemptedIds;
 use connection::{Connection, Stage};
 pub use handover_snapshot::ConnectionHandover;
 use listener::Listener;
@@ -58,6 +60,7 @@
     /// The slots of connections to advance in the next turn without waiting for their sockets.
     runnable: SlotQueue,
     retry_queue: RetryQueue,
+    attempted_ids: AttemptedIds,
 }
 
 impl Connections {
--- a/node/src/connections/rejection.rs
+++ b/node/src/connections/rejection.rs
@@ -15,6 +15,10 @@
     TooManyPings,
     /// The id is that of an open request, or hosts have answered it with errors.
     IdInUse,
+    /// The request may have run before, and must not run twice.
+    IdAttempted,
+    /// So many ids of requests that must not run twice are remembered that no further one fits.
+    TooManyIds,
     /// The request class is not served.
     UnknownClass,
     /// The tenant is not served.
@@ -40,6 +44,8 @@
             RejectReason::Malformed(error) => error.message(),
             RejectReason::TooManyPings => "more than 16 pings",
             RejectReason::IdInUse => "request id in use or refused by hosts",
+            RejectReason::IdAttempted => "request id came again, and the request may have run",
+            RejectReason::TooManyIds => "too many requests that must not run twice",
             RejectReason::UnknownClass => "unknown request class",
             RejectReason::UnknownTenant => "unknown tenant",
             RejectReason::LateReconnect => "reconnect (at) over 80 s after the start",
--- a/node/tests/departed_clients.rs
+++ b/node/tests/departed_clients.rs
@@ -28,6 +28,16 @@
 
 /// Starts a node with long timeouts, many attempts and these members. `cancel` says whether it may cancel attempts.
 fn start(members: Value, discovery: &Discovery, cancel: bool) -> Node {
+    start_configured(members, discovery, cancel, |_| ())
+}
+
+/// Like [`start`], with changes to the request class.
+fn start_configured(
+    members: Value,
+    discovery: &Discovery,
+    cancel: bool,
+    change_class: impl FnOnce(&mut Value),
+) -> Node {
     let mut node_config = node_config_of(members, discovery.address);
     node_config["limits"]["sockets"] = json!(2048);
     let settings = &mut node_config["settings"];
@@ -36,6 +46,7 @@
     settings["policy_limits"]["most_hand_offs"] = json!(5);
     settings["offerings"][0]["contract_time"] = json!(5000.0);
     settings["offerings"][0]["expiry"] = json!(8000.0);
+    change_class(&mut settings["offerings"][0]);
     Node::start(&node_config)
 }
 
@@ -211,3 +222,87 @@
         drop(half_closed);
     }
 }
+
+/// Starts a node like [`start`] whose class has this effect.
+fn start_with_effect(hosts: &Hosts, discovery: &Discovery, cancel: bool, effect: &str) -> Node {
+    start_configured(hosts.members(), discovery, cancel, |class| {
+        class["effect"] = json!(effect);
+        class["repeat_window"] = json!(8000.0);
+    })
+}
+
+/// Sends the request of client 1 again, on a new connection.
+fn send_again(node: &Node, suffix: &str) -> Peer {
+    let mut client = Peer::connect(node.address);
+    client.send_line(&format!("{}{suffix}", open_line(1)));
+    client
+}
+
+/// Guards against a request that runs a second time as its id comes again after its client has left.
+#[test]
+fn a_request_that_must_not_run_twice_is_not_sent_again_when_its_id_comes_again() {
+    for (effect, cancel) in [
+        ("single_shot", true),
+        ("single_shot", false),
+        ("guarded", true),
+    ] {
+        for (departure, suffix) in DEPARTURES.into_iter().zip(["", ",again=1", ",r=1", ""]) {
+            let (hosts, discovery) = (Hosts::start(3), Discovery::start());
+            let node = start_with_effect(&hosts, &discovery, cancel, effect);
+            let (client, _host) = start_attempt(&node, &hosts);
+            let half_closed = depart(client, departure);
+            wait_until_read(&node);
+            for _ in 0..3 {
+                send_again(&node, suffix).expect_line("ERR");
+            }
+            assert!(
+                hosts.accept_soon().is_none(),
+                "{effect}, cancel {cancel}, {departure}: sent again"
+            );
+            drop(half_closed);
+        }
+    }
+}
+
+/// Guards against a request that runs a second time as its id comes again after it was served or has failed.
+#[test]
+fn an_id_that_comes_again_after_its_answer_is_not_sent_again() {
+    for answer in ["UP 1", "ERR"] {
+        let (hosts, discovery) = (Hosts::start(1), Discovery::start());
+        let node = start_with_effect(&hosts, &discovery, true, "single_shot");
+        let (mut client, mut host) = start_attempt(&node, &hosts);
+        host.send_line(answer);
+        client.expect_line(answer);
+        drop((client, host));
+        wait_until_read(&node);
+        send_again(&node, "").expect_line("ERR");
+        assert!(hosts.accept_soon().is_none(), "{answer}: sent again");
+    }
+}
+
+/// A request that cannot have run, or may run twice, is sent again.
+#[test]
+fn an_id_that_comes_again_is_sent_if_it_has_not_run_or_may_run_twice() {
+    for (effect, busy) in [("single_shot", true), ("guarded", true), ("free", false)] {
+        let (hosts, discovery) = (Hosts::start(1), Discovery::start());
+        let node = start_with_effect(&hosts, &discovery, true, effect);
+        let (mut client, mut host) = start_attempt(&node, &hosts);
+        if busy {
+            host.send_line("BUSY");
+            drop(host);
+            assert!(client.receive_line().starts_with("BUSY"));
+        }
+        drop(client);
+        wait_until_read(&node);
+        eventually("the request is not sent again", || {
+            let mut client = send_again(&node, "");
+            let Some((_, mut host)) = hosts.accept_soon() else {
+                return false;
+            };
+            host.receive_line();
+            host.send_line("UP 1");
+            client.expect_line("UP 1");
+            true
+        });
+    }
+}
--- a/node/tests/two_tier.rs
+++ b/node/tests/two_tier.rs
@@ -297,6 +297,32 @@
     restart_planner_after_drain(&mut cluster, REVISION_OF_ANOTHER_SERVICE);
 }
 
+/// Guards against a request that runs a second time as its id comes again at a forwarder after its client has left.
+#[test]
+fn a_request_whose_id_comes_again_at_a_forwarder_is_not_sent_again() {
+    let _guard = one_test_at_a_time();
+    let cluster = TwoTierCluster::start(1, 1, 2, 12);
+    (0..2).for_each(|host| cluster.hosts.set_behavior(host, HostBehavior::Silent));
+    for class in ["once", "mark"] {
+        let line = format!("OPEN again-{class} 7f3a c={class},t=acme,d=1500");
+        let mut client = Peer::connect(cluster.forwarders[0].address);
+        client.send_line(&line);
+        let name = format!("again-{class}");
+        let attempts = || {
+            let reached = cluster.checker.reached();
+            reached.iter().filter(|one| one.name == name).count()
+        };
+        eventually("the request reaches no host", || attempts() == 1);
+        drop(client);
+        for _ in 0..5 {
+            let mut client = Peer::connect(cluster.forwarders[0].address);
+            client.send_line(&line);
+            client.expect_line("ERR");
+        }
+        assert_eq!(attempts(), 1, "{class}");
+    }
+}
+
 #[test]
 fn planner_restarts_and_a_forwarder_shutdown_under_load_break_no_rule() {
     let _guard = one_test_at_a_time();
