Hot restart: both processes of an upgrade know ids of requests that must not run twice

Cause: each process knew its own ids alone.

Change: a notice goes to the other process before the first attempt starts, and one that takes it back if nothing can have run; the successor gets all ids with the state. Older builds ignore the notices, or are sent none.

--- a/node/src/connections/attempted_ids.rs
+++ b/node/src/connections/attempted_ids.rs
@@ -5,6 +5,7 @@
 //! remembered are rejected before any attempt.
 
 use reedferry::{Nanos, SECOND};
+use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use xxhash_rust::xxh3::xxh3_128;
 
@@ -16,7 +17,7 @@
 const MAX_IDS: usize = 65_536;
 
 /// The hash of a request's id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct IdHash(u128);
 
 impl IdHash {
@@ -26,6 +27,15 @@
     }
 }
 
+/// What one process of an upgrade tells the other about the id of a request that must not run twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum IdNotice {
+    /// An attempt of the request is about to start, or may have run.
+    Attempted(IdHash),
+    /// The request has ended, and no attempt can have run.
+    NotRun(IdHash),
+}
+
 /// Returns for how long an id is remembered if a request waits for its answer for `max_timeout` at most.
 pub(super) fn retention(max_timeout: Nanos) -> Nanos {
     max_timeout
@@ -50,6 +60,16 @@
         self.order.push_back((expires_at, id));
     }
 
+    /// Forgets an id.
+    pub(super) fn forget(&mut self, id: IdHash) {
+        self.expiries.remove(&id);
+    }
+
+    /// Returns the remembered ids.
+    pub(super) fn ids(&self) -> impl Iterator<Item = IdHash> + '_ {
+        self.expiries.keys().copied()
+    }
+
     /// Returns whether an id is remembered.
     pub(super) fn contains(&mut self, now: Nanos, id: IdHash) -> bool {
         self.expire(now);
--- a/node/src/connections/attempts.rs
+++ b/node/src/connections/attempts.rs
@@ -52,6 +52,7 @@
                 load_metrics: Vec::new(),
             });
         };
+        self.announce_first_attempt(context, slot);
         let connection = &mut self.slab[slot];
         let attempt = connection.attempts;
         connection.attempts += 1;
--- a/node/src/connections/listener.rs
+++ b/node/src/connections/listener.rs
@@ -1,7 +1,6 @@
 //! Accepts clients and tracks which request ids are in use. No two open requests may have the same id, as
 //! hosts could not tell them apart.
 
-use super::attempted_ids::{self, IdHash};
 use super::connection::{Connection, Stage};
 use super::idle::MIN_IDLE_AGE;
 use super::peer_socket::PeerSocket;
@@ -116,12 +115,8 @@
             return;
         };
         self.listener.open_ids.remove(&id);
-        if connection.may_have_run() && must_not_run_twice(context, connection.incoming.class) {
-            let retention = attempted_ids::retention(context.settings.max_request_timeout);
-            let expires_at = context.now.saturating_add(retention);
-            self.attempted_ids
-                .remember(context.now, IdHash::of(&id), expires_at);
-        }
+        self.remember_ended_request(context, slot, &id);
+        let connection = &self.slab[slot];
         if connection.host_errors >= HOST_ERRORS_TO_REJECT_ID && connection.stage == Stage::Pending
         {
             self.listener.remember_rejected_id(id);
--- a/node/src/connections/mod.rs
+++ b/node/src/connections/mod.rs
@@ -20,6 +20,7 @@
 mod handover;
 mod handover_snapshot;
 mod host_connection;
+mod id_notices;
 mod idle;
 mod invariants;
 pub mod link;
@@ -40,8 +41,12 @@
 
 use crate::context::{Context, CLIENT};
 use attempted_ids::AttemptedIds;
+#[cfg(test)]
+pub use attempted_ids::IdHash;
+pub use attempted_ids::IdNotice;
 use connection::{Connection, Stage};
 pub use handover_snapshot::ConnectionHandover;
+use id_notices::IdNotices;
 use listener::Listener;
 use reedferry::{Action, RequestClass, RequestId};
 use reedferry_runtime::{Readiness, Socket};
@@ -61,6 +66,7 @@
     runnable: SlotQueue,
     retry_queue: RetryQueue,
     attempted_ids: AttemptedIds,
+    id_notices: IdNotices,
 }
 
 impl Connections {
--- a/node/src/roles/hot_restart/messages.rs
+++ b/node/src/roles/hot_restart/messages.rs
@@ -1,7 +1,7 @@
 //! The messages between a process and its successor, and their encoding. Any change to the encoding requires a new
 //! [`VERSION`].
 
-use crate::connections::ConnectionHandover;
+use crate::connections::{ConnectionHandover, IdNotice};
 use crate::discovery::list::Member;
 use reedferry::{InheritedState, Nanos, RequestClass};
 use serde::{Deserialize, Serialize};
@@ -17,12 +17,16 @@
     Hello(u16),
     /// Whether the successor adopted the connection that was sent first among those not acknowledged yet.
     Adopted(bool),
+    /// A notice about a request's id. Sent only to a predecessor that has sent notices itself, as an older one does not
+    /// know this message.
+    IdNotice(IdNotice),
 }
 
 /// A message from the predecessor to its successor.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) enum FromPredecessor {
-    /// The next part of the encoded [`TransferredState`], and whether it is the last part.
+    /// The next part of the encoded [`TransferredState`], and whether it is the last part. After the last part, notices
+    /// about ids in the form of [`encode_id_notices`], which an older successor ignores.
     StateChunk(Vec<u8>, bool),
     /// A connection, whose sockets are passed as descriptors of the same message.
     Connection(Box<ConnectionHandover>),
@@ -61,6 +65,19 @@
     }
 }
 
+/// The first bytes of a chunk with notices about ids, which tell it from a chunk of the state that arrives late.
+const ID_NOTICES_TAG: &[u8] = b"id notices";
+
+/// Encodes notices about ids as the content of a [`FromPredecessor::StateChunk`].
+pub(super) fn encode_id_notices(notices: &[IdNotice]) -> Vec<u8> {
+    [ID_NOTICES_TAG, &encode(&notices)].concat()
+}
+
+/// Decodes the content of a chunk that comes after the state. Returns `None` if it holds no notices about ids.
+pub(super) fn decode_id_notices(chunk: &[u8]) -> Option<Vec<IdNotice>> {
+    postcard::from_bytes(chunk.strip_prefix(ID_NOTICES_TAG)?).ok()
+}
+
 /// Encodes a message.
 pub(super) fn encode(message: &impl Serialize) -> Vec<u8> {
     postcard::to_allocvec(message).unwrap_or_default()
--- a/node/src/roles/hot_restart/messages_bytes_tests.rs
+++ b/node/src/roles/hot_restart/messages_bytes_tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the exact bytes of the hot restart messages, except for `FromPredecessor::Connection`.
 
 use super::*;
+use crate::connections::IdHash;
 use reedferry::{ClientStatistics, HostId, HostSnapshot, HostState, Idempotency, IdempotencyGroup};
 
 fn hex(value: &impl Serialize) -> String {
@@ -115,3 +116,20 @@
     };
     assert_eq!(hex(&state), "007f000001b4420801290103732d3101000a010012882701610301000000000000f83f010f010002046368617403706179030463686174000014000000000000f83f1e280003706179010114000000000000f83f1e2800046f6e6365020214000000000000f83f1e2800010b010000000000000840000c01000000000000f43f00000000000000400000000000000840020001000000000000c03f01000000000000b03f0d0000000000002c400188a7c88090c002010101020304000000000000e03f0501000000000000f83f000000000000044006000000000000d03f000000000000e83f07000000000000d83f000000000000ec3f");
 }
+
+/// Guards against notices about ids that a process of another build does not understand, and against a late part of the
+/// state that is taken for notices.
+#[test]
+fn id_notices_are_encoded_as_before_and_told_from_parts_of_the_state() {
+    let id = IdHash::of("c1");
+    assert_eq!(hex(&IdNotice::NotRun(id)), format!("01{}", hex(&id)));
+    let notice = FromSuccessor::IdNotice(IdNotice::Attempted(id));
+    assert_eq!(hex(&notice), format!("0200{}", hex(&id)));
+    let notices = [IdNotice::Attempted(id), IdNotice::NotRun(id)];
+    let chunk = encode_id_notices(&notices);
+    assert!(chunk.starts_with(b"id notices\x02\x00"));
+    assert_eq!(decode_id_notices(&chunk), Some(notices.to_vec()));
+    assert_eq!(decode_id_notices(&encode_id_notices(&[])), Some(Vec::new()));
+    assert_eq!(decode_id_notices(&chunk[1..]), None);
+    assert_eq!(decode_id_notices(&chunk[..chunk.len() - 1]), None);
+}
--- a/node/src/roles/hot_restart/mod.rs
+++ b/node/src/roles/hot_restart/mod.rs
@@ -168,6 +168,7 @@
     fn serve_channels(&mut self, context: &mut Context, connections: &mut Connections) {
         self.accept_successors(context, connections);
         self.adopt_connections(context, connections);
+        self.flush_predecessor(context);
         self.serve_successor(context, connections);
     }
 
@@ -345,11 +346,48 @@
             return;
         };
         let bytes = successor.queue_state(state);
+        // Without any notices, the empty message tells the successor that it may send its own.
+        successor.queue_id_notices(&connections.all_id_notices(context));
+        connections.enable_id_notices(true);
         context.events.push(Event::SuccessorChanged(true));
         info!(context.log, "successor connected"; "state_bytes" => bytes);
         self.flush_successor(context, connections);
     }
 
+    /// Sends the notices about ids to the other process, if there is one. To be called once a turn, after attempts were
+    /// started and before their hosts are written to.
+    pub fn exchange_id_notices(&mut self, context: &mut Context, connections: &mut Connections) {
+        let notices = connections.take_id_notices();
+        let successor = self.successor.as_mut().filter(|s| s.takes_id_notices());
+        let predecessor = self.predecessor.as_mut().filter(|p| p.takes_id_notices());
+        connections.enable_id_notices(successor.is_some() || predecessor.is_some());
+        if notices.is_empty() {
+            return;
+        }
+        if let Some(successor) = successor {
+            successor.queue_id_notices(&notices);
+        }
+        if let Some(predecessor) = predecessor {
+            predecessor.queue_id_notices(&notices);
+        }
+        self.flush_successor(context, connections);
+        self.flush_predecessor(context);
+    }
+
+    fn flush_predecessor(&mut self, context: &mut Context) {
+        let Some(predecessor) = &mut self.predecessor else {
+            return;
+        };
+        match predecessor.flush() {
+            Ok(()) => {}
+            Err(ChannelError::Transient { error, system_call }) => {
+                self.schedule_retry(context, error, system_call);
+            }
+            // The read that follows finds the end of the channel.
+            Err(ChannelError::Closed | ChannelError::InvalidMessage) => {}
+        }
+    }
+
     /// Hands over connections to the successor, as many as the limit of connections in transit and the channel allow. Ends the
     /// handover if the successor is overdue.
     pub fn hand_over(&mut self, context: &mut Context, connections: &mut Connections) {
--- a/node/src/roles/hot_restart/predecessor.rs
+++ b/node/src/roles/hot_restart/predecessor.rs
@@ -1,14 +1,17 @@
 //! The channel to the predecessor, in the process that replaces it. It validates every message, and resumes an adopted
 //! connection only after the acknowledgement to the predecessor was sent, so that only one process serves a connection.
 
-use super::messages::{encode, FromPredecessor, FromSuccessor, TransferredState, VERSION};
+use super::messages::{
+    decode_id_notices, encode, FromPredecessor, FromSuccessor, TransferredState, VERSION,
+};
 use super::ChannelError;
-use crate::connections::Connections;
+use crate::connections::{Connections, IdNotice};
 use crate::context::{Context, PREDECESSOR};
 use reedferry::{Nanos, RequestId, MILLI};
 use reedferry_runtime::errors::{classify_io, retry_for, IoFailure};
 use reedferry_runtime::{channel, Clock, PollToken, Socket};
 use slog::{info, warn};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// The maximum time for sending the first message, [`FromSuccessor::Hello`].
@@ -45,6 +48,10 @@
     generation: u32,
     /// `None` if every connection received was replied to.
     pending_reply: Option<PendingReply>,
+    /// Whether the predecessor has sent notices about ids, and so takes those of this process.
+    takes_id_notices: bool,
+    /// The encoded notices that are not sent yet.
+    outgoing: VecDeque<Vec<u8>>,
 }
 
 impl Predecessor {
@@ -71,6 +78,8 @@
             channel,
             generation: context.next_generation(),
             pending_reply: None,
+            takes_id_notices: false,
+            outgoing: VecDeque::new(),
         };
         let watched = context
             .poller
@@ -120,8 +129,11 @@
                 }
             };
             let adopted = match postcard::from_bytes(&buffer[..length]) {
-                // The wait for the state has already timed out.
-                Ok(FromPredecessor::StateChunk(..)) => continue,
+                // A chunk without notices is of the state, for which the wait has timed out.
+                Ok(FromPredecessor::StateChunk(chunk, _)) => {
+                    self.apply_id_notices(context, connections, &chunk);
+                    continue;
+                }
                 Ok(FromPredecessor::Connection(handed_over)) => {
                     connections.adopt(context, *handed_over, sockets)
                 }
@@ -136,6 +148,43 @@
         Ok(())
     }
 
+    fn apply_id_notices(&mut self, context: &Context, connections: &mut Connections, chunk: &[u8]) {
+        let Some(notices) = decode_id_notices(chunk) else {
+            return;
+        };
+        if !std::mem::replace(&mut self.takes_id_notices, true) {
+            self.queue_id_notices(&connections.all_id_notices(context));
+            connections.enable_id_notices(true);
+        }
+        for notice in notices {
+            connections.apply_id_notice(context, notice);
+        }
+    }
+
+    /// Returns whether the predecessor is to be sent notices about ids.
+    pub fn takes_id_notices(&self) -> bool {
+        self.takes_id_notices
+    }
+
+    /// Queues notices about ids.
+    pub fn queue_id_notices(&mut self, notices: &[IdNotice]) {
+        let messages = notices
+            .iter()
+            .map(|notice| encode(&FromSuccessor::IdNotice(*notice)));
+        self.outgoing.extend(messages);
+    }
+
+    /// Sends the queued notices until none is left or the channel returns an error.
+    pub fn flush(&mut self) -> Result<(), ChannelError> {
+        while let Some(message) = self.outgoing.front() {
+            self.channel
+                .send_with_descriptors(message, &[])
+                .map_err(|error| ChannelError::of(error, "sendmsg"))?;
+            self.outgoing.pop_front();
+        }
+        Ok(())
+    }
+
     /// Tells the predecessor whether the last connection was adopted, and resumes it once that message was sent.
     fn reply(
         &mut self,
--- a/node/src/roles/hot_restart/successor.rs
+++ b/node/src/roles/hot_restart/successor.rs
@@ -1,9 +1,11 @@
 //! The channel to the successor, in the process that is being replaced. It owns the connections in transit and loses none of
 //! them: each one is either adopted by the successor or resumed in this process.
 
-use super::messages::{encode, FromPredecessor, FromSuccessor, TransferredState, VERSION};
+use super::messages::{
+    encode, encode_id_notices, FromPredecessor, FromSuccessor, TransferredState, VERSION,
+};
 use super::ChannelError;
-use crate::connections::Connections;
+use crate::connections::{Connections, IdNotice};
 use crate::context::{Context, SUCCESSOR};
 use reedferry::{Nanos, RequestId, MILLI};
 use reedferry_runtime::errors::{classify_io, IoFailure};
@@ -12,6 +14,8 @@
 
 /// The maximum number of bytes of the encoded state in one message.
 const STATE_CHUNK_BYTES: usize = 32 << 10;
+/// The maximum number of notices about ids in one message.
+const ID_NOTICES_PER_MESSAGE: usize = 1024;
 /// The maximum length of a message from the successor, in bytes.
 const MAX_MESSAGE_BYTES: usize = 64;
 /// The maximum number of connections in transit at the same time.
@@ -40,6 +44,8 @@
     abandoned: bool,
     /// Whether the successor has requested the state since [`Successor::take_state_request`] was last called.
     state_requested: bool,
+    /// Whether the state has been queued, after which the successor is sent notices about ids.
+    state_queued: bool,
 }
 
 impl Successor {
@@ -61,6 +67,7 @@
             in_transit: VecDeque::new(),
             abandoned: false,
             state_requested: false,
+            state_queued: false,
         }
     }
 
@@ -83,9 +90,25 @@
             let message = FromPredecessor::StateChunk(chunk.to_vec(), index == last);
             self.outgoing.push_back(encode(&message));
         }
+        self.state_queued = true;
         bytes.len()
     }
 
+    /// Returns whether the successor is to be sent notices about ids.
+    pub fn takes_id_notices(&self) -> bool {
+        self.state_queued && !self.abandoned
+    }
+
+    /// Queues notices about ids, in one message at least.
+    pub fn queue_id_notices(&mut self, notices: &[IdNotice]) {
+        for start in (0..notices.len().max(1)).step_by(ID_NOTICES_PER_MESSAGE) {
+            let end = notices.len().min(start + ID_NOTICES_PER_MESSAGE);
+            let chunk = encode_id_notices(&notices[start..end]);
+            self.outgoing
+                .push_back(encode(&FromPredecessor::StateChunk(chunk, false)));
+        }
+    }
+
     /// Sends the queued messages until the queue is empty or the channel returns an error.
     pub fn flush(&mut self) -> Result<(), ChannelError> {
         while let Some(message) = self.outgoing.front() {
@@ -125,6 +148,7 @@
                 Ok(FromSuccessor::Adopted(adopted)) => {
                     self.acknowledge(context, connections, adopted);
                 }
+                Ok(FromSuccessor::IdNotice(notice)) => connections.apply_id_notice(context, notice),
                 _ => return ChannelError::InvalidMessage,
             }
         }
--- a/node/src/roles/standalone/event_loop.rs
+++ b/node/src/roles/standalone/event_loop.rs
@@ -57,14 +57,16 @@
         Ok(previous_turn)
     }
 
-    /// Moves discovery to the front of the ready sockets, followed by operators. Otherwise operators would wait behind a large
-    /// number of clients, and after a stall of the process clients would be sent to a draining host because of an outdated
+    /// Moves discovery to the front of the ready sockets, followed by operators and the other process of an upgrade. Otherwise
+    /// operators would wait behind a large number of clients, a client could come again with an id before the other process's
+    /// notice about it is read, and after a stall of the process clients would be sent to a draining host because of an outdated
     /// endpoint list.
     fn order_ready(&mut self) {
         self.ready.order_by(|ready| match ready.token.component {
             context::DISCOVERY => 0,
             context::OPS | context::OPS_LISTENER => 1,
-            _ => 2,
+            context::SUCCESSOR | context::PREDECESSOR => 2,
+            _ => 3,
         });
     }
 
@@ -275,6 +277,12 @@
             .set_timer(context.now + SWEEP_INTERVAL, token(context::SWEEP), 0);
     }
 
+    /// Tells the other process of an upgrade which requests have been attempted.
+    pub(super) fn exchange_id_notices(&mut self) {
+        self.hot_restart
+            .exchange_id_notices(&mut self.context, &mut self.connections);
+    }
+
     fn stop_if_asked(&mut self) {
         if !self.stop_signal.take() || self.context.may_end_at.is_some() {
             return;
--- a/node/src/roles/standalone/mod.rs
+++ b/node/src/roles/standalone/mod.rs
@@ -70,6 +70,7 @@
     loop {
         node.decide();
         node.replicate();
+        node.exchange_id_notices();
         backlog.drain();
         if node.has_stopped() {
             node.leave_fleet();
--- a/node/tests/hot_restart.rs
+++ b/node/tests/hot_restart.rs
@@ -520,3 +520,102 @@
     );
     drop(crowd);
 }
+
+/// The request of a client that comes again.
+const REPEATED: &str = "OPEN 5a5a 7f3a c=chat,t=acme,d=2000,g=5c0f";
+
+/// Sends the repeated request at the shared listener while only `node` runs.
+fn send_repeated(node: &Node, other: &Node) -> Peer {
+    other.suspend();
+    let mut client = Peer::connect(node.address);
+    client.send_line(REPEATED);
+    client
+}
+
+/// Guards against a request that runs a second time as its id comes again at the other process of an upgrade, after its
+/// client has left; in both directions, while its attempt is in flight and after it has ended.
+#[test]
+fn a_request_whose_id_comes_again_at_the_other_process_is_not_sent_again() {
+    for (first_at_successor, in_flight) in
+        [(false, true), (false, false), (true, true), (true, false)]
+    {
+        let mut fixture = Fixture::new(1);
+        fixture.node_config["settings"]["offerings"][0]["effect"] = json!("single_shot");
+        let (predecessor, successor) = (fixture.start(), fixture.start());
+        let (first, second) = if first_at_successor {
+            (&successor, &predecessor)
+        } else {
+            (&predecessor, &successor)
+        };
+        let mut client = send_repeated(first, second);
+        let (_, mut host) = fixture.hosts.accept();
+        host.receive_line();
+        if in_flight {
+            drop(client);
+        } else {
+            host.send_line("ERR");
+            client.expect_line("ERR");
+        }
+        first.suspend();
+        second.unsuspend();
+        let situation = format!("first at successor {first_at_successor}, in flight {in_flight}");
+        for _ in 0..3 {
+            let answer = send_repeated(second, first).receive_line();
+            assert_eq!(answer, "ERR", "{situation}");
+        }
+        assert!(fixture.hosts.accept_soon().is_none(), "{situation}");
+        first.unsuspend();
+    }
+}
+
+/// Guards against a successor that does not know the ids of requests from before its start.
+#[test]
+fn a_request_whose_id_comes_again_after_the_predecessor_has_stopped_is_not_sent_again() {
+    let mut fixture = Fixture::new(1);
+    fixture.node_config["settings"]["offerings"][0]["effect"] = json!("single_shot");
+    let mut predecessor = fixture.start();
+    for answer in ["ERR", "UP 1"] {
+        let mut client = Peer::connect(predecessor.address);
+        client.send_line(&REPEATED.replace("5a5a", &answer[..2]));
+        let (_, mut host) = fixture.hosts.accept();
+        host.receive_line();
+        host.send_line(answer);
+        client.expect_line(answer);
+    }
+    let successor = fixture.start();
+    predecessor.stop();
+    expect_clean_exit(&mut predecessor);
+    for answer in ["ERR", "UP 1"] {
+        let mut client = Peer::connect(successor.address);
+        client.send_line(&REPEATED.replace("5a5a", &answer[..2]));
+        client.expect_line("ERR");
+    }
+    assert!(fixture.hosts.accept_soon().is_none());
+}
+
+/// Guards against an id that stays taken at the other process though no attempt of its request can have run.
+#[test]
+fn an_id_whose_request_has_not_run_may_come_again_at_the_other_process() {
+    let mut fixture = Fixture::new(1);
+    fixture.node_config["settings"]["offerings"][0]["effect"] = json!("single_shot");
+    let (predecessor, successor) = (fixture.start(), fixture.start());
+    let mut client = send_repeated(&predecessor, &successor);
+    let (_, mut host) = fixture.hosts.accept();
+    host.receive_line();
+    host.send_line("BUSY");
+    drop(host);
+    assert!(client.receive_line().starts_with("BUSY"));
+    predecessor.suspend();
+    successor.unsuspend();
+    eventually("the request is not sent again", || {
+        let mut client = send_repeated(&successor, &predecessor);
+        let Some((_, mut host)) = fixture.hosts.accept_soon() else {
+            return false;
+        };
+        host.receive_line();
+        host.send_line("UP 1");
+        client.expect_line("UP 1");
+        true
+    });
+    predecessor.unsuspend();
+}
