Test kit: no process is started while a test closes a connection

What was seen: a_client_that_leaves_between_two_attempts_gets_no_retry failed in 1 of 16 runs of its file, eight at once.

Cause: a process that is being started holds copies of all descriptors of the test until it runs its program, so the client had not left.

Change: spawn_guard keeps starts and closes apart; a start is over when the new process has closed its copies, told by a pipe with a high descriptor.

--- a/testkit/src/peers.rs
+++ b/testkit/src/peers.rs
@@ -1,6 +1,7 @@
 //! Scripted peers: clients and hosts that send and expect lines as a test tells them. No read waits longer than
 //! [`MAX_WAIT`]. Peers that run on their own are in [`crate::simulated`].
 
+use crate::spawn_guard::Closing;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -16,6 +17,14 @@
     /// The connection itself.
     pub stream: TcpStream,
     reader: BufReader<TcpStream>,
+    /// Dropped after the sockets, which are closed while it is held.
+    closing: Option<Closing>,
+}
+
+impl Drop for Peer {
+    fn drop(&mut self) {
+        self.closing = Some(Closing::begin());
+    }
 }
 
 impl Peer {
@@ -26,6 +35,7 @@
         Peer {
             reader: BufReader::new(stream.try_clone().unwrap()),
             stream,
+            closing: None,
         }
     }
 
--- a/testkit/src/program/node.rs
+++ b/testkit/src/program/node.rs
@@ -6,6 +6,7 @@
 use super::ops_call::send_call;
 use super::process::Process;
 use crate::peers::{unused_address, Hosts, Peer, OPEN};
+use crate::spawn_guard;
 use crate::syscalls::{SyscallInjector, TracedProcess};
 use rustix::process::Signal;
 use serde_json::Value;
@@ -109,7 +110,7 @@
     }
 
     fn run(mut launch: Launch) -> Self {
-        let mut child = launch.command.spawn().unwrap();
+        let mut child = spawn_guard::spawn(&mut launch.command).unwrap();
         let stderr = child.stderr.take().unwrap();
         let (node_config_file, operator_config_file) =
             (launch.node_config_file, launch.operator_config_file);
@@ -263,6 +264,11 @@
         self.process.memory()
     }
 
+    /// Returns the largest resident memory that the process has had, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        self.process.peak_memory()
+    }
+
     /// Returns the processor time that the process has used.
     pub fn cpu_time(&self) -> Duration {
         self.process.cpu_time()
--- a/testkit/src/program/process.rs
+++ b/testkit/src/program/process.rs
@@ -76,12 +76,22 @@
 
     /// Returns the resident memory of the process, in bytes.
     pub(super) fn memory(&self) -> usize {
+        self.status_bytes("VmRSS:")
+    }
+
+    /// Returns the largest resident memory that the process has had, in bytes.
+    pub(super) fn peak_memory(&self) -> usize {
+        self.status_bytes("VmHWM:")
+    }
+
+    /// Returns the value of a field of `/proc/PID/status` that is given in KiB, in bytes.
+    fn status_bytes(&self, field: &str) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap();
-        let resident = status
+        let value = status
             .lines()
-            .find_map(|line| line.strip_prefix("VmRSS:"))
+            .find_map(|line| line.strip_prefix(field))
             .unwrap();
-        let kibibytes: usize = resident.split_whitespace().next().unwrap().parse().unwrap();
+        let kibibytes: usize = value.split_whitespace().next().unwrap().parse().unwrap();
         kibibytes << 10
     }
 
--- a/testkit/src/syscalls/process.rs
+++ b/testkit/src/syscalls/process.rs
@@ -3,6 +3,7 @@
 use super::filter::seccomp_filter;
 use super::tracer::Tracer;
 use super::SyscallInjector;
+use crate::spawn_guard;
 use std::io;
 use std::os::unix::process::CommandExt;
 use std::process::{ChildStderr, Command, ExitStatus};
@@ -31,7 +32,7 @@
             let filter = seccomp_filter();
             // SAFETY: the closure only makes calls that are safe after a fork, on memory allocated before it.
             unsafe { command.pre_exec(move || trace_me(&filter)) };
-            match command.spawn() {
+            match spawn_guard::spawn(&mut command) {
                 Ok(mut child) => {
                     let pid = child.id() as libc::pid_t;
                     let stderr = child.stderr.take().expect("standard error is not piped");
