--- a/testkit/src/fleet/processes.rs
+++ b/testkit/src/fleet/processes.rs
@@ -31,6 +31,8 @@
     load_probes: bool,
     /// The `effect` setting of the request class.
     effect: &'static str,
+    /// The limits of each process on memory, in MiB, and on descriptors; `None` for those of the base config.
+    limits: Option<(usize, usize)>,
     /// How long replicas keep request records; `None` if requests are not replicated.
     record_lifetime: Option<Duration>,
     /// The cluster size in the settings; processes with higher numbers have no index of their own.
@@ -57,6 +59,7 @@
             configured_alone: false,
             load_probes: false,
             effect: "free",
+            limits: None,
             record_lifetime: None,
             cluster_size: nodes,
             fleet_view: None,
@@ -105,6 +108,12 @@
         self
     }
 
+    /// Sets the limits of each process on memory, in MiB, and on descriptors.
+    pub fn with_limits(mut self, memory_mb: usize, sockets: usize) -> Self {
+        self.limits = Some((memory_mb, sockets));
+        self
+    }
+
     /// Configures each process as if it were the only one that calls the list service.
     pub fn with_each_configured_alone(mut self) -> Self {
         self.configured_alone = true;
@@ -129,6 +138,10 @@
         if self.fleet_view.is_some() {
             node_config["ops"] = json!("127.0.0.1:0");
         }
+        if let Some((memory_mb, sockets)) = self.limits {
+            node_config["limits"] =
+                json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets});
+        }
         self.configure(&mut node_config["settings"], node);
         node_config
     }
--- a/testkit/src/fleet/processes_tests.rs
+++ b/testkit/src/fleet/processes_tests.rs
@@ -22,6 +22,7 @@
         configured_alone: false,
         load_probes: false,
         effect: "free",
+        limits: None,
         record_lifetime: None,
         cluster_size: 0,
         fleet_view: None,
