Discovery: a turn reads a bounded part of a long answer

Cause: DiscoveryClient::read read a call until its socket was empty; only 32 MiB or 65,536 members ended it.

Change: at most 16 buffers of a call in a turn, after which the poller reports the socket again.

--- a/node/src/discovery/client/mod.rs
+++ b/node/src/discovery/client/mod.rs
@@ -13,7 +13,7 @@
 use reedferry::permission::usable_grace;
 use reedferry::{BalancerSettings, Nanos, MILLI, SECOND};
 use reedferry_runtime::errors::{classify_connect, ConnectFailure};
-use reedferry_runtime::{DescriptorBudget, Readiness};
+use reedferry_runtime::{DescriptorBudget, PollToken, Readiness};
 use slog::warn;
 use std::net::SocketAddr;
 
@@ -23,6 +23,9 @@
 /// The time within which an answer counts as immediate. A later one has waited for a change.
 const IMMEDIATE_ANSWER_TIME: Nanos = SECOND / 5;
 
+/// The maximum number of buffers that are read of one call in a turn, which is the list of some eight hundred hosts.
+const MAX_READS_PER_TURN: usize = 16;
+
 /// The slot of the call that waits for changes.
 const WATCH: usize = 0;
 /// The slot of the call for the full list.
@@ -227,7 +230,8 @@
         }
     }
 
-    /// Reads everything that has arrived for one call.
+    /// Reads what has arrived for one call, up to [`MAX_READS_PER_TURN`] buffers. The rest follows in the next turn.
+    /// Without the limit, a long answer would hold up all clients until its end.
     fn read(&mut self, context: &mut Context, slot: usize) {
         if self.calls[slot].connection.is_none() {
             return;
@@ -236,7 +240,7 @@
         let Some(mut buffer) = context.pool.take() else {
             return;
         };
-        loop {
+        for _ in 0..MAX_READS_PER_TURN {
             let body_deadline = self.staleness.body_deadline(context.now);
             let outcome = self.calls[slot].read(&mut buffer, body_deadline);
             self.report_connected(context, slot);
@@ -253,6 +257,22 @@
                 ReadOutcome::Malformed(error) => return self.on_failed(context, slot, error),
             }
         }
+        self.report_again(context, slot);
+    }
+
+    /// Has the poller report the socket of a call once more, as it reports each arrival only once. If that fails, the next
+    /// sweep reads on.
+    fn report_again(&self, context: &Context, slot: usize) {
+        if let Some(connection) = &self.calls[slot].connection {
+            let token = PollToken {
+                component: DISCOVERY,
+                slot: slot as u32,
+                generation: connection.generation,
+            };
+            _ = context
+                .poller
+                .update_registration(&connection.socket, token);
+        }
     }
 
     /// Ends calls that have not been answered in time, and sends the watch if it is due.
