Hot restart: the first notices about ids follow the state, not in a message of their own

Its stand-in of a successor answers each message after the state as a connection, and sent one with no notices in it, to say that the predecessor takes some.

Change: the first notices are appended to the state, of which an older successor ignores what follows. Later ones go out only when there are ids to tell.

--- a/node/src/roles/hot_restart/messages.rs
+++ b/node/src/roles/hot_restart/messages.rs
@@ -65,15 +65,15 @@
     }
 }
 
-/// The first bytes of a chunk with notices about ids, which tell it from a chunk of the state that arrives late.
+/// The first bytes of notices about ids, which tell them from a part of the state that arrives late.
 const ID_NOTICES_TAG: &[u8] = b"id notices";
 
-/// Encodes notices about ids as the content of a [`FromPredecessor::StateChunk`].
+/// Encodes notices about ids, which follow the state or are the content of a later [`FromPredecessor::StateChunk`].
 pub(super) fn encode_id_notices(notices: &[IdNotice]) -> Vec<u8> {
     [ID_NOTICES_TAG, &encode(&notices)].concat()
 }
 
-/// Decodes the content of a chunk that comes after the state. Returns `None` if it holds no notices about ids.
+/// Decodes what follows the state. Returns `None` if it holds no notices about ids.
 pub(super) fn decode_id_notices(chunk: &[u8]) -> Option<Vec<IdNotice>> {
     postcard::from_bytes(chunk.strip_prefix(ID_NOTICES_TAG)?).ok()
 }
--- a/node/src/roles/hot_restart/mod.rs
+++ b/node/src/roles/hot_restart/mod.rs
@@ -345,9 +345,7 @@
         let Some(successor) = &mut self.successor else {
             return;
         };
-        let bytes = successor.queue_state(state);
-        // Without any notices, the empty message tells the successor that it may send its own.
-        successor.queue_id_notices(&connections.all_id_notices(context));
+        let bytes = successor.queue_state(state, &connections.all_id_notices(context));
         connections.enable_id_notices(true);
         context.events.push(Event::SuccessorChanged(true));
         info!(context.log, "successor connected"; "state_bytes" => bytes);
@@ -357,6 +355,9 @@
     /// Sends the notices about ids to the other process, if there is one. To be called once a turn, after attempts were
     /// started and before their hosts are written to.
     pub fn exchange_id_notices(&mut self, context: &mut Context, connections: &mut Connections) {
+        if let Some(predecessor) = &mut self.predecessor {
+            predecessor.apply_inherited_notices(context, connections);
+        }
         let notices = connections.take_id_notices();
         let successor = self.successor.as_mut().filter(|s| s.takes_id_notices());
         let predecessor = self.predecessor.as_mut().filter(|p| p.takes_id_notices());
--- a/node/src/roles/hot_restart/predecessor.rs
+++ b/node/src/roles/hot_restart/predecessor.rs
@@ -27,7 +27,8 @@
 
 /// How the wait for the state ended.
 enum StateTransfer {
-    Complete(Box<TransferredState>),
+    /// The state, and the notices about ids that followed it; `None` if the predecessor is an older one.
+    Complete(Box<TransferredState>, Option<Vec<IdNotice>>),
     TimedOut,
     /// The predecessor closed the channel or sent an invalid message or too long a state; it may speak another protocol
     /// version.
@@ -50,6 +51,8 @@
     pending_reply: Option<PendingReply>,
     /// Whether the predecessor has sent notices about ids, and so takes those of this process.
     takes_id_notices: bool,
+    /// The notices that came with the state, until they are applied.
+    inherited_notices: Option<Vec<IdNotice>>,
     /// The encoded notices that are not sent yet.
     outgoing: VecDeque<Vec<u8>>,
 }
@@ -66,11 +69,11 @@
             channel.send_with_descriptors(&encode(&FromSuccessor::Hello(VERSION)), &[])
         })
         .ok()?;
-        let state = match receive_state(context, clock, &channel) {
-            StateTransfer::Complete(state) => Some(*state),
+        let (state, inherited_notices) = match receive_state(context, clock, &channel) {
+            StateTransfer::Complete(state, notices) => (Some(*state), notices),
             StateTransfer::TimedOut => {
                 warn!(context.log, "no state from the predecessor in time");
-                None
+                (None, None)
             }
             StateTransfer::Failed => return None,
         };
@@ -79,6 +82,7 @@
             generation: context.next_generation(),
             pending_reply: None,
             takes_id_notices: false,
+            inherited_notices,
             outgoing: VecDeque::new(),
         };
         let watched = context
@@ -149,9 +153,24 @@
     }
 
     fn apply_id_notices(&mut self, context: &Context, connections: &mut Connections, chunk: &[u8]) {
-        let Some(notices) = decode_id_notices(chunk) else {
-            return;
-        };
+        if let Some(notices) = decode_id_notices(chunk) {
+            self.apply_notices(context, connections, notices);
+        }
+    }
+
+    /// Applies the notices that came with the state.
+    pub fn apply_inherited_notices(&mut self, context: &Context, connections: &mut Connections) {
+        if let Some(notices) = self.inherited_notices.take() {
+            self.apply_notices(context, connections, notices);
+        }
+    }
+
+    fn apply_notices(
+        &mut self,
+        context: &Context,
+        connections: &mut Connections,
+        notices: Vec<IdNotice>,
+    ) {
         if !std::mem::replace(&mut self.takes_id_notices, true) {
             self.queue_id_notices(&connections.all_id_notices(context));
             connections.enable_id_notices(true);
@@ -240,8 +259,10 @@
             return StateTransfer::Failed;
         }
         if last {
-            return match postcard::from_bytes(&state) {
-                Ok(state) => StateTransfer::Complete(Box::new(state)),
+            return match postcard::take_from_bytes(&state) {
+                Ok((state, rest)) => {
+                    StateTransfer::Complete(Box::new(state), decode_id_notices(rest))
+                }
                 Err(_) => StateTransfer::Failed,
             };
         }
--- a/node/src/roles/hot_restart/successor.rs
+++ b/node/src/roles/hot_restart/successor.rs
@@ -81,9 +81,10 @@
         std::mem::take(&mut self.state_requested)
     }
 
-    /// Queues the encoded state in chunks, and returns its total length in bytes.
-    pub fn queue_state(&mut self, state: &TransferredState) -> usize {
-        let bytes = encode(state);
+    /// Queues the encoded state in chunks, and returns its total length in bytes. Notices about the ids that this process
+    /// knows follow the state; an older successor ignores what follows it.
+    pub fn queue_state(&mut self, state: &TransferredState, notices: &[IdNotice]) -> usize {
+        let bytes = [encode(state), encode_id_notices(notices)].concat();
         let chunks = bytes.chunks(STATE_CHUNK_BYTES);
         let last = chunks.len().saturating_sub(1);
         for (index, chunk) in chunks.enumerate() {
@@ -99,13 +100,11 @@
         self.state_queued && !self.abandoned
     }
 
-    /// Queues notices about ids, in one message at least.
+    /// Queues notices about ids.
     pub fn queue_id_notices(&mut self, notices: &[IdNotice]) {
-        for start in (0..notices.len().max(1)).step_by(ID_NOTICES_PER_MESSAGE) {
-            let end = notices.len().min(start + ID_NOTICES_PER_MESSAGE);
-            let chunk = encode_id_notices(&notices[start..end]);
-            self.outgoing
-                .push_back(encode(&FromPredecessor::StateChunk(chunk, false)));
+        for notices in notices.chunks(ID_NOTICES_PER_MESSAGE) {
+            let message = FromPredecessor::StateChunk(encode_id_notices(notices), false);
+            self.outgoing.push_back(encode(&message));
         }
     }
 
