--- a/node/tests/departures_by_path.rs
+++ b/node/tests/departures_by_path.rs
@@ -5,7 +5,7 @@
 use reedferry_testkit::fleet_view::FleetView;
 use reedferry_testkit::network::FaultyNetwork;
 use reedferry_testkit::program::node_config_of;
-use reedferry_testkit::simulated::{Hosts, InvariantChecker};
+use reedferry_testkit::simulated::{HostBehavior, Hosts, InvariantChecker};
 use reedferry_testkit::two_tier_cluster::TwoTierCluster;
 use reedferry_testkit::{eventually, folder, listener, Discovery, Node, Peer};
 use serde_json::json;
@@ -149,4 +149,28 @@
     assert!(fleet.agrees_within(PERIOD * 60).is_some());
     let node = fleet.nodes[0].as_ref().unwrap();
     assert_departed_get_no_attempt("request records", node.address, "chat", &[node], &checker);
+    assert_repeated_id_is_not_sent_again(node, &hosts, &checker);
+}
+
+/// Has a client leave a node whose hosts say nothing, and checks that its request is not sent again when its id comes
+/// again.
+fn assert_repeated_id_is_not_sent_again(node: &Node, hosts: &Hosts, checker: &InvariantChecker) {
+    (0..2).for_each(|host| hosts.set_behavior(host, HostBehavior::Silent));
+    let line = format!("OPEN again {REQUEST}")
+        .replace("CLASS", "chat")
+        .replace("7f3a", "7f3b");
+    let attempts = || {
+        let reached = checker.reached();
+        reached.iter().filter(|one| one.name == "again").count()
+    };
+    let mut client = Peer::connect(node.address);
+    client.send_line(&line);
+    eventually("the request reaches no host", || attempts() == 1);
+    drop(client);
+    for suffix in ["", ",again=1", ",r=1"] {
+        let mut client = Peer::connect(node.address);
+        client.send_line(&format!("{line}{suffix}"));
+        client.expect_line("ERR");
+    }
+    assert_eq!(attempts(), 1);
 }
