List staleness: a pushed watch that is sent again is no open watch until it is answered

What callers saw: requests sent to draining hosts for up to 1.5 s by a node with pushed lists whose watch broke within 0.25 s of being sent, while a busy service let the repeated call wait for its turn.

Cause: such a break over a reused connection is taken for one that the service closed while idle, and the call is sent again without a word to the staleness core, which counted the watch as open (6 s) although nothing was watched.

Change: the client reports it (record_watch_resent); the core counts the service as unwatched from the end of the first watch on, as for any broken pushed watch, once the repeated call's connection is up.

A unit test; the rule test draws services that close each connection after its first answer, and fails with the mend taken out.

--- a/node/src/discovery/client/failures.rs
+++ b/node/src/discovery/client/failures.rs
@@ -25,6 +25,9 @@
         }
         let just_sent = context.now < call.started_at + IDLE_CLOSE_WINDOW;
         if call.reused && !call.response.has_begun() && just_sent {
+            if slot == WATCH {
+                self.staleness.record_watch_resent(context.now);
+            }
             // The repeated call waits for only 1 ms. The service may have restarted, and a longer call would wait
             // for its revisions to pass the known one.
             return self.send_call(context, slot, MILLI);
--- a/node/src/discovery/staleness.rs
+++ b/node/src/discovery/staleness.rs
@@ -364,14 +364,7 @@
         failure: CallFailure,
         watch_deadline: Option<Nanos>,
     ) -> Nanos {
-        // A continuous watch has delivered every change until it ended, unless it was silent. While no call was
-        // in flight, changes may have been missed.
-        let continuous = self.accountable_from.is_none()
-            && failure != CallFailure::Silent
-            && self.call_started_at <= self.known_until + MIN_EMPTY_WATCH_INTERVAL;
-        if continuous {
-            self.known_until = self.last_awake.max(self.call_started_at).min(now);
-        }
+        let continuous = failure != CallFailure::Silent && self.extend_known_until(now);
         let connected = self.connected_at.is_some_and(|at| at > self.known_until);
         let reached_before = self.service_reached;
         self.service_reached |= connected && !continuous;
@@ -393,6 +386,27 @@
         }
     }
 
+    /// Moves the moment up to which all changes are known to the end of the watch in flight, which ends at `now`, if
+    /// the watch is continuous. Returns whether it is. A continuous watch has delivered every change until it ended,
+    /// but for one that fell silent. While no call was in flight, changes may have been missed.
+    fn extend_known_until(&mut self, now: Nanos) -> bool {
+        let continuous = self.accountable_from.is_none()
+            && self.call_started_at <= self.known_until + MIN_EMPTY_WATCH_INTERVAL;
+        if continuous {
+            self.known_until = self.last_awake.max(self.call_started_at).min(now);
+        }
+        continuous
+    }
+
+    /// Records that the connection of the watch in flight has ended and that the watch is sent again at once, as a
+    /// connection that the service closed while it was idle is no failure. Until the answer to the repeated watch, the
+    /// service is not watched. Without this record, a node would send new work to hosts that drain while a pushing
+    /// service lets the repeated watch wait for its turn.
+    pub fn record_watch_resent(&mut self, now: Nanos) {
+        self.extend_known_until(now);
+        self.unwatched_since.get_or_insert(self.known_until);
+    }
+
     /// Records for a pushing service since when it has not been watched, and whether it was up, given a watch that
     /// fails at `now`. `first` tells whether it is the first failure since the last answer. A call that is reset or
     /// rejected sooner than it can have waited for its turn says nothing of that: the service may be down.
--- a/node/src/discovery/staleness_rule_tests.rs
+++ b/node/src/discovery/staleness_rule_tests.rs
@@ -51,6 +51,8 @@
     turn: Nanos,
     /// Whether the open watch is reset at the beginning.
     resets_watch: bool,
+    /// Whether each connection is closed after its first answer, so that the next call has to be sent again.
+    closes_idle: bool,
     /// Whether the open watch falls silent at the beginning.
     silences_watch: bool,
     /// Whether the node is switched to another service at the beginning.
@@ -78,15 +80,26 @@
         turn,
         prop::bool::ANY,
         prop::bool::weighted(0.2),
+        prop::bool::weighted(0.2),
         prop::bool::weighted(0.1),
         prop::option::of(steps(0..1500)),
     );
     let period = period.prop_map(
-        |(condition, length, turn, resets_watch, silences_watch, switches, change_after)| Period {
+        |(
+            condition,
+            length,
+            turn,
+            resets_watch,
+            closes_idle,
+            silences_watch,
+            switches,
+            change_after,
+        )| Period {
             condition,
             length,
             turn,
             resets_watch,
+            closes_idle,
             silences_watch,
             switches,
             change_after: change_after.filter(|after| *after < length),
@@ -288,12 +301,17 @@
 
     fn send_call(&mut self, period: &Period) {
         let now = self.now;
-        let max_wait = if self.staleness.may_have_missed() {
+        let mut max_wait = if self.staleness.may_have_missed() {
             MILLI
         } else {
             self.staleness.watch_wait()
         };
         self.staleness.record_watch_start(now, max_wait);
+        let is_closed = period.closes_idle && period.condition != Condition::Vanished;
+        if is_closed && !self.reconnects {
+            max_wait = MILLI;
+            self.send_again();
+        }
         let connected = period.condition.is_reachable();
         if connected && self.reconnects {
             self.staleness.record_connected(now);
@@ -321,6 +339,16 @@
         self.call = Some(call);
     }
 
+    /// Sends the watch again, as its connection ended when it was sent.
+    fn send_again(&mut self) {
+        let now = self.now;
+        self.reconnects = true;
+        self.call_failed = true;
+        self.first_failure.get_or_insert(now);
+        self.staleness.record_watch_resent(now);
+        self.staleness.record_watch_start(now, MILLI);
+    }
+
     /// Ends the call in flight if it is due.
     fn advance_call(&mut self) {
         let Some(call) = self.call else { return };
--- a/node/src/discovery/staleness_tests.rs
+++ b/node/src/discovery/staleness_tests.rs
@@ -356,6 +356,26 @@
     assert_eq!(staleness.stale_window().start, Nanos::MAX);
 }
 
+/// Guards against a node that takes no notice of a pushed watch which is sent again, as the service closed its
+/// connection while it was idle, and which then waits for its turn.
+#[test]
+fn a_pushed_watch_that_is_sent_again_counts_at_once_while_it_waits() {
+    let mut staleness = staleness_of_node(0, 1, true);
+    let answered_at = 10 * SECOND;
+    staleness.record_answer(answered_at);
+    staleness.record_watch_start(answered_at, staleness.watch_wait());
+    staleness.record_awake(answered_at + 100 * MILLI);
+    let ended_at = answered_at + 100 * MILLI;
+    staleness.record_watch_resent(ended_at);
+    staleness.record_watch_start(ended_at, MILLI);
+    // As long as no connection comes up, the service may be down.
+    assert!(staleness.stale_window().start > ended_at + NOTIFICATION_TIMEOUT);
+    staleness.record_connected(ended_at + MILLI);
+    assert_eq!(staleness.stale_window().start, ended_at + GRACE);
+    staleness.record_answer(ended_at + SECOND);
+    assert_eq!(staleness.stale_window().start, Nanos::MAX);
+}
+
 /// Guards against a call that this machine could not make, and that is taken for a sign that the service was not there.
 #[test]
 fn a_call_that_this_machine_could_not_make_says_nothing_of_a_pushing_service() {
--- a/node/tests/silence.rs
+++ b/node/tests/silence.rs
@@ -595,19 +595,21 @@
     });
 }
 
-/// Guards against a node that goes on by its old list for seconds after a pushed watch broke, while its renewed call
-/// waits for its turn: what a pushing service has counts as delivered whether or not it is watched.
-#[test]
-fn a_drain_is_honored_at_once_though_the_renewed_call_for_a_pushed_list_waits() {
-    const CALL_TIME: Duration = Duration::from_millis(1500);
-    let site = Site::new("pushed", 1, 1);
+/// The time that each call waits for its turn at the service in [`serve_while_the_renewed_call_waits`].
+const RENEWED_CALL_TIME: Duration = Duration::from_millis(1500);
+
+/// Ends the watch of the only node of a pushing service, drains all hosts but one, and sends clients while the renewed
+/// call waits for its turn. Asserts that the drains are honored from the end of the watch on, and that the node
+/// serves again once the call has been answered.
+fn serve_while_the_renewed_call_waits(site: &Site) {
+    let calls_per_second = 1.0 / RENEWED_CALL_TIME.as_secs_f64();
     site.service
-        .limit_rate(1.0 / CALL_TIME.as_secs_f64(), Duration::from_secs(60));
+        .limit_rate(calls_per_second, Duration::from_secs(60));
     let members: Vec<_> = (0..HOSTS).map(|h| site.hosts.member(h, "active")).collect();
     let ended = site.service.restart(1, &members);
     (0..HOSTS - 1).for_each(|host| site.drain(host));
     let mut clients = Clients::new(vec![site.nodes[0].address], &site.checker, 1);
-    clients.load(60.0, CALL_TIME + ms(2000), &[0], ms(20));
+    clients.load(60.0, RENEWED_CALL_TIME + ms(2000), &[0], ms(20));
     clients.end();
     let late_from = ended + DRAIN_GRACE + SOCKET_SLACK + BUSY_MACHINE_DELAY;
     let reached = site.checker.reached();
@@ -622,14 +624,36 @@
         site.nodes[0].drain_log()
     );
     assert_eq!(site.checker.broken(ms(60_000)), Vec::<String>::new());
-    // The node serves again once the call has been answered.
-    let answered_by = ended + 2 * CALL_TIME;
+    let answered_by = ended + 2 * RENEWED_CALL_TIME;
     assert!(
         reached.iter().any(|one| one.at > answered_by),
         "closed to new requests"
     );
 }
 
+/// Guards against a node that goes on by its old list for seconds after a pushed watch broke, while its renewed call
+/// waits for its turn: what a pushing service has counts as delivered whether or not it is watched.
+#[test]
+fn a_drain_is_honored_at_once_though_the_renewed_call_for_a_pushed_list_waits() {
+    let site = Site::new("pushed", 1, 1);
+    // The watch is open, and has been for so long that its end is not taken for that of an idle connection.
+    site.service.calls(2);
+    let mut clients = Clients::new(vec![site.nodes[0].address], &site.checker, 2);
+    clients.load(60.0, ms(500), &[0], ms(20));
+    clients.end();
+    serve_while_the_renewed_call_waits(&site);
+}
+
+/// Guards against a node that takes a pushed watch which breaks right after it was sent for one that was closed while
+/// idle, and goes on by its old list until the repeated call is answered.
+#[test]
+fn a_drain_is_honored_at_once_though_the_pushed_watch_broke_right_after_it_was_sent() {
+    let site = Site::new("pushed", 1, 1);
+    // The watch has only just been sent, over the connection that served the first call.
+    site.service.calls(2);
+    serve_while_the_renewed_call_waits(&site);
+}
+
 /// Guards against a node that rejects all work while a pushing service is down, as if each call that it ends at once
 /// showed that it is up.
 #[test]
