Tests: the idle clients' test keeps its connections open until the last one is checked

A node that is behind sees the hosts' ends first; a host that closes many connections at once counts as broken, its load limit is halved and the clients of the rest are migrated, by design.

The product is unchanged.

--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -366,7 +366,9 @@
         );
         assert!(node.descriptors() <= 256);
     }
-    for (mut client, _, mut host) in served {
+    // All connections stay open until the last one is checked. A host that closes many at once counts as broken, and
+    // the clients of the others are migrated.
+    for (client, _, host) in &mut served {
         client.send_line("still");
         host.expect_line("still");
     }
