Request records: the key of a record depends on the name of its class, not its index

Cause: record_key mixed the index of the class, which each process numbers on its own. A class whose terms change at a reload gets a new index where a connection still refers to the old terms, and the old index elsewhere.

Change: the key is xxh3 of the idempotency key and the class's name.

--- a/node/src/peers/replication.rs
+++ b/node/src/peers/replication.rs
@@ -19,6 +19,7 @@
 use serde_json::json;
 use slog::warn;
 use std::collections::{HashMap, HashSet};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How long a client whose request is rejected here is asked to wait before it retries, in nanoseconds.
 const RETRY_AFTER: Nanos = SECOND;
@@ -169,7 +170,8 @@
         let Some(client_key) = incoming.key.filter(|_| !self.keys.contains_key(&id)) else {
             return true;
         };
-        let key = record_key(client_key, incoming.class);
+        let class_name = context.settings.classes.get(incoming.class);
+        let key = record_key(client_key, class_name.map_or("", String::as_str));
         if self.requests.contains_key(&key) {
             self.reject(id);
             return false;
@@ -411,9 +413,11 @@
 }
 
 /// Returns the key of a request's record. It depends on the class as well, because two classes may use the same idempotency
-/// key.
-fn record_key(client_key: u64, class: usize) -> u64 {
-    client_key.rotate_left(17) ^ (class as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+/// key. All nodes have to compute the same key, so it depends on the name of the class and not on its index: each process
+/// numbers the classes on its own, and again at each reload. The terms of the class don't count either, as nodes reload one
+/// after another, and the record has to be found in between.
+fn record_key(client_key: u64, class_name: &str) -> u64 {
+    xxh3_64_with_seed(class_name.as_bytes(), client_key)
 }
 
 #[cfg(test)]
--- a/node/src/peers/replication_bytes_tests.rs
+++ b/node/src/peers/replication_bytes_tests.rs
@@ -44,3 +44,11 @@
     assert_eq!(hex(&history), "0301888e98a8c0e080810180a8d6b907020809");
     assert_eq!(hex(&AttemptHistory::default()), "000000");
 }
+
+/// Guards against keys that differ between builds or nodes: the records of one node would not be found by the others.
+#[test]
+fn the_key_of_a_record_stays_the_same() {
+    assert_eq!(record_key(0x7f3a, "chat"), 0xa05f_0c86_deb7_e4d5);
+    assert_ne!(record_key(0x7f3a, "chat"), record_key(0x7f3a, "pay"));
+    assert_ne!(record_key(0x7f3a, "chat"), record_key(0x7f3b, "chat"));
+}
--- a/node/tests/replication.rs
+++ b/node/tests/replication.rs
@@ -165,6 +165,37 @@
     });
 }
 
+/// Guards against nodes that look for the record of one request under different keys, because they have numbered the
+/// classes of their settings differently since a reload.
+#[test]
+fn after_a_reload_a_request_is_not_retried_when_its_node_is_killed() {
+    let mut fixture = Fixture::new(3, "single_shot", Some(RETENTION));
+    // A node with a request in flight keeps the old terms of the class for that request, and the others do not.
+    let in_flight = fixture.open(0, 1000, false);
+    eventually("the request is at the host", || {
+        fixture.sent_count(1000) == 1
+    });
+    fixture.fleet.change_class_terms(450.0, &[], 1);
+    for node in fixture.fleet.nodes.iter().flatten() {
+        node.wait_for_log("configuration reloaded");
+    }
+    let clients: Vec<Peer> = (0..10).map(|key| fixture.open(0, key, false)).collect();
+    eventually("all requests are at the host", || {
+        (0..10).all(|key| fixture.sent_count(key) == 1)
+    });
+    fixture.fleet.kill(0, Duration::ZERO);
+    let mut retries: Vec<Peer> = (0..10)
+        .map(|key| fixture.open(1 + key % 2, key, true))
+        .collect();
+    let answers: Vec<String> = retries.iter_mut().map(Peer::receive_line).collect();
+    assert!(
+        answers.iter().all(|line| line.starts_with("ERR")),
+        "{answers:?}"
+    );
+    assert!((0..10).all(|key| fixture.sent_count(key) == 1));
+    drop((in_flight, clients));
+}
+
 /// Guards against a request with an idempotency key that is retried after its hosts have forgotten the first attempt, or that is not
 /// retried while they drop duplicates.
 #[test]
--- a/testkit/src/fleet/processes.rs
+++ b/testkit/src/fleet/processes.rs
@@ -31,6 +31,8 @@
     load_probes: bool,
     /// The `effect` setting of the request class.
     effect: &'static str,
+    /// The usual duration of a request of the class, in milliseconds; `None` for that of the base config.
+    usual_duration: Option<f64>,
     /// The limits of each process on memory, in MiB, and on descriptors; `None` for those of the base config.
     limits: Option<(usize, usize)>,
     /// How long replicas keep request records; `None` if requests are not replicated.
@@ -59,6 +61,7 @@
             configured_alone: false,
             load_probes: false,
             effect: "free",
+            usual_duration: None,
             limits: None,
             record_lifetime: None,
             cluster_size: nodes,
@@ -152,6 +155,9 @@
             settings["policy_limits"]["peers"] = json!(true);
         }
         settings["offerings"][0]["effect"] = json!(self.effect);
+        if let Some(duration) = self.usual_duration {
+            settings["offerings"][0]["contract_time"] = json!(duration);
+        }
         if self.effect == "guarded" {
             settings["offerings"][0]["repeat_window"] = millis(IDEMPOTENCY_WINDOW);
         }
@@ -236,6 +242,12 @@
         self.reload(numbers, known, revision);
     }
 
+    /// Makes all running processes reload a config in which the terms of the request class differ.
+    pub fn change_class_terms(&mut self, usual_duration: f64, known: &[Value], revision: u64) {
+        self.usual_duration = Some(usual_duration);
+        self.reload(0..self.nodes.len(), known, revision);
+    }
+
     fn reload(&self, numbers: Range<usize>, known: &[Value], revision: u64) {
         for number in numbers {
             let node_config = self.node_config(number, known, revision).to_string();
--- a/testkit/src/fleet/processes_tests.rs
+++ b/testkit/src/fleet/processes_tests.rs
@@ -13,21 +13,7 @@
             _ = BufReader::new(stream).read_line(&mut String::new());
         }
     });
-    let mut fleet = Fleet {
-        nodes: Vec::new(),
-        front: Front::default(),
-        program: PathBuf::new(),
-        discovery: address,
-        options: FleetOptions::TRIAL,
-        configured_alone: false,
-        load_probes: false,
-        effect: "free",
-        limits: None,
-        record_lifetime: None,
-        cluster_size: 0,
-        fleet_view: None,
-        ended: Vec::new(),
-    };
+    let mut fleet = Fleet::new(0, address, FleetOptions::TRIAL).with_program(PathBuf::new());
     fleet.front.add(address);
     let mut returning_clients = ReturningClients::start(1, &fleet.front, Duration::ZERO, None, 1);
     eventually("the client has sent two requests", || {
