Request records: of two records of one ballot the later one is believed

Cause: all records of an owner are under one ballot, and the coordinator took the one that its replica had held longer, the older one. Replicas did not keep the sequence number, nor refuse an earlier record that arrives late.

Change: replicas keep and return (ballot, sequence number), and reject an earlier record with a reason of its own (RejectReason); the coordinator takes the highest. On the wire one field more at the end of AcceptedRecord and one variant more: the pinned bytes of the other messages are unchanged, the test of the longer one has the new bytes. /status/fleet says whether a node votes, which the new fixture waits for.

--- a/node/src/peers/replication.rs
+++ b/node/src/peers/replication.rs
@@ -111,9 +111,9 @@
     }
 
     /// Returns the part of `/status/fleet` about replication.
-    pub fn status(&self) -> serde_json::Value {
-        json!({"kept_for_others": self.replica.count(), "held": self.requests.len(),
-            "written_ahead": self.counters.committed, "taken_over": self.counters.taken_over,
+    pub fn status(&self, now: Nanos) -> serde_json::Value {
+        json!({"votes": self.replica.votes(now), "kept_for_others": self.replica.count(),
+            "held": self.requests.len(), "written_ahead": self.counters.committed, "taken_over": self.counters.taken_over,
             "turned_away": self.counters.rejected})
     }
 
--- a/node/src/roles/standalone/operator_calls.rs
+++ b/node/src/roles/standalone/operator_calls.rs
@@ -3,7 +3,6 @@
 use super::Node;
 use crate::operators::api::{ApiRequest, ApiResponse};
 use crate::operators::metrics::Gauges;
-use crate::peers::RequestReplication;
 use reedferry_membership::MemberState;
 
 impl Node<'_> {
@@ -14,8 +13,9 @@
             ApiRequest::Metrics => ApiResponse::new(200, self.metrics_text()),
             ApiRequest::Fleet => match &self.fleet {
                 Some(fleet) => {
-                    let replication = self.replication.as_ref().map(RequestReplication::status);
-                    ApiResponse::new(200, fleet.status(self.context.now, replication))
+                    let now = self.context.now;
+                    let replication = self.replication.as_ref().map(|r| r.status(now));
+                    ApiResponse::new(200, fleet.status(now, replication))
                 }
                 None => ApiResponse::new(404, "no fleet\n"),
             },
--- /dev/null
+++ b/node/tests/request_records.rs
@@ -0,0 +1,199 @@
+//! Nodes with request records in the order of events that the records have to stand: hosts that reject, links that are
+//! cut, answers that are lost and clients that come again late. What ran is judged by what the hosts saw.
+
+use reedferry_testkit::fleet::{one_test_at_a_time, Fleet, FleetOptions};
+use reedferry_testkit::fleet_view::FleetView;
+use reedferry_testkit::network::FaultyNetwork;
+use reedferry_testkit::{eventually, Discovery, Peer};
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
+use std::time::Duration;
+
+const NODES: usize = 3;
+/// The gossip period.
+const PERIOD: Duration = Duration::from_millis(100);
+/// How long request records are kept.
+const RETENTION: Duration = Duration::from_secs(2);
+const OPTIONS: FleetOptions = FleetOptions {
+    warm_capacity: 1e6,
+    ..FleetOptions::TRIAL
+};
+
+/// The host that rejects requests if one does.
+const REJECTING_HOST: usize = 0;
+
+/// What the hosts do with a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Behavior {
+    /// One host rejects each request once it is told to; the others answer nothing.
+    OneRejects,
+}
+
+/// What the hosts have seen, and what they do.
+struct HostState {
+    behavior: Behavior,
+    /// Whether requests that wait for their rejection are rejected now.
+    may_reject: bool,
+    /// The hosts that each key reached, in order.
+    lines: HashMap<String, Vec<usize>>,
+}
+
+type SharedHostState = Arc<(Mutex<HostState>, Condvar)>;
+
+/// Handles one connection of a host.
+fn serve(host: usize, stream: TcpStream, shared: &SharedHostState) {
+    let (state, changed) = &**shared;
+    let mut writer = stream.try_clone().unwrap();
+    for line in BufReader::new(stream).lines().map_while(Result::ok) {
+        let Some(key) = line
+            .strip_prefix("OPEN ")
+            .and_then(|rest| rest.split(' ').nth(1))
+        else {
+            continue;
+        };
+        let mut state = state.lock().unwrap();
+        state.lines.entry(key.to_string()).or_default().push(host);
+        if state.behavior == Behavior::OneRejects && host == REJECTING_HOST {
+            drop(changed.wait_while(state, |state| !state.may_reject));
+            _ = writer.write_all(b"BUSY\r\n");
+        }
+    }
+}
+
+fn start_host(host: usize, shared: &SharedHostState) -> Value {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let shared = shared.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let shared = shared.clone();
+            thread::spawn(move || serve(host, stream, &shared));
+        }
+    });
+    json!({"id": format!("s-{host}"), "host_port": address, "locality": "a", "flavor": "m", "cell": host,
+        "phase": "active", "size": 1.0, "up_since_ms": 0})
+}
+
+/// A fleet whose nodes replicate request records, and hosts of one cell each.
+struct Fixture {
+    fleet: Fleet,
+    hosts: SharedHostState,
+    _service: Discovery,
+    _turn: MutexGuard<'static, ()>,
+}
+
+impl Fixture {
+    fn new(hosts: usize, behavior: Behavior, configure: impl Fn(Fleet) -> Fleet) -> Fixture {
+        let turn = one_test_at_a_time();
+        let state = HostState {
+            behavior,
+            may_reject: false,
+            lines: HashMap::new(),
+        };
+        let shared: SharedHostState = Arc::new((Mutex::new(state), Condvar::new()));
+        let members: Vec<Value> = (0..hosts).map(|host| start_host(host, &shared)).collect();
+        let service = Discovery::start();
+        members
+            .iter()
+            .for_each(|member| service.change(member.clone()));
+        let fleet_view = FleetView {
+            network: FaultyNetwork::new(NODES, 1),
+            period: PERIOD,
+            seeds: (0..NODES).collect(),
+        };
+        let fleet = Fleet::new(NODES, service.address, OPTIONS).with_view(fleet_view);
+        let mut fleet = configure(fleet);
+        let nodes: Vec<usize> = (0..NODES).collect();
+        fleet.start(&nodes, &members, hosts as u64);
+        assert!(fleet.agrees_within(PERIOD * 60).is_some());
+        let fixture = Fixture {
+            fleet,
+            hosts: shared,
+            _service: service,
+            _turn: turn,
+        };
+        eventually("all replicas vote", || {
+            (0..NODES).all(|node| fixture.status(node)["votes"] == true)
+        });
+        fixture
+    }
+
+    /// Sends a request to a node with this id and key, and with these further fields.
+    fn open(&self, node: usize, id: usize, key: usize, fields: &str) -> Peer {
+        let mut client = Peer::connect(self.fleet.nodes[node].as_ref().unwrap().address);
+        client.send_line(&format!("OPEN {id:x} {key:x} c=chat,t=acme,{fields}"));
+        client
+    }
+
+    /// Returns the hosts that a key reached, in order.
+    fn hosts_of(&self, key: usize) -> Vec<usize> {
+        let state = self.hosts.0.lock().unwrap();
+        let hosts = state.lines.get(&format!("{key:x}"));
+        hosts.cloned().unwrap_or_default()
+    }
+
+    /// Rejects the requests that wait for it.
+    fn reject_waiting(&self) {
+        self.hosts.0.lock().unwrap().may_reject = true;
+        self.hosts.1.notify_all();
+    }
+
+    /// Returns what a node's status page says of its request records.
+    fn status(&self, node: usize) -> Value {
+        self.fleet
+            .status(node)
+            .map_or(Value::Null, |status| status["wards"].clone())
+    }
+}
+
+/// Guards against a node that takes a request over and believes the older of two records of one owner: the request would
+/// go to the cell of an attempt that never ran, and run in two cells.
+#[test]
+fn a_request_taken_over_goes_on_in_the_cell_of_its_last_attempt() {
+    let mut fixture = Fixture::new(3, Behavior::OneRejects, |fleet| {
+        fleet
+            .with_effect("guarded", Some(RETENTION))
+            .with_idempotency_group("cell")
+    });
+    let keys: Vec<usize> = (0xa00..0xa0c).collect();
+    let _clients: Vec<Peer> = keys
+        .iter()
+        .map(|&key| fixture.open(0, 0x1000 + key, key, "d=2000"))
+        .collect();
+    eventually("the first attempts are at hosts", || {
+        keys.iter().all(|&key| !fixture.hosts_of(key).is_empty())
+    });
+    let is_rejected = |key: &usize| fixture.hosts_of(*key)[0] == REJECTING_HOST;
+    let rejected: Vec<usize> = keys.iter().copied().filter(is_rejected).collect();
+    assert!(!rejected.is_empty());
+    // Node 2 has the records of the first attempts, and does not get those of the second ones.
+    let network = &fixture.fleet.fleet_view().network;
+    network.change_faults(|from, to, faults| faults.cut = from + to == 2 && from != to);
+    fixture.reject_waiting();
+    let have_reached = |fixture: &Fixture, count| {
+        let mut lines = rejected.iter().map(|&key| fixture.hosts_of(key).len());
+        lines.all(|lines| lines >= count)
+    };
+    eventually("the second attempts are at hosts", || {
+        have_reached(&fixture, 2)
+    });
+    fixture.fleet.kill(0, Duration::ZERO);
+    fixture.fleet.fleet_view().network.heal();
+    let _retries: Vec<Peer> = rejected
+        .iter()
+        .map(|&key| fixture.open(2, 0x2000 + key, key, "d=2000,r=1"))
+        .collect();
+    eventually("the retries are at hosts", || have_reached(&fixture, 3));
+    for key in rejected {
+        let hosts = fixture.hosts_of(key);
+        let cell = hosts[1];
+        assert!(
+            hosts[1..].iter().all(|host| *host == cell),
+            "key {key:x} ran in several cells: {hosts:?}"
+        );
+    }
+}
--- a/replication/src/coordinator.rs
+++ b/replication/src/coordinator.rs
@@ -1,6 +1,8 @@
 //! The coordinator (the proposer of Paxos): the requests that this member owns or is trying to own.
 
-use crate::messages::{AcceptedRecord, Ballot, ReplicaRequest, ReplicaResponse, RequestRecord};
+use crate::messages::{
+    AcceptedRecord, Ballot, RejectReason, ReplicaRequest, ReplicaResponse, RequestRecord,
+};
 use crate::placement::replicas_of;
 use reedferry_membership::{LeaseHolder, Nanos};
 use std::collections::BTreeMap;
@@ -54,7 +56,7 @@
     },
     Owned,
     Committing {
-        sequence: u32,
+        sequence: u64,
         accepted_by: Vec<u32>,
     },
 }
@@ -88,7 +90,7 @@
     majority_timeout: Nanos,
     proposals: BTreeMap<u64, Proposal>,
     /// The sequence number of the last record sent.
-    sequence: u32,
+    sequence: u64,
     /// The highest ballot number that was used or seen.
     ballot_number: u64,
 }
@@ -140,7 +142,7 @@
         key: u64,
         record: RequestRecord,
     ) -> Option<ReplicaRequest> {
-        self.sequence = self.sequence.wrapping_add(1);
+        self.sequence += 1;
         let sequence = self.sequence;
         let proposal = self.proposals.get_mut(&key).filter(|p| p.is_prepared())?;
         proposal.phase = Phase::Committing {
@@ -200,7 +202,7 @@
     ) -> Option<Outcome> {
         let (key, ballot) = response.key_and_ballot();
         if let ReplicaResponse::Rejected {
-            promised: Some(promised),
+            reason: RejectReason::HigherBallot(promised),
             ..
         } = response
         {
@@ -222,12 +224,12 @@
             ReplicaResponse::Accepted { sequence, .. } => {
                 proposal.on_accepted(key, member_index, sequence, replicas.len())
             }
-            ReplicaResponse::Rejected {
-                promised: Some(_), ..
-            } => Some(self.on_higher_ballot(key)),
-            ReplicaResponse::Rejected { promised: None, .. } => {
-                self.on_unavailable(key, member_index, replicas.len())
-            }
+            ReplicaResponse::Rejected { reason, .. } => match reason {
+                RejectReason::HigherBallot(_) => Some(self.on_higher_ballot(key)),
+                // The rejected record is not the latest one that this member has sent.
+                RejectReason::LaterRecord(_) => None,
+                RejectReason::Unavailable => self.on_unavailable(key, member_index, replicas.len()),
+            },
         }
     }
 
@@ -282,7 +284,7 @@
         let latest = promises
             .values()
             .flatten()
-            .max_by_key(|accepted| (accepted.ballot, accepted.age));
+            .max_by_key(|accepted| (accepted.ballot, accepted.sequence));
         let (record, age) = latest
             .map(|accepted| (accepted.record.clone(), accepted.age))
             .unwrap_or_default();
@@ -294,7 +296,7 @@
         &mut self,
         key: u64,
         member_index: u32,
-        accepted_sequence: u32,
+        accepted_sequence: u64,
         replicas: usize,
     ) -> Option<Outcome> {
         let Phase::Committing {
--- a/replication/src/lib.rs
+++ b/replication/src/lib.rs
@@ -14,7 +14,8 @@
 
 pub use coordinator::{Coordinator, Outcome};
 pub use messages::{
-    AcceptedRecord, Ballot, ReplicaRequest, ReplicaResponse, RequestRecord, MAX_HISTORY_BYTES,
+    AcceptedRecord, Ballot, RejectReason, ReplicaRequest, ReplicaResponse, RequestRecord,
+    MAX_HISTORY_BYTES,
 };
 pub use placement::replicas_of;
 pub use reedferry_membership::LeaseHolder;
--- a/replication/src/messages.rs
+++ b/replication/src/messages.rs
@@ -34,6 +34,9 @@
     pub record: RequestRecord,
     /// How long ago the replica accepted the record by its own clock, in nanoseconds.
     pub age: Nanos,
+    /// The sequence number under which the record was accepted. Of two records of one ballot, the one with the higher
+    /// sequence number is the later one.
+    pub sequence: u64,
 }
 
 /// A message from a coordinator to a replica.
@@ -53,8 +56,9 @@
         key: u64,
         /// The ballot that was prepared.
         ballot: Ballot,
-        /// A sequence number that the response repeats.
-        sequence: u32,
+        /// The sequence number of the record, which the response repeats. Each record of a coordinator has a higher
+        /// one than those before.
+        sequence: u64,
         /// The record to accept.
         record: RequestRecord,
     },
@@ -79,7 +83,7 @@
         /// The ballot of the accepted record.
         ballot: Ballot,
         /// The sequence number of the accept request.
-        sequence: u32,
+        sequence: u64,
     },
     /// The replica has neither promised nor accepted the ballot.
     Rejected {
@@ -87,12 +91,22 @@
         key: u64,
         /// The rejected ballot.
         ballot: Ballot,
-        /// The higher ballot that the replica has promised, or `None` if the replica has no capacity, may not vote yet,
-        /// or the history is too long.
-        promised: Option<Ballot>,
+        /// Why.
+        reason: RejectReason,
     },
 }
 
+/// Why a replica has neither promised nor accepted a ballot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum RejectReason {
+    /// The replica has no capacity, may not vote yet, or the history is too long.
+    Unavailable,
+    /// The replica has promised this higher ballot.
+    HigherBallot(Ballot),
+    /// The replica has accepted a later record under the same ballot, with this sequence number.
+    LaterRecord(u64),
+}
+
 impl ReplicaRequest {
     pub(crate) fn key_and_ballot(&self) -> (u64, Ballot) {
         match self {
--- a/replication/src/model_tests.rs
+++ b/replication/src/model_tests.rs
@@ -24,6 +24,10 @@
     ForgetsPromises,
     /// A coordinator counts one response as those of all replicas.
     NeedsNoMajority,
+    /// Of two records of one ballot, a coordinator believes the older one.
+    BelievesOlderRecord,
+    /// A replica accepts an earlier record of a ballot after a later one.
+    AcceptsEarlierRecord,
 }
 
 #[derive(Clone, Hash)]
@@ -42,6 +46,17 @@
     Coordinator::new(me, CLUSTER_SIZE, MAJORITY_TIMEOUT)
 }
 
+/// Makes the older of two records look like the later one.
+fn reverse_sequence(response: &mut ReplicaResponse) {
+    if let ReplicaResponse::Promised {
+        accepted: Some(accepted),
+        ..
+    } = response
+    {
+        accepted.sequence = u64::MAX - accepted.sequence;
+    }
+}
+
 /// The number of faults that may still happen.
 #[derive(Clone, Copy, Debug, Hash)]
 struct Faults {
@@ -138,6 +153,9 @@
         if self.bug == InjectedBug::ForgetsPromises {
             replica.forget_promises();
         }
+        if self.bug == InjectedBug::AcceptsEarlierRecord {
+            replica.forget_sequences();
+        }
         replica.handle(self.now, &message.message)
     }
 
@@ -153,6 +171,21 @@
         }
     }
 
+    /// Has a replica handle a request of a member, and returns the outcome of its response.
+    fn ask(&mut self, from: usize, replica: u32, request: &ReplicaRequest) -> Option<Outcome> {
+        let message = InFlight {
+            from,
+            to: replica as usize,
+            message: request.clone(),
+        };
+        let mut response = self.handle_at_replica(&message);
+        if self.bug == InjectedBug::BelievesOlderRecord {
+            reverse_sequence(&mut response);
+        }
+        let coordinator = &mut self.members[from].coordinator;
+        coordinator.handle(self.now, replica, response)
+    }
+
     fn restart(&mut self, at: usize) {
         let started_at = match self.bug {
             InjectedBug::VotesAfterRestart => 0,
@@ -297,6 +330,68 @@
     cluster.sent
 }
 
+/// The replicas that get a record of an owner, by their place among the replicas of the key, in the order of arrival.
+type Arrivals<'a> = &'a [(usize, Attempt)];
+
+#[derive(Clone, Copy, PartialEq)]
+enum Attempt {
+    First,
+    Second,
+}
+
+/// Lets one member commit two attempts under one ballot, whose records arrive as given, and then lets another member
+/// acquire the request from two replicas. Returns how many attempts it learns of.
+fn attempts_known_after_takeover(bug: InjectedBug, arrivals: Arrivals, asked: [usize; 2]) -> usize {
+    let mut cluster = Cluster::new(NO_FAULTS, bug);
+    let replicas = replicas_of(KEY, CLUSTER_SIZE);
+    let prepare = cluster.members[0].coordinator.prepare(cluster.now, KEY);
+    for replica in &replicas {
+        cluster.ask(0, *replica, &prepare);
+    }
+    let mut commit = |history: Vec<u8>| {
+        let record = RequestRecord {
+            history,
+            finished: false,
+        };
+        let coordinator = &mut cluster.members[0].coordinator;
+        coordinator.commit(cluster.now, KEY, record).unwrap()
+    };
+    let records = [commit(vec![1]), commit(vec![1, 2])];
+    for (replica, attempt) in arrivals {
+        cluster.now += 1;
+        let request = &records[usize::from(*attempt == Attempt::Second)];
+        cluster.ask(0, replicas[*replica], request);
+    }
+    let prepare = cluster.members[1].coordinator.prepare(cluster.now, KEY);
+    let outcomes = asked.map(|replica| cluster.ask(1, replicas[replica], &prepare));
+    outcomes
+        .into_iter()
+        .flatten()
+        .find_map(|outcome| match outcome {
+            Outcome::Acquired { record, .. } => Some(record.history.len()),
+            _ => None,
+        })
+        .expect("the request was not acquired")
+}
+
+/// Guards against a member that takes a request over and does not know of its last attempt, which has been on record at
+/// a majority: the request could run outside its idempotency group.
+#[test]
+fn the_last_record_of_a_ballot_is_known_after_a_takeover() {
+    use Attempt::{First, Second};
+    let missed: Arrivals = &[(0, First), (1, First), (1, Second), (2, Second)];
+    let delayed: Arrivals = &[(0, First), (1, Second), (2, Second), (1, First)];
+    for arrivals in [missed, delayed] {
+        for asked in [[0, 1], [1, 0], [1, 2], [0, 2]] {
+            let known = |bug| attempts_known_after_takeover(bug, arrivals, asked);
+            assert_eq!(known(InjectedBug::NoBug), 2, "{asked:?}");
+        }
+    }
+    let known = |bug, arrivals| attempts_known_after_takeover(bug, arrivals, [0, 1]);
+    assert_eq!(known(InjectedBug::BelievesOlderRecord, missed), 1);
+    assert_eq!(known(InjectedBug::AcceptsEarlierRecord, delayed), 1);
+}
+
 /// Guards against tests that pass whatever is broken.
 #[test]
 fn injected_bugs_are_found() {
--- a/replication/src/replica.rs
+++ b/replication/src/replica.rs
@@ -1,16 +1,25 @@
 //! The replica (the acceptor of Paxos): what one member has promised and accepted for others, kept in memory only.
 
 use crate::messages::{
-    AcceptedRecord, Ballot, ReplicaRequest, ReplicaResponse, RequestRecord, MAX_HISTORY_BYTES,
+    AcceptedRecord, Ballot, RejectReason, ReplicaRequest, ReplicaResponse, RequestRecord,
+    MAX_HISTORY_BYTES,
 };
 use reedferry_membership::Nanos;
 use std::collections::BTreeMap;
 
+/// The record that was accepted last.
+#[derive(Clone, Hash)]
+struct StoredRecord {
+    ballot: Ballot,
+    sequence: u64,
+    record: RequestRecord,
+    accepted_at: Nanos,
+}
+
 #[derive(Clone, Hash)]
 struct Entry {
     promised: Ballot,
-    accepted: Option<(Ballot, RequestRecord)>,
-    accepted_at: Nanos,
+    accepted: Option<StoredRecord>,
     expires_at: Nanos,
 }
 
@@ -46,8 +55,12 @@
         self.entries.retain(|_, entry| now < entry.expires_at);
     }
 
-    /// Whether records that are still relevant may be missing, because an earlier process of this member gave promises
-    /// that were lost with its memory.
+    /// Whether this replica votes. Until then, records that are still relevant may be missing, because an earlier process
+    /// of this member gave promises that were lost with its memory.
+    pub fn votes(&self, now: Nanos) -> bool {
+        !self.may_have_forgotten(now)
+    }
+
     fn may_have_forgotten(&self, now: Nanos) -> bool {
         now < self.started_at.saturating_add(self.retention)
     }
@@ -55,26 +68,25 @@
     /// Handles a coordinator's message and returns the response.
     pub fn handle(&mut self, now: Nanos, request: &ReplicaRequest) -> ReplicaResponse {
         let (key, ballot) = request.key_and_ballot();
-        let reject = |promised| ReplicaResponse::Rejected {
+        let reject = |reason| ReplicaResponse::Rejected {
             key,
             ballot,
-            promised,
+            reason,
         };
         let known = self.entries.get(&key);
         let is_full = known.is_none() && self.entries.len() >= self.max_records;
         // Without this check, a non-idempotent request could run twice after a replica has lost the record of its first
         // attempt.
         if self.may_have_forgotten(now) || is_full {
-            return reject(None);
+            return reject(RejectReason::Unavailable);
         }
-        if let Some(entry) = known.filter(|entry| entry.promised > ballot) {
-            return reject(Some(entry.promised));
+        if let Some(reason) = known.and_then(|entry| entry.reason_against(request)) {
+            return reject(reason);
         }
         let expires_at = now.saturating_add(self.retention);
         let entry = self.entries.entry(key).or_insert(Entry {
             promised: ballot,
             accepted: None,
-            accepted_at: now,
             expires_at,
         });
         entry.promised = entry.promised.max(ballot);
@@ -86,13 +98,17 @@
                 accepted: entry.accepted_record(now),
             },
             ReplicaRequest::Accept { record, .. } if record.history.len() > MAX_HISTORY_BYTES => {
-                reject(None)
+                reject(RejectReason::Unavailable)
             }
             ReplicaRequest::Accept {
                 sequence, record, ..
             } => {
-                entry.accepted = Some((ballot, record.clone()));
-                entry.accepted_at = now;
+                entry.accepted = Some(StoredRecord {
+                    ballot,
+                    sequence: *sequence,
+                    record: record.clone(),
+                    accepted_at: now,
+                });
                 ReplicaResponse::Accepted {
                     key,
                     ballot,
@@ -104,12 +120,29 @@
 }
 
 impl Entry {
+    /// Returns why the entry forbids a request, or `None` if it allows it. Without the check of the sequence, a record
+    /// that was delayed on its way would replace a later one of its ballot, and the attempt that the later one describes
+    /// would be forgotten.
+    fn reason_against(&self, request: &ReplicaRequest) -> Option<RejectReason> {
+        let (_, ballot) = request.key_and_ballot();
+        if self.promised > ballot {
+            return Some(RejectReason::HigherBallot(self.promised));
+        }
+        let ReplicaRequest::Accept { sequence, .. } = request else {
+            return None;
+        };
+        let stored = self.accepted.as_ref()?;
+        let is_earlier = stored.ballot == ballot && *sequence < stored.sequence;
+        is_earlier.then_some(RejectReason::LaterRecord(stored.sequence))
+    }
+
     fn accepted_record(&self, now: Nanos) -> Option<AcceptedRecord> {
-        let (ballot, record) = self.accepted.clone()?;
+        let stored = self.accepted.clone()?;
         Some(AcceptedRecord {
-            ballot,
-            record,
-            age: now.saturating_sub(self.accepted_at),
+            ballot: stored.ballot,
+            record: stored.record,
+            age: now.saturating_sub(stored.accepted_at),
+            sequence: stored.sequence,
         })
     }
 }
--- a/replication/src/replica_tests.rs
+++ b/replication/src/replica_tests.rs
@@ -13,13 +13,19 @@
     Ballot { number, holder }
 }
 
-/// An injected bug: promises that are not kept.
+/// Injected bugs: promises that are not kept, and the sequence of records that is not known.
 impl Replica {
     pub(crate) fn forget_promises(&mut self) {
         for entry in self.entries.values_mut() {
             entry.promised = ballot(0);
         }
     }
+
+    pub(crate) fn forget_sequences(&mut self) {
+        for stored in self.entries.values_mut().flat_map(|e| &mut e.accepted) {
+            stored.sequence = 0;
+        }
+    }
 }
 
 fn prepare(key: u64, number: u64) -> ReplicaRequest {
@@ -29,7 +35,7 @@
     }
 }
 
-fn accept(key: u64, sequence: u32, record: &RequestRecord) -> ReplicaRequest {
+fn accept(key: u64, sequence: u64, record: &RequestRecord) -> ReplicaRequest {
     ReplicaRequest::Accept {
         key,
         ballot: ballot(1),
@@ -39,7 +45,13 @@
 }
 
 fn rejected(response: &ReplicaResponse) -> bool {
-    matches!(response, ReplicaResponse::Rejected { promised: None, .. })
+    matches!(
+        response,
+        ReplicaResponse::Rejected {
+            reason: RejectReason::Unavailable,
+            ..
+        }
+    )
 }
 
 /// Guards against a replica whose memory grows without bound, and against one that drops promises in favour of new
@@ -81,6 +93,7 @@
         ballot: ballot(1),
         record: record.clone(),
         age: 30,
+        sequence: 4,
     });
     let now = now + 30;
     assert_eq!(
@@ -96,9 +109,39 @@
         ReplicaResponse::Rejected {
             key: 1,
             ballot: ballot(1),
-            promised: Some(ballot(2))
+            reason: RejectReason::HigherBallot(ballot(2))
         }
     );
     replica.sweep(now + RETENTION);
     assert_eq!(replica.count(), 0);
 }
+
+/// Guards against a record that is delayed on its way and replaces a later one of the same ballot.
+#[test]
+fn an_earlier_record_of_a_ballot_does_not_replace_a_later_one() {
+    let mut replica = Replica::new(0, RETENTION, 2);
+    let now = RETENTION;
+    let record = |attempts| RequestRecord {
+        history: vec![attempts],
+        finished: false,
+    };
+    replica.handle(now, &prepare(1, 1));
+    replica.handle(now, &accept(1, 2, &record(2)));
+    assert_eq!(
+        replica.handle(now, &accept(1, 1, &record(1))),
+        ReplicaResponse::Rejected {
+            key: 1,
+            ballot: ballot(1),
+            reason: RejectReason::LaterRecord(2)
+        }
+    );
+    // The same record may arrive twice.
+    assert!(matches!(
+        replica.handle(now, &accept(1, 2, &record(2))),
+        ReplicaResponse::Accepted { sequence: 2, .. }
+    ));
+    let ReplicaResponse::Promised { accepted, .. } = replica.handle(now, &prepare(1, 2)) else {
+        panic!("not promised");
+    };
+    assert_eq!(accepted.unwrap().record, record(2));
+}
--- a/replication/tests/bytes.rs
+++ b/replication/tests/bytes.rs
@@ -2,8 +2,8 @@
 //! other.
 
 use reedferry_replication::{
-    replicas_of, AcceptedRecord, Ballot, LeaseHolder, ReplicaRequest, ReplicaResponse,
-    RequestRecord,
+    replicas_of, AcceptedRecord, Ballot, LeaseHolder, RejectReason, ReplicaRequest,
+    ReplicaResponse, RequestRecord,
 };
 
 const KEY: u64 = 0x0123_4567_89ab_cdef;
@@ -63,11 +63,12 @@
             ballot: ballot(2, 1),
             record,
             age: 1_000_000_007,
+            sequence: 300,
         }),
     };
     assert_eq!(
         hex(&promised),
-        "00ef9bafcdf8acd19101030280d095ffbc3101020180d095ffbc3103070707008794ebdc03"
+        "00ef9bafcdf8acd19101030280d095ffbc3101020180d095ffbc3103070707008794ebdc03ac02"
     );
     assert_eq!(
         hex(&ReplicaResponse::Promised {
@@ -89,7 +90,7 @@
         hex(&ReplicaResponse::Rejected {
             key: KEY,
             ballot: ballot(3, 2),
-            promised: Some(ballot(4, 1))
+            reason: RejectReason::HigherBallot(ballot(4, 1))
         }),
         "02ef9bafcdf8acd19101030280d095ffbc3101040180d095ffbc31"
     );
@@ -97,10 +98,18 @@
         hex(&ReplicaResponse::Rejected {
             key: KEY,
             ballot: ballot(3, 2),
-            promised: None
+            reason: RejectReason::Unavailable
         }),
         "02ef9bafcdf8acd19101030280d095ffbc3100"
     );
+    assert_eq!(
+        hex(&ReplicaResponse::Rejected {
+            key: KEY,
+            ballot: ballot(3, 2),
+            reason: RejectReason::LaterRecord(300)
+        }),
+        "02ef9bafcdf8acd19101030280d095ffbc3102ac02"
+    );
 }
 
 /// The replicas of a record must follow from its key alone: two builds that choose differently would not share a
--- a/testkit/src/fleet/processes.rs
+++ b/testkit/src/fleet/processes.rs
@@ -31,12 +31,16 @@
     load_probes: bool,
     /// The `effect` setting of the request class.
     effect: &'static str,
+    /// The hosts within which a key is known: a value of the class's `group` setting.
+    idempotency_group: &'static str,
     /// The usual duration of a request of the class, in milliseconds; `None` for that of the base config.
     usual_duration: Option<f64>,
     /// The limits of each process on memory, in MiB, and on descriptors; `None` for those of the base config.
     limits: Option<(usize, usize)>,
     /// How long replicas keep request records; `None` if requests are not replicated.
     record_lifetime: Option<Duration>,
+    /// How long a majority of replicas may take to answer; `None` for the default.
+    majority_timeout: Option<Duration>,
     /// The cluster size in the settings; processes with higher numbers have no index of their own.
     pub(crate) cluster_size: usize,
     fleet_view: Option<FleetView>,
@@ -61,9 +65,11 @@
             configured_alone: false,
             load_probes: false,
             effect: "free",
+            idempotency_group: "all",
             usual_duration: None,
             limits: None,
             record_lifetime: None,
+            majority_timeout: None,
             cluster_size: nodes,
             fleet_view: None,
             ended: Vec::new(),
@@ -111,6 +117,18 @@
         self
     }
 
+    /// Sets within which hosts a key is known: `all`, or those of one `cell`.
+    pub fn with_idempotency_group(mut self, group: &'static str) -> Self {
+        self.idempotency_group = group;
+        self
+    }
+
+    /// Sets how long a majority of replicas may take to answer.
+    pub fn with_majority_timeout(mut self, timeout: Duration) -> Self {
+        self.majority_timeout = Some(timeout);
+        self
+    }
+
     /// Sets the limits of each process on memory, in MiB, and on descriptors.
     pub fn with_limits(mut self, memory_mb: usize, sockets: usize) -> Self {
         self.limits = Some((memory_mb, sockets));
@@ -155,6 +173,7 @@
             settings["policy_limits"]["peers"] = json!(true);
         }
         settings["offerings"][0]["effect"] = json!(self.effect);
+        settings["offerings"][0]["group"] = json!(self.idempotency_group);
         if let Some(duration) = self.usual_duration {
             settings["offerings"][0]["contract_time"] = json!(duration);
         }
@@ -215,6 +234,9 @@
             if let Some(lifetime) = self.record_lifetime {
                 text += &format!("[fleet.wards]\nlife = \"{}ms\"\n", lifetime.as_millis());
             }
+            if let Some(timeout) = self.majority_timeout {
+                text += &format!("within = \"{}ms\"\n", timeout.as_millis());
+            }
             text
         });
         ProcessConfig {
