Request records: a record is kept until its client can no longer come again

Cause: a replica kept a record for life after the last message about it, and the owner sends none while an attempt is in flight.

Change: prepares and records tell how long the client still waits; a replica keeps the record for that time and life, and no later message shortens it. The time is believed up to an hour. The messages have one field more at their end; the pinned bytes have it.

--- a/node/src/peers/replication.rs
+++ b/node/src/peers/replication.rs
@@ -185,7 +185,9 @@
         };
         self.requests.insert(key, request);
         self.keys.insert(id, key);
-        let prepare = self.coordinator.prepare(context.now, key);
+        let prepare = self
+            .coordinator
+            .prepare(context.now, key, incoming.time_left);
         self.broadcast(context, key, &prepare);
         false
     }
--- a/node/src/peers/replication_bytes_tests.rs
+++ b/node/src/peers/replication_bytes_tests.rs
@@ -21,8 +21,12 @@
             incarnation: 1_700_000_000_000,
         },
     };
-    let request = ReplicationMessage::Request(ReplicaRequest::Prepare { key: 5, ballot });
-    assert_eq!(hex(&request), "000005030280d095ffbc31");
+    let request = ReplicationMessage::Request(ReplicaRequest::Prepare {
+        key: 5,
+        ballot,
+        time_left: 1,
+    });
+    assert_eq!(hex(&request), "000005030280d095ffbc3101");
     let response = ReplicationMessage::Response(ReplicaResponse::Accepted {
         key: 5,
         ballot,
--- a/node/tests/request_records.rs
+++ b/node/tests/request_records.rs
@@ -11,7 +11,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const NODES: usize = 3;
 /// The gossip period.
@@ -26,9 +26,14 @@
 /// The host that rejects requests if one does.
 const REJECTING_HOST: usize = 0;
 
+/// The key whose requests get no answer if hosts are silent to one key.
+const SLOW_KEY: usize = 0xb00;
+
 /// What the hosts do with a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Behavior {
+    /// All hosts answer nothing to [`SLOW_KEY`], and accept all other requests.
+    SilentToOneKey,
     /// One host rejects each request once it is told to; the others answer nothing.
     OneRejects,
 }
@@ -57,10 +62,15 @@
         };
         let mut state = state.lock().unwrap();
         state.lines.entry(key.to_string()).or_default().push(host);
-        if state.behavior == Behavior::OneRejects && host == REJECTING_HOST {
-            drop(changed.wait_while(state, |state| !state.may_reject));
-            _ = writer.write_all(b"BUSY\r\n");
-        }
+        let answer = match state.behavior {
+            Behavior::OneRejects if host == REJECTING_HOST => {
+                drop(changed.wait_while(state, |state| !state.may_reject));
+                "BUSY\r\n"
+            }
+            Behavior::SilentToOneKey if key != format!("{SLOW_KEY:x}") => "UP 77aa\r\n",
+            _ => continue,
+        };
+        _ = writer.write_all(answer.as_bytes());
     }
 }
 
@@ -197,3 +207,31 @@
         );
     }
 }
+
+/// Guards against a record that ends while its attempt is still in flight, or before its client has had the whole
+/// retention to come again: the request would run again at the next node.
+#[test]
+fn a_record_outlives_an_attempt_that_takes_longer_than_the_retention() {
+    const SHORT_RETENTION: Duration = Duration::from_secs(1);
+    const KEY: usize = SLOW_KEY;
+    let mut fixture = Fixture::new(1, Behavior::SilentToOneKey, |fleet| {
+        fleet.with_effect("single_shot", Some(SHORT_RETENTION))
+    });
+    let sent_at = Instant::now();
+    let _client = fixture.open(0, 0x1000, KEY, "d=2000");
+    eventually("the request is at the host", || {
+        fixture.hosts_of(KEY).len() == 1
+    });
+    // The other nodes have their usual traffic meanwhile, so that they drop what has expired.
+    let mut others = 0;
+    while sent_at.elapsed() < SHORT_RETENTION + Duration::from_millis(700) {
+        let mut other = fixture.open(1 + others % 2, 0x2000 + others, 0xc00 + others, "d=500");
+        others += usize::from(other.receive_line().starts_with("UP"));
+    }
+    assert!(others > 0);
+    fixture.fleet.kill(0, Duration::ZERO);
+    let mut retry = fixture.open(1, 0x1001, KEY, "d=2000,r=1");
+    let answer = retry.receive_line();
+    assert!(answer.starts_with("ERR"), "{answer}");
+    assert_eq!(fixture.hosts_of(KEY).len(), 1);
+}
--- a/replication/src/coordinator.rs
+++ b/replication/src/coordinator.rs
@@ -69,6 +69,8 @@
     unavailable: Vec<u32>,
     retries: u32,
     deadline: Nanos,
+    /// Until when the client waits for its answer.
+    client_deadline: Nanos,
 }
 
 impl Proposal {
@@ -116,9 +118,9 @@
         }
     }
 
-    /// Starts to acquire a request, which this member may own already. Returns the message to send to the request's
-    /// replicas.
-    pub fn prepare(&mut self, now: Nanos, key: u64) -> ReplicaRequest {
+    /// Starts to acquire a request, which this member may own already and whose client still waits for `time_left`
+    /// nanoseconds. Returns the message to send to the request's replicas.
+    pub fn prepare(&mut self, now: Nanos, key: u64, time_left: Nanos) -> ReplicaRequest {
         let ballot = self.next_ballot();
         let proposal = Proposal {
             ballot,
@@ -128,9 +130,14 @@
             unavailable: Vec::new(),
             retries: 0,
             deadline: now + self.majority_timeout,
+            client_deadline: now.saturating_add(time_left),
         };
         self.proposals.insert(key, proposal);
-        ReplicaRequest::Prepare { key, ballot }
+        ReplicaRequest::Prepare {
+            key,
+            ballot,
+            time_left,
+        }
     }
 
     /// Starts to commit a record of a request. An attempt that the record describes may be sent only after
@@ -156,6 +163,7 @@
             ballot: proposal.ballot,
             sequence,
             record,
+            time_left: proposal.client_deadline.saturating_sub(now),
         })
     }
 
@@ -225,7 +233,7 @@
                 proposal.on_accepted(key, member_index, sequence, replicas.len())
             }
             ReplicaResponse::Rejected { reason, .. } => match reason {
-                RejectReason::HigherBallot(_) => Some(self.on_higher_ballot(key)),
+                RejectReason::HigherBallot(_) => Some(self.on_higher_ballot(now, key)),
                 // The rejected record is not the latest one that this member has sent.
                 RejectReason::LaterRecord(_) => None,
                 RejectReason::Unavailable => self.on_unavailable(key, member_index, replicas.len()),
@@ -235,7 +243,7 @@
 
     /// Handles a rejection by a higher ballot. A prepare is retried, as the member with that ballot may be gone by now;
     /// a commit is lost.
-    fn on_higher_ballot(&mut self, key: u64) -> Outcome {
+    fn on_higher_ballot(&mut self, now: Nanos, key: u64) -> Outcome {
         let may_retry =
             |proposal: &&mut Proposal| !proposal.is_prepared() && proposal.retries < MAX_RETRIES;
         if self.proposals.get_mut(&key).filter(may_retry).is_none() {
@@ -243,12 +251,18 @@
             return Outcome::Lost { key };
         }
         let ballot = self.next_ballot();
+        let mut time_left = 0;
         if let Some(proposal) = self.proposals.get_mut(&key) {
             proposal.retry(ballot);
+            time_left = proposal.client_deadline.saturating_sub(now);
         }
         Outcome::Retry {
             key,
-            request: ReplicaRequest::Prepare { key, ballot },
+            request: ReplicaRequest::Prepare {
+                key,
+                ballot,
+                time_left,
+            },
         }
     }
 
--- a/replication/src/messages.rs
+++ b/replication/src/messages.rs
@@ -49,6 +49,8 @@
         key: u64,
         /// The ballot to promise.
         ballot: Ballot,
+        /// How long the client still waits for its answer, in nanoseconds.
+        time_left: Nanos,
     },
     /// Asks the replica to accept a record.
     Accept {
@@ -61,6 +63,8 @@
         sequence: u64,
         /// The record to accept.
         record: RequestRecord,
+        /// How long the client still waits for its answer, in nanoseconds.
+        time_left: Nanos,
     },
 }
 
@@ -110,7 +114,15 @@
 impl ReplicaRequest {
     pub(crate) fn key_and_ballot(&self) -> (u64, Ballot) {
         match self {
-            Self::Prepare { key, ballot } | Self::Accept { key, ballot, .. } => (*key, *ballot),
+            Self::Prepare { key, ballot, .. } | Self::Accept { key, ballot, .. } => (*key, *ballot),
+        }
+    }
+}
+
+impl ReplicaRequest {
+    pub(crate) fn time_left(&self) -> Nanos {
+        match self {
+            Self::Prepare { time_left, .. } | Self::Accept { time_left, .. } => *time_left,
         }
     }
 }
--- a/replication/src/model_tests.rs
+++ b/replication/src/model_tests.rs
@@ -11,6 +11,8 @@
 const CLUSTER_SIZE: u32 = 3;
 const RETENTION: Nanos = 1000;
 const MAJORITY_TIMEOUT: Nanos = 100;
+/// How long the client waits for its answer.
+const TIME_LEFT: Nanos = 500;
 /// How many of the requests in flight may arrive next.
 const MAX_REORDERED: usize = 6;
 
@@ -226,7 +228,9 @@
         match *step {
             Step::Arrive(at) => {
                 self.arrivals[at] -= 1;
-                let request = self.members[at].coordinator.prepare(self.now, KEY);
+                let request = self.members[at]
+                    .coordinator
+                    .prepare(self.now, KEY, TIME_LEFT);
                 self.broadcast(at, &request);
             }
             Step::Deliver(index) => {
@@ -344,7 +348,9 @@
 fn attempts_known_after_takeover(bug: InjectedBug, arrivals: Arrivals, asked: [usize; 2]) -> usize {
     let mut cluster = Cluster::new(NO_FAULTS, bug);
     let replicas = replicas_of(KEY, CLUSTER_SIZE);
-    let prepare = cluster.members[0].coordinator.prepare(cluster.now, KEY);
+    let prepare = cluster.members[0]
+        .coordinator
+        .prepare(cluster.now, KEY, TIME_LEFT);
     for replica in &replicas {
         cluster.ask(0, *replica, &prepare);
     }
@@ -362,7 +368,9 @@
         let request = &records[usize::from(*attempt == Attempt::Second)];
         cluster.ask(0, replicas[*replica], request);
     }
-    let prepare = cluster.members[1].coordinator.prepare(cluster.now, KEY);
+    let prepare = cluster.members[1]
+        .coordinator
+        .prepare(cluster.now, KEY, TIME_LEFT);
     let outcomes = asked.map(|replica| cluster.ask(1, replicas[replica], &prepare));
     outcomes
         .into_iter()
--- a/replication/src/replica.rs
+++ b/replication/src/replica.rs
@@ -7,6 +7,10 @@
 use reedferry_membership::Nanos;
 use std::collections::BTreeMap;
 
+/// The longest time for which a client may still wait, as far as a replica believes it, in nanoseconds. It keeps a
+/// member with a wrong message from having records kept without end.
+const MAX_TIME_LEFT: Nanos = 3600 * 1_000_000_000;
+
 /// The record that was accepted last.
 #[derive(Clone, Hash)]
 struct StoredRecord {
@@ -27,7 +31,7 @@
 #[derive(Clone, Hash)]
 pub struct Replica {
     started_at: Nanos,
-    /// How long a record is kept after the last message about it, in nanoseconds.
+    /// How long a record is kept after the end of its client's wait, in nanoseconds.
     retention: Nanos,
     max_records: usize,
     entries: BTreeMap<u64, Entry>,
@@ -83,14 +87,17 @@
         if let Some(reason) = known.and_then(|entry| entry.reason_against(request)) {
             return reject(reason);
         }
-        let expires_at = now.saturating_add(self.retention);
+        // The client may come again for as long as the retention, counted from when it stops waiting. Counted from the
+        // last message, the record would be gone while an attempt that takes long is still in flight.
+        let client_waits_until = now.saturating_add(request.time_left().min(MAX_TIME_LEFT));
+        let expires_at = client_waits_until.saturating_add(self.retention);
         let entry = self.entries.entry(key).or_insert(Entry {
             promised: ballot,
             accepted: None,
             expires_at,
         });
         entry.promised = entry.promised.max(ballot);
-        entry.expires_at = expires_at;
+        entry.expires_at = entry.expires_at.max(expires_at);
         match request {
             ReplicaRequest::Prepare { .. } => ReplicaResponse::Promised {
                 key,
--- a/replication/src/replica_tests.rs
+++ b/replication/src/replica_tests.rs
@@ -32,6 +32,7 @@
     ReplicaRequest::Prepare {
         key,
         ballot: ballot(number),
+        time_left: 0,
     }
 }
 
@@ -41,6 +42,7 @@
         ballot: ballot(1),
         sequence,
         record: record.clone(),
+        time_left: 0,
     }
 }
 
@@ -145,3 +147,34 @@
     };
     assert_eq!(accepted.unwrap().record, record(2));
 }
+
+/// Guards against a record that expires while its attempt is still in flight, or before its client can come again.
+#[test]
+fn a_record_is_kept_until_its_client_can_no_longer_come_again() {
+    const TIME_LEFT: Nanos = 700;
+    let mut replica = Replica::new(0, RETENTION, 2);
+    let now = RETENTION;
+    let longest = ReplicaRequest::Accept {
+        key: 1,
+        ballot: ballot(1),
+        sequence: 1,
+        record: RequestRecord::default(),
+        time_left: TIME_LEFT,
+    };
+    replica.handle(now, &longest);
+    // A later message with less time left does not shorten the record's life.
+    replica.handle(now + 1, &prepare(1, 2));
+    replica.sweep(now + TIME_LEFT + RETENTION - 1);
+    assert_eq!(replica.count(), 1);
+    replica.sweep(now + TIME_LEFT + RETENTION);
+    assert_eq!(replica.count(), 0);
+    // No message has a record kept without end.
+    let endless = ReplicaRequest::Prepare {
+        key: 1,
+        ballot: ballot(1),
+        time_left: Nanos::MAX,
+    };
+    replica.handle(now, &endless);
+    replica.sweep(now + MAX_TIME_LEFT + RETENTION);
+    assert_eq!(replica.count(), 0);
+}
--- a/replication/tests/bytes.rs
+++ b/replication/tests/bytes.rs
@@ -35,18 +35,20 @@
     assert_eq!(
         hex(&ReplicaRequest::Prepare {
             key: KEY,
-            ballot: ballot(3, 2)
+            ballot: ballot(3, 2),
+            time_left: 300
         }),
-        "00ef9bafcdf8acd19101030280d095ffbc31"
+        "00ef9bafcdf8acd19101030280d095ffbc31ac02"
     );
     assert_eq!(
         hex(&ReplicaRequest::Accept {
             key: KEY,
             ballot: ballot(300, 0),
             sequence: 9,
-            record
+            record,
+            time_left: 0
         }),
-        "01ef9bafcdf8acd19101ac020080d095ffbc3109030102ff01"
+        "01ef9bafcdf8acd19101ac020080d095ffbc3109030102ff0100"
     );
 }
 
