Request records: a request waits for a majority no longer than its client has

Cause: a prepare was given up after `within`, whatever the client's time.

Change: it is given up at the moment by which the core answers a request that no host has served (answer_by), if that is earlier; the timer is set for the proposal's own deadline. next_deadline, which nothing used, is gone.

--- a/node/src/peers/replication.rs
+++ b/node/src/peers/replication.rs
@@ -7,6 +7,7 @@
 use crate::peers::attempt_history::{AttemptHistory, AttemptTracker};
 use crate::peers::membership::ReplicationDatagram;
 use crate::peers::{Fleet, ReplicationConfig};
+use reedferry::permission::answer_by;
 use reedferry::{
     Action, AttemptOutcome, Event, HostId, Idempotency, IncomingRequest, Nanos, PriorAttempts,
     RequestId, SECOND,
@@ -122,10 +123,11 @@
             self.outbox
                 .push((replica, ReplicationMessage::Request(request.clone())));
         }
-        let deadline = context.now + self.config.majority_timeout;
-        context
-            .poller
-            .set_timer(deadline, token(REPLICATION_TIMER), 0);
+        if let Some(deadline) = self.coordinator.deadline(key) {
+            context
+                .poller
+                .set_timer(deadline, token(REPLICATION_TIMER), 0);
+        }
     }
 
     /// Processes an event before the balancer does, and returns it. Returns `None` for an arriving request that must wait for its
@@ -185,9 +187,11 @@
         };
         self.requests.insert(key, request);
         self.keys.insert(id, key);
+        let deadline = context.now.saturating_add(incoming.time_left);
+        let answer_by = answer_by(deadline, incoming.time_left, 0);
         let prepare = self
             .coordinator
-            .prepare(context.now, key, incoming.time_left);
+            .prepare(context.now, key, incoming.time_left, answer_by);
         self.broadcast(context, key, &prepare);
         false
     }
--- a/node/tests/request_records.rs
+++ b/node/tests/request_records.rs
@@ -235,3 +235,27 @@
     assert!(answer.starts_with("ERR"), "{answer}");
     assert_eq!(fixture.hosts_of(KEY).len(), 1);
 }
+
+/// Guards against a client that waits for a majority of replicas until its time is over, and is answered after it.
+#[test]
+fn a_request_is_answered_in_its_time_though_no_majority_answers_for_longer() {
+    const TIME_LEFT: Duration = Duration::from_millis(400);
+    /// The slack that the pages give on sockets, and the delay that a busy machine may add.
+    const SLACK: Duration = Duration::from_millis(50 + 50);
+    let mut fixture = Fixture::new(1, Behavior::SilentToOneKey, |fleet| {
+        fleet
+            .with_effect("single_shot", Some(RETENTION))
+            .with_majority_timeout(Duration::from_secs(1))
+    });
+    fixture.fleet.suspend(1);
+    fixture.fleet.suspend(2);
+    for n in 0..5 {
+        let sent_at = Instant::now();
+        let mut client = fixture.open(0, 0x1000 + n, 0xd00 + n, "d=400");
+        let answer = client.receive_line();
+        let waited = sent_at.elapsed();
+        assert!(answer.starts_with("BUSY"), "{answer}");
+        assert!(waited < TIME_LEFT + SLACK, "answered after {waited:?}");
+        assert!(fixture.hosts_of(0xd00 + n).is_empty());
+    }
+}
--- a/replication/src/coordinator.rs
+++ b/replication/src/coordinator.rs
@@ -119,8 +119,15 @@
     }
 
     /// Starts to acquire a request, which this member may own already and whose client still waits for `time_left`
-    /// nanoseconds. Returns the message to send to the request's replicas.
-    pub fn prepare(&mut self, now: Nanos, key: u64, time_left: Nanos) -> ReplicaRequest {
+    /// nanoseconds. Gives up at `answer_by`, when the client has to be answered, if no majority has answered by then.
+    /// Returns the message to send to the request's replicas.
+    pub fn prepare(
+        &mut self,
+        now: Nanos,
+        key: u64,
+        time_left: Nanos,
+        answer_by: Nanos,
+    ) -> ReplicaRequest {
         let ballot = self.next_ballot();
         let proposal = Proposal {
             ballot,
@@ -129,7 +136,7 @@
             },
             unavailable: Vec::new(),
             retries: 0,
-            deadline: now + self.majority_timeout,
+            deadline: answer_by.min(now + self.majority_timeout),
             client_deadline: now.saturating_add(time_left),
         };
         self.proposals.insert(key, proposal);
@@ -177,10 +184,10 @@
         self.proposals.get(&key).is_some_and(Proposal::is_prepared)
     }
 
-    /// Returns the earliest deadline of a prepare or commit, or `None` if none is pending.
-    pub fn next_deadline(&self) -> Option<Nanos> {
-        let pending = self.proposals.values().filter(|p| p.is_pending());
-        pending.map(|proposal| proposal.deadline).min()
+    /// Returns when the pending prepare or commit of a request is given up, or `None` if none is pending.
+    pub fn deadline(&self, key: u64) -> Option<Nanos> {
+        let proposal = self.proposals.get(&key).filter(|p| p.is_pending())?;
+        Some(proposal.deadline)
     }
 
     /// Gives up the requests for which no majority answered in time, and returns their outcomes.
--- a/replication/src/model_tests.rs
+++ b/replication/src/model_tests.rs
@@ -228,9 +228,12 @@
         match *step {
             Step::Arrive(at) => {
                 self.arrivals[at] -= 1;
-                let request = self.members[at]
-                    .coordinator
-                    .prepare(self.now, KEY, TIME_LEFT);
+                let request = self.members[at].coordinator.prepare(
+                    self.now,
+                    KEY,
+                    TIME_LEFT,
+                    self.now + TIME_LEFT,
+                );
                 self.broadcast(at, &request);
             }
             Step::Deliver(index) => {
@@ -348,9 +351,12 @@
 fn attempts_known_after_takeover(bug: InjectedBug, arrivals: Arrivals, asked: [usize; 2]) -> usize {
     let mut cluster = Cluster::new(NO_FAULTS, bug);
     let replicas = replicas_of(KEY, CLUSTER_SIZE);
-    let prepare = cluster.members[0]
-        .coordinator
-        .prepare(cluster.now, KEY, TIME_LEFT);
+    let prepare = cluster.members[0].coordinator.prepare(
+        cluster.now,
+        KEY,
+        TIME_LEFT,
+        cluster.now + TIME_LEFT,
+    );
     for replica in &replicas {
         cluster.ask(0, *replica, &prepare);
     }
@@ -368,9 +374,12 @@
         let request = &records[usize::from(*attempt == Attempt::Second)];
         cluster.ask(0, replicas[*replica], request);
     }
-    let prepare = cluster.members[1]
-        .coordinator
-        .prepare(cluster.now, KEY, TIME_LEFT);
+    let prepare = cluster.members[1].coordinator.prepare(
+        cluster.now,
+        KEY,
+        TIME_LEFT,
+        cluster.now + TIME_LEFT,
+    );
     let outcomes = asked.map(|replica| cluster.ask(1, replicas[replica], &prepare));
     outcomes
         .into_iter()
