Request records: expired records are dropped at nodes without requests of their own

What operators saw: kept_for_others grew up to `most` at a node that holds records for others and serves no such requests itself; full, it rejects new ones.

Cause: the replica was swept only in the timer of the node's own requests.

--- a/node/src/peers/replication.rs
+++ b/node/src/peers/replication.rs
@@ -402,12 +402,16 @@
         }
     }
 
-    /// Gives up the requests whose deadline has passed, and drops expired records.
+    /// Gives up the requests whose deadline has passed.
     pub fn on_timer(&mut self, context: &mut Context) {
         for outcome in self.coordinator.expire(context.now) {
             self.on_outcome(context, outcome);
         }
-        self.replica.sweep(context.now);
+    }
+
+    /// Drops the records that have expired, whether or not this node has requests of its own.
+    pub fn sweep(&mut self, now: Nanos) {
+        self.replica.sweep(now);
     }
 
     /// Takes the actions that are ready to be carried out. Also forgets the requests abandoned in this turn, whose attempts
--- a/node/src/roles/standalone/event_loop.rs
+++ b/node/src/roles/standalone/event_loop.rs
@@ -269,6 +269,9 @@
             fleet.sweep(context);
             fleet.update_assignments(context, uses_slow_start_slots, load_from_probes);
         }
+        if let Some(replication) = &mut self.replication {
+            replication.sweep(context.now);
+        }
         context
             .hosts
             .report_latencies(context.now, &mut context.events);
--- a/node/tests/request_records.rs
+++ b/node/tests/request_records.rs
@@ -259,3 +259,24 @@
         assert!(fixture.hosts_of(0xd00 + n).is_empty());
     }
 }
+
+/// Guards against a node that keeps the records of others for ever, or full of expired ones rejects new records, because
+/// it has no requests of its own.
+#[test]
+fn records_are_dropped_at_nodes_without_requests_of_their_own() {
+    const KEYS: std::ops::Range<usize> = 0xe00..0xe10;
+    let fixture = Fixture::new(1, Behavior::SilentToOneKey, |fleet| {
+        fleet.with_effect("single_shot", Some(RETENTION))
+    });
+    for key in KEYS {
+        let answer = fixture.open(0, 0x1000 + key, key, "d=500").receive_line();
+        assert!(answer.starts_with("UP"), "{answer}");
+    }
+    let records_at = |node| fixture.status(node)["kept_for_others"].as_u64().unwrap();
+    assert!((1..NODES).all(|node| records_at(node) > 0));
+    let kept_since = Instant::now();
+    eventually("the records are dropped", || {
+        (1..NODES).all(|node| records_at(node) == 0)
+    });
+    assert!(kept_since.elapsed() < 2 * RETENTION);
+}
--- a/replication/src/replica.rs
+++ b/replication/src/replica.rs
@@ -5,12 +5,15 @@
     MAX_HISTORY_BYTES,
 };
 use reedferry_membership::Nanos;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The longest time for which a client may still wait, as far as a replica believes it, in nanoseconds. It keeps a
 /// member with a wrong message from having records kept without end.
 const MAX_TIME_LEFT: Nanos = 3600 * 1_000_000_000;
 
+/// The most records that are dropped in one sweep, so that it does not hold up clients.
+const MAX_DROPPED_PER_SWEEP: usize = 10_000;
+
 /// The record that was accepted last.
 #[derive(Clone, Hash)]
 struct StoredRecord {
@@ -35,6 +38,8 @@
     retention: Nanos,
     max_records: usize,
     entries: BTreeMap<u64, Entry>,
+    /// When each entry expires, with its key.
+    expiries: BTreeSet<(Nanos, u64)>,
 }
 
 impl Replica {
@@ -46,6 +51,7 @@
             retention,
             max_records,
             entries: BTreeMap::new(),
+            expiries: BTreeSet::new(),
         }
     }
 
@@ -54,9 +60,16 @@
         self.entries.len()
     }
 
-    /// Drops the records that have expired.
+    /// Drops the records that have expired, up to [`MAX_DROPPED_PER_SWEEP`].
     pub fn sweep(&mut self, now: Nanos) {
-        self.entries.retain(|_, entry| now < entry.expires_at);
+        for _ in 0..MAX_DROPPED_PER_SWEEP {
+            let Some(&(expires_at, key)) = self.expiries.first().filter(|(at, _)| *at <= now)
+            else {
+                return;
+            };
+            self.expiries.remove(&(expires_at, key));
+            self.entries.remove(&key);
+        }
     }
 
     /// Whether this replica votes. Until then, records that are still relevant may be missing, because an earlier process
@@ -97,7 +110,9 @@
             expires_at,
         });
         entry.promised = entry.promised.max(ballot);
+        self.expiries.remove(&(entry.expires_at, key));
         entry.expires_at = entry.expires_at.max(expires_at);
+        self.expiries.insert((entry.expires_at, key));
         match request {
             ReplicaRequest::Prepare { .. } => ReplicaResponse::Promised {
                 key,
--- a/replication/src/replica_tests.rs
+++ b/replication/src/replica_tests.rs
@@ -178,3 +178,17 @@
     replica.sweep(now + MAX_TIME_LEFT + RETENTION);
     assert_eq!(replica.count(), 0);
 }
+
+/// Guards against a sweep that holds up clients while it drops very many records.
+#[test]
+fn a_sweep_drops_a_bounded_number_of_records() {
+    let count = MAX_DROPPED_PER_SWEEP + 1;
+    let mut replica = Replica::new(0, RETENTION, count);
+    for key in 0..count as u64 {
+        replica.handle(RETENTION, &prepare(key, 1));
+    }
+    replica.sweep(2 * RETENTION);
+    assert_eq!(replica.count(), 1);
+    replica.sweep(2 * RETENTION);
+    assert_eq!(replica.count(), 0);
+}
