Request records: a record stays open until the client is known to have its answer

Cause: the record was closed when the host accepted or the node failed the request, and from then on its key stood for a new request.

Change: it stays open until the client sends a line after UP, or ends its connection in order with all that was sent to it acknowledged (SIOCOUTQ; one call more in the runtime). Clients use one key for all their requests, so the key can't stay taken. BUSY closes it at once.

--- a/node/src/connections/closing.rs
+++ b/node/src/connections/closing.rs
@@ -122,7 +122,10 @@
             && self.discard_allowance > 0
         {
             match client.socket.discard(buffer.free_space()) {
-                Ok(0) => return self.remove(context, slot, CloseReason::Answered),
+                Ok(0) => {
+                    connection.on_client_finished();
+                    return self.remove(context, slot, CloseReason::Answered);
+                }
                 Ok(count) => {
                     connection.discarded += count;
                     self.discard_allowance = self.discard_allowance.saturating_sub(count);
@@ -150,6 +153,7 @@
         self.check_close(context, slot, reason);
         self.release_id(context, slot);
         let connection = self.slab.remove(slot);
+        self.answer_receipts.report_removed(&connection);
         if let Some(client) = connection.client.filter(|_| reason.resets()) {
             client.socket.reset();
         }
--- a/node/src/connections/connection.rs
+++ b/node/src/connections/connection.rs
@@ -1,6 +1,7 @@
 //! The state of one client connection from its first line to its end. Each sibling module changes it during
 //! the stage that the module is responsible for.
 
+use super::answer_receipts::ReceiptState;
 use super::host_connection::HostConnection;
 use super::peer_socket::PeerSocket;
 use super::relay::Relay;
@@ -74,6 +75,8 @@
     pub(super) may_have_run_since: Option<Nanos>,
     /// Whether the request line of the attempt in flight, or of the open connection, has been begun.
     pub(super) line_begun: bool,
+    /// Whether the client has the final answer.
+    pub(super) receipt: ReceiptState,
     /// The client's lines that the host has not answered yet.
     pub(super) unanswered_lines: UnansweredLines,
     /// Until when a migration waits for the end of the client's line, or `None` if the client is not to be
@@ -116,6 +119,7 @@
             last_failure: None,
             may_have_run_since: None,
             line_begun: false,
+            receipt: ReceiptState::default(),
             unanswered_lines: UnansweredLines::default(),
             migrate_by: None,
             migration_outcome: AttemptOutcome::Cancelled,
--- a/node/src/connections/mod.rs
+++ b/node/src/connections/mod.rs
@@ -11,6 +11,7 @@
 //! forwards valid requests only. Anything else that a client sends, or fails to send in time, is rejected
 //! here.
 
+mod answer_receipts;
 mod attempt_progress;
 mod attempted_ids;
 mod attempts;
@@ -40,6 +41,8 @@
 mod waiting_client;
 
 use crate::context::{Context, CLIENT};
+pub use answer_receipts::AnswerReceipt;
+use answer_receipts::AnswerReceipts;
 use attempted_ids::AttemptedIds;
 #[cfg(test)]
 pub use attempted_ids::IdHash;
@@ -67,6 +70,7 @@
     retry_queue: RetryQueue,
     attempted_ids: AttemptedIds,
     id_notices: IdNotices,
+    answer_receipts: AnswerReceipts,
 }
 
 impl Connections {
--- a/node/src/connections/proxying.rs
+++ b/node/src/connections/proxying.rs
@@ -56,7 +56,12 @@
             return Some(RelayStatus::Idle);
         }
         let unanswered_lines = &mut self.unanswered_lines;
-        let record_line = |_| unanswered_lines.push(context.now);
+        let receipt = &mut self.receipt;
+        let record_line = |_| {
+            unanswered_lines.push(context.now);
+            // A client sends its second line after it has read the answer to the first one.
+            receipt.receive();
+        };
         let relay = &mut self.to_host;
         Some(relay.transfer(&context.pool, client, &mut host.peer, record_line))
     }
@@ -89,6 +94,7 @@
         if let Some(host) = &self.host_connection {
             host.peer.socket.shutdown_write();
         }
+        self.on_client_finished();
         self.client_finished_at = Some(now);
     }
 }
@@ -132,6 +138,7 @@
             }
             _ => {}
         }
+        self.report_received_answer(slot);
         self.try_migrate(context, slot);
     }
 
--- a/node/src/peers/replication.rs
+++ b/node/src/peers/replication.rs
@@ -3,6 +3,7 @@
 //! is committed before any byte of it is sent. This module owns the waiting requests and attempts. It never delays
 //! idempotent requests, and leaves the decisions about a request whose lease this node holds to the balancer.
 
+use crate::connections::AnswerReceipt;
 use crate::context::{token, Context, REPLICATION_TIMER};
 use crate::peers::attempt_history::{AttemptHistory, AttemptTracker};
 use crate::peers::membership::ReplicationDatagram;
@@ -38,6 +39,8 @@
     incoming: IncomingRequest,
     arrived_at: Nanos,
     attempts: AttemptTracker,
+    /// Whether the final answer has been given to the client, which may not have received it yet.
+    answered: bool,
     /// The attempt that waits for its record; `None` if there is none.
     uncommitted: Option<UncommittedAttempt>,
 }
@@ -144,14 +147,8 @@
             {
                 return self.acquire(context, *incoming).then_some(event);
             }
-            Event::ConnectionEstablished { id, .. } => self.finish(context, *id),
-            Event::ClientLeft { id } => {
-                // The replicas keep the record, because the client may send the request again.
-                if let Some(key) = self.keys.remove(id) {
-                    self.requests.remove(&key);
-                    self.coordinator.release(key);
-                }
-            }
+            Event::ConnectionEstablished { id, .. } => self.on_answered(context, *id),
+            Event::ClientLeft { id } => self.forget(*id),
             Event::AttemptEnded {
                 id, host, ending, ..
             } if ending.never_ran() => {
@@ -174,15 +171,19 @@
         };
         let class_name = context.settings.classes.get(incoming.class);
         let key = record_key(client_key, class_name.map_or("", String::as_str));
-        if self.requests.contains_key(&key) {
+        if self.requests.get(&key).is_some_and(|r| !r.answered) {
             self.reject(id);
             return false;
         }
+        if let Some(answered) = self.requests.remove(&key) {
+            self.keys.remove(&answered.id);
+        }
         let request = ReplicatedRequest {
             id,
             incoming,
             arrived_at: context.now,
             attempts: AttemptTracker::new(context.now),
+            answered: false,
             uncommitted: None,
         };
         self.requests.insert(key, request);
@@ -209,7 +210,8 @@
                 self.commit_attempt(context, key, host, action);
                 return None;
             }
-            Action::Reject { id, .. } | Action::Fail { id } => self.finish(context, *id),
+            Action::Reject { id, .. } => self.finish(context, *id),
+            Action::Fail { id } => self.on_answered(context, *id),
             _ => {}
         }
         Some(action)
@@ -234,7 +236,44 @@
         }
     }
 
-    /// Records that a request has received its final answer. From now on its key stands for a new request.
+    /// Records that the final answer of a request has been given. If an attempt may have run, the replicas keep the record
+    /// until the client is known to have the answer: a client that has been cut off sends its request again.
+    fn on_answered(&mut self, context: &mut Context, id: RequestId) {
+        let key = self.keys.get(&id);
+        let Some(request) = key.and_then(|key| self.requests.get_mut(key)) else {
+            return;
+        };
+        if request.attempts.history.may_have_run.is_none() {
+            return self.finish(context, id);
+        }
+        request.answered = true;
+    }
+
+    /// Handles what is known about the answer to a request.
+    pub fn on_answer_receipt(&mut self, context: &mut Context, receipt: AnswerReceipt) {
+        match receipt {
+            AnswerReceipt::Received(id) => {
+                let key = self.keys.get(&id);
+                let request = key.and_then(|key| self.requests.get(key));
+                if request.is_some_and(|request| request.answered) {
+                    self.finish(context, id);
+                }
+            }
+            AnswerReceipt::Unconfirmed(id) => self.forget(id),
+        }
+    }
+
+    /// Gives up a request of which this node has nothing more to record. The replicas keep the record, because the client
+    /// may send the request again.
+    fn forget(&mut self, id: RequestId) {
+        if let Some(key) = self.keys.remove(&id) {
+            self.requests.remove(&key);
+            self.coordinator.release(key);
+        }
+    }
+
+    /// Records that a request is over: its client has the final answer, or no attempt can have run. From now on its key
+    /// stands for a new request.
     fn finish(&mut self, context: &mut Context, id: RequestId) {
         let Some(key) = self.keys.remove(&id) else {
             return;
--- a/node/src/roles/standalone/event_loop.rs
+++ b/node/src/roles/standalone/event_loop.rs
@@ -243,6 +243,9 @@
         let (Some(replication), Some(fleet)) = (&mut self.replication, &mut self.fleet) else {
             return;
         };
+        for receipt in self.connections.take_answer_receipts() {
+            replication.on_answer_receipt(&mut self.context, receipt);
+        }
         replication.exchange_messages(&mut self.context, fleet);
         for action in replication.take_released_actions() {
             self.connections.perform(&mut self.context, action);
--- a/node/src/roles/standalone/startup.rs
+++ b/node/src/roles/standalone/startup.rs
@@ -93,6 +93,9 @@
             reload_pending: false,
             ready: Ready::default(),
         };
+        if node.replication.is_some() {
+            node.connections.enable_answer_receipts();
+        }
         node.start_discovery();
         Ok((node, backlog))
     }
--- a/node/tests/request_records.rs
+++ b/node/tests/request_records.rs
@@ -32,6 +32,8 @@
 /// What the hosts do with a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Behavior {
+    /// All hosts accept all requests.
+    Accepts,
     /// All hosts answer nothing to [`SLOW_KEY`], and accept all other requests.
     SilentToOneKey,
     /// One host rejects each request once it is told to; the others answer nothing.
@@ -67,6 +69,7 @@
                 drop(changed.wait_while(state, |state| !state.may_reject));
                 "BUSY\r\n"
             }
+            Behavior::Accepts => "UP 77aa\r\n",
             Behavior::SilentToOneKey if key != format!("{SLOW_KEY:x}") => "UP 77aa\r\n",
             _ => continue,
         };
@@ -280,3 +283,102 @@
     });
     assert!(kept_since.elapsed() < 2 * RETENTION);
 }
+
+/// Opens a request at node 0 that its host accepts, and returns the client, which has not sent anything after that.
+fn open_accepted(fixture: &Fixture, id: usize, key: usize) -> Peer {
+    let mut client = fixture.open(0, id, key, "d=1000");
+    client.expect_line("UP 77aa");
+    client
+}
+
+/// Waits until a node holds no request, and so has sent on that all are over.
+fn wait_until_over(fixture: &Fixture, node: usize) {
+    eventually("the requests are over", || {
+        fixture.status(node)["held"] == 0
+    });
+}
+
+/// Guards against a request that must not run twice and whose record is closed when a host accepts it: a client that
+/// has been cut off from its node never gets the answer, and sends the request again.
+#[test]
+fn a_request_whose_answer_may_be_lost_does_not_run_again() {
+    let fixture = Fixture::new(1, Behavior::Accepts, |fleet| {
+        fleet.with_effect("single_shot", Some(RETENTION))
+    });
+    let retry = |key: usize| {
+        let node = key % NODES;
+        fixture.open(node, 0x2000 + key, key, "d=1000,r=1")
+    };
+    for key in 0xf00..0xf0c {
+        let silent = open_accepted(&fixture, 0x1000 + key, key);
+        let answer = retry(key).receive_line();
+        assert!(answer.starts_with("ERR"), "{answer}");
+        assert_eq!(fixture.hosts_of(key).len(), 1);
+        drop(silent);
+    }
+    // These clients leave without having read the answer.
+    for key in 0xf10..0xf1c {
+        let client = fixture.open(0, 0x1000 + key, key, "d=1000");
+        eventually("the request is at the host", || {
+            fixture.hosts_of(key).len() == 1
+        });
+        drop(client);
+        let answer = retry(key).receive_line();
+        assert!(answer.starts_with("ERR"), "{answer}");
+        assert_eq!(fixture.hosts_of(key).len(), 1);
+    }
+}
+
+/// Guards against a request that must not run twice and whose record is closed by an error that its client never gets.
+#[test]
+fn a_request_whose_error_may_be_lost_does_not_run_again() {
+    const KEY: usize = SLOW_KEY;
+    let fixture = Fixture::new(1, Behavior::SilentToOneKey, |fleet| {
+        fleet.with_effect("single_shot", Some(RETENTION))
+    });
+    let mut client = fixture.open(0, 0x1000, KEY, "d=500");
+    client.expect_line("ERR");
+    let answer = fixture.open(1, 0x2000, KEY, "d=500,r=1").receive_line();
+    assert!(answer.starts_with("ERR"), "{answer}");
+    assert_eq!(fixture.hosts_of(KEY).len(), 1);
+}
+
+/// Guards against a request with an idempotency key that leaves the cell of its host when its answer is lost.
+#[test]
+fn a_request_whose_answer_may_be_lost_is_repeated_in_its_cell_alone() {
+    let fixture = Fixture::new(4, Behavior::Accepts, |fleet| {
+        fleet
+            .with_effect("guarded", Some(RETENTION))
+            .with_idempotency_group("cell")
+    });
+    for key in 0xf00..0xf0a {
+        let _client = open_accepted(&fixture, 0x1000 + key, key);
+        let mut retry = fixture.open(1 + key % 2, 0x2000 + key, key, "d=1000,r=1");
+        retry.expect_line("UP 77aa");
+        let hosts = fixture.hosts_of(key);
+        assert_eq!(hosts.len(), 2);
+        assert_eq!(hosts[0], hosts[1], "key {key:x} ran in two cells");
+    }
+}
+
+/// Guards against a key that stays taken though its client has the answer: clients use one key for all their requests.
+#[test]
+fn a_key_is_new_once_its_client_is_known_to_have_the_answer() {
+    let fixture = Fixture::new(1, Behavior::Accepts, |fleet| {
+        fleet.with_effect("single_shot", Some(RETENTION))
+    });
+    // A client that sends a line after the answer has it.
+    const TALKING: usize = 0xf10;
+    let mut talking = open_accepted(&fixture, 0x1000, TALKING);
+    talking.send_line("a line");
+    wait_until_over(&fixture, 0);
+    let answer = fixture.open(1, 0x2000, TALKING, "d=1000").receive_line();
+    assert_eq!(answer, "UP 77aa");
+    // So has one that ends its connection in order.
+    const LEAVING: usize = 0xf11;
+    drop(open_accepted(&fixture, 0x1001, LEAVING));
+    wait_until_over(&fixture, 0);
+    let answer = fixture.open(2, 0x2001, LEAVING, "d=1000").receive_line();
+    assert_eq!(answer, "UP 77aa");
+    assert_eq!(fixture.hosts_of(LEAVING).len(), 2);
+}
--- a/runtime/src/sockets.rs
+++ b/runtime/src/sockets.rs
@@ -5,9 +5,11 @@
 use crate::{clock, DescriptorBudget, Nanos};
 use rustix::event::{poll, PollFd, PollFlags};
 use rustix::io::Errno;
+use rustix::ioctl::{ioctl, Getter, Opcode};
 use rustix::net::{
     self, sockopt, AddressFamily, RecvFlags, SendFlags, Shutdown, SocketFlags, SocketType,
 };
+use std::ffi::c_int;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::time::Duration;
@@ -144,6 +146,22 @@
         }
     }
 
+    /// Returns the number of bytes that were sent and that the other side has not acknowledged. Once this side has ended
+    /// its sending, the end counts as one byte more.
+    ///
+    /// # Errors
+    /// Returns the error of the system call.
+    pub fn unacknowledged_bytes(&self) -> Result<usize, Errno> {
+        /// The request of the system for the bytes in the send queue of a TCP socket (`SIOCOUTQ`).
+        const SEND_QUEUE: Opcode = 0x5411;
+        // SAFETY: the request writes one `int` and changes nothing. Its number is the same on x86-64 and arm64.
+        let getter = unsafe { Getter::<SEND_QUEUE, c_int>::new() };
+        // SAFETY: the request is valid for any descriptor; one that is no TCP socket gets an error or a meaningless
+        // number.
+        let count = unsafe { ioctl(self, getter) }?;
+        Ok(usize::try_from(count).unwrap_or(0))
+    }
+
     /// Discards at most as many received bytes as `space` holds, without writing to it, and returns
     /// their number; 0 means the end of the stream.
     ///
