Decision core: where a host was before its first listing is not known

Cause: the core refuses a repeat of a request taken over where the cell of its first host has changed since the attempt; a process that has just started took "no change seen" for "no change".

Change: a host's zone and cell are known from its first listing or last change on. A request whose first attempt is older gets no repeat where its group counts, and is answered at once.

Not taken: the forwarder tells the cell (a field in the protocol and the core).

--- a/node/tests/two_tier.rs
+++ b/node/tests/two_tier.rs
@@ -472,6 +472,53 @@
     );
 }
 
+/// Guards against a planner that starts while a request is in flight, and takes the cell in which a host is listed now
+/// for the one in which it was when the request was first sent to it: the request would run in two cells.
+#[test]
+fn a_planner_that_starts_repeats_no_request_outside_the_cell_of_its_first_attempt() {
+    const HOSTS: usize = 3;
+    let _guard = one_test_at_a_time();
+    let mut cluster = TwoTierCluster::start(1, 1, HOSTS, 22);
+    (0..HOSTS).for_each(|host| cluster.hosts.set_behavior(host, HostBehavior::Silent));
+    let clients: Vec<Peer> = (0..12)
+        .map(|n| {
+            let mut client = Peer::connect(cluster.forwarders[0].address);
+            client.send_line(&format!("OPEN cell-{n} {n:x} c=mark,t=acme,d=2000"));
+            client
+        })
+        .collect();
+    eventually("not all requests reach a host", || {
+        cluster.checker.reached().len() >= clients.len()
+    });
+    // Each host is in a cell of its own from now on, but the first, which is in that of the second.
+    let mut members = cluster.hosts.members();
+    for (host, cell) in [(0, 1), (1, 1), (2, 2)] {
+        members[host]["cell"] = cell.into();
+        cluster.discovery.change(members[host].clone());
+    }
+    cluster.known_members = members;
+    cluster.known_revision = (2 * HOSTS) as u64;
+    cluster.kill_planner(0);
+    cluster.start_planner(0);
+    cluster.forwarders[0].wait_for_log("following planner");
+    for mut client in clients {
+        client.receive_line();
+    }
+    let reached = cluster.checker.reached();
+    for n in 0..12 {
+        let name = format!("cell-{n}");
+        let hosts: Vec<usize> = reached
+            .iter()
+            .filter(|attempt| attempt.name == name)
+            .map(|attempt| attempt.host)
+            .collect();
+        assert!(
+            hosts.iter().all(|host| host % 2 == hosts[0] % 2),
+            "{name} reached several cells: {hosts:?}"
+        );
+    }
+}
+
 #[test]
 fn a_non_idempotent_request_that_its_host_breaks_off_is_sent_only_once() {
     let _guard = one_test_at_a_time();
--- a/src/host.rs
+++ b/src/host.rs
@@ -42,8 +42,9 @@
     last_listed_at: Nanos,
     /// When the host was first listed as draining; meaningful only while it is draining.
     draining_since: Nanos,
-    /// When the zone or cell of the host last changed in the endpoint list; `None` if it never did.
-    group_changed_at: Option<Nanos>,
+    /// When the host was first listed, or later its zone or cell changed in the endpoint list. Where
+    /// it was before is not known.
+    group_known_since: Nanos,
     /// When a connection to the host last failed to open; recorded only in large fleets without
     /// load reports.
     connect_failed_at: Option<Nanos>,
@@ -98,10 +99,9 @@
         !self.listed && self.connections.is_empty() && now >= reusable_at
     }
 
-    /// Returns whether it has been listed in the same zone and cell since then.
+    /// Returns whether it is known to have been listed in the same zone and cell since then.
     pub fn same_group_since(&self, since: Nanos) -> bool {
-        self.group_changed_at
-            .is_none_or(|group_changed_at| group_changed_at < since)
+        self.group_known_since < since
     }
 
     /// Returns how long ago the host started, or `Nanos::MAX` if that is unknown. It is assumed to
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -91,8 +91,8 @@
             self.draining_since = now;
         }
         let group = |endpoint: &Endpoint| (endpoint.zone, endpoint.cell);
-        if !self.never_listed() && group(&endpoint) != group(&self.endpoint) {
-            self.group_changed_at = Some(now);
+        if self.never_listed() || group(&endpoint) != group(&self.endpoint) {
+            self.group_known_since = now;
         }
         if endpoint.size <= 0.0 || endpoint.size.is_nan() {
             endpoint.size = 1.0;
--- a/testkit/src/two_tier_cluster.rs
+++ b/testkit/src/two_tier_cluster.rs
@@ -37,8 +37,9 @@
     pub forwarders: Vec<Node>,
     /// The relays on the links, by forwarder, then by planner.
     pub relays: Vec<Vec<Relay>>,
-    /// The revision of the endpoint list in the files of planners that are started from now on. All hosts are active
-    /// in it.
+    /// The endpoint list in the files of planners that are started from now on.
+    pub known_members: Value,
+    /// The revision of that list.
     pub known_revision: u64,
     /// By forwarder: the planner that its last log line on this says it follows.
     followed_planners: Vec<usize>,
@@ -95,6 +96,7 @@
         let hosts = Hosts::start(hosts, &checker);
         let discovery = Discovery::start();
         (0..hosts.addresses.len()).for_each(|h| discovery.change(hosts.member(h, "active")));
+        let hosts_as_listed = hosts.members();
         let mut cluster = TwoTierCluster {
             checker,
             hosts,
@@ -103,6 +105,7 @@
             forwarders: Vec::new(),
             relays: Vec::new(),
             known_revision: 0,
+            known_members: hosts_as_listed,
             followed_planners: Vec::new(),
             seed,
         };
@@ -143,6 +146,7 @@
         let seed = self.seed ^ (index as u64 + 99);
         let mut node_config = node_config(&name, &self.hosts, &self.discovery, seed);
         node_config["known"]["revision"] = self.known_revision.into();
+        node_config["known"]["members"] = self.known_members.clone();
         let list = nominal_planner_list(self.planners.len());
         let operator_config = format!(
             "papers = \"PAPERS\"\n[plan]\nname = \"p{index}\"\nlisten = \"127.0.0.1:0\"\n{list}"
