--- a/node/src/roles/hot_restart/mod.rs
+++ b/node/src/roles/hot_restart/mod.rs
@@ -5,6 +5,7 @@
 //! inherited state, and without a successor it migrates its clients when it stops.
 
 mod messages;
+mod outgoing;
 mod predecessor;
 mod successor;
 
--- a/node/src/roles/hot_restart/predecessor.rs
+++ b/node/src/roles/hot_restart/predecessor.rs
@@ -4,6 +4,7 @@
 use super::messages::{
     decode_id_notices, encode, FromPredecessor, FromSuccessor, TransferredState, VERSION,
 };
+use super::outgoing::OutgoingMessages;
 use super::ChannelError;
 use crate::connections::{Connections, IdNotice};
 use crate::context::{Context, PREDECESSOR};
@@ -11,7 +12,6 @@
 use reedferry_runtime::errors::{classify_io, retry_for, IoFailure};
 use reedferry_runtime::{channel, Clock, PollToken, Socket};
 use slog::{info, warn};
-use std::collections::VecDeque;
 use std::time::Duration;
 
 /// The maximum time for sending the first message, [`FromSuccessor::Hello`].
@@ -54,7 +54,7 @@
     /// The notices that came with the state, until they are applied.
     inherited_notices: Option<Vec<IdNotice>>,
     /// The encoded notices that are not sent yet.
-    outgoing: VecDeque<Vec<u8>>,
+    outgoing: OutgoingMessages,
 }
 
 impl Predecessor {
@@ -83,7 +83,7 @@
             pending_reply: None,
             takes_id_notices: false,
             inherited_notices,
-            outgoing: VecDeque::new(),
+            outgoing: OutgoingMessages::default(),
         };
         let watched = context
             .poller
@@ -187,21 +187,15 @@
 
     /// Queues notices about ids.
     pub fn queue_id_notices(&mut self, notices: &[IdNotice]) {
-        let messages = notices
-            .iter()
-            .map(|notice| encode(&FromSuccessor::IdNotice(*notice)));
-        self.outgoing.extend(messages);
+        for notice in notices {
+            self.outgoing
+                .push(encode(&FromSuccessor::IdNotice(*notice)));
+        }
     }
 
     /// Sends the queued notices until none is left or the channel returns an error.
     pub fn flush(&mut self) -> Result<(), ChannelError> {
-        while let Some(message) = self.outgoing.front() {
-            self.channel
-                .send_with_descriptors(message, &[])
-                .map_err(|error| ChannelError::of(error, "sendmsg"))?;
-            self.outgoing.pop_front();
-        }
-        Ok(())
+        self.outgoing.flush(&self.channel)
     }
 
     /// Tells the predecessor whether the last connection was adopted, and resumes it once that message was sent.
--- a/node/src/roles/hot_restart/successor.rs
+++ b/node/src/roles/hot_restart/successor.rs
@@ -4,6 +4,7 @@
 use super::messages::{
     encode, encode_id_notices, FromPredecessor, FromSuccessor, TransferredState, VERSION,
 };
+use super::outgoing::OutgoingMessages;
 use super::ChannelError;
 use crate::connections::{Connections, IdNotice};
 use crate::context::{Context, SUCCESSOR};
@@ -37,7 +38,7 @@
     /// The generation of the channel's poller token, which tells it from earlier channels.
     generation: u32,
     /// The encoded messages that are not sent yet.
-    outgoing: VecDeque<Vec<u8>>,
+    outgoing: OutgoingMessages,
     /// The unacknowledged connections, in the order in which they were sent.
     in_transit: VecDeque<InTransit>,
     /// Whether the handover has ended: the channel is shut down for reading, but messages sent before are still read.
@@ -63,7 +64,7 @@
         Successor {
             channel,
             generation: token.generation,
-            outgoing: VecDeque::new(),
+            outgoing: OutgoingMessages::default(),
             in_transit: VecDeque::new(),
             abandoned: false,
             state_requested: false,
@@ -89,7 +90,7 @@
         let last = chunks.len().saturating_sub(1);
         for (index, chunk) in chunks.enumerate() {
             let message = FromPredecessor::StateChunk(chunk.to_vec(), index == last);
-            self.outgoing.push_back(encode(&message));
+            self.outgoing.push(encode(&message));
         }
         self.state_queued = true;
         bytes.len()
@@ -104,19 +105,13 @@
     pub fn queue_id_notices(&mut self, notices: &[IdNotice]) {
         for notices in notices.chunks(ID_NOTICES_PER_MESSAGE) {
             let message = FromPredecessor::StateChunk(encode_id_notices(notices), false);
-            self.outgoing.push_back(encode(&message));
+            self.outgoing.push(encode(&message));
         }
     }
 
     /// Sends the queued messages until the queue is empty or the channel returns an error.
     pub fn flush(&mut self) -> Result<(), ChannelError> {
-        while let Some(message) = self.outgoing.front() {
-            self.channel
-                .send_with_descriptors(message, &[])
-                .map_err(|error| ChannelError::of(error, "sendmsg"))?;
-            self.outgoing.pop_front();
-        }
-        Ok(())
+        self.outgoing.flush(&self.channel)
     }
 
     /// Handles all messages that have arrived, and returns the error that ended the reading.
