--- a/node/src/peers/replication.rs
+++ b/node/src/peers/replication.rs
@@ -401,7 +401,7 @@
     /// Handles the messages received from other nodes, sends the queued ones, and handles directly those to this node.
     pub fn exchange_messages(&mut self, context: &mut Context, fleet: &mut Fleet) {
         for ReplicationDatagram { from, bytes } in fleet.take_replication_messages() {
-            match postcard::from_bytes(&bytes) {
+            match decode(&bytes) {
                 Ok(ReplicationMessage::Request(request)) => {
                     let response = self.replica.handle(context.now, &request);
                     self.outbox
@@ -461,6 +461,12 @@
     }
 }
 
+/// Decodes a message. One of an earlier version may lack the last number, which counts as zero then: how long a client still
+/// waits, or the sequence number of a record. Without this, nodes of that version would get no votes from those of this one.
+fn decode(bytes: &[u8]) -> postcard::Result<ReplicationMessage> {
+    postcard::from_bytes(bytes).or_else(|_| postcard::from_bytes(&[bytes, &[0]].concat()))
+}
+
 /// Returns the key of a request's record. It depends on the class as well, because two classes may use the same idempotency
 /// key. All nodes have to compute the same key, so it depends on the name of the class and not on its index: each process
 /// numbers the classes on its own, and again at each reload. The terms of the class don't count either, as nodes reload one
--- a/node/src/peers/replication_bytes_tests.rs
+++ b/node/src/peers/replication_bytes_tests.rs
@@ -35,6 +35,33 @@
     assert_eq!(hex(&response), "010105030280d095ffbc3101");
 }
 
+/// Guards against nodes of an earlier version that get no votes during an upgrade.
+#[test]
+fn messages_of_an_earlier_version_are_read_with_a_last_number_of_zero() {
+    let bytes = |text: &str| -> Vec<u8> {
+        let digits: Vec<char> = text.chars().collect();
+        digits
+            .chunks(2)
+            .map(|pair| u8::from_str_radix(&String::from_iter(pair), 16).unwrap())
+            .collect()
+    };
+    let prepare = decode(&bytes("000005030280d095ffbc31")).unwrap();
+    let ReplicationMessage::Request(ReplicaRequest::Prepare { key, time_left, .. }) = prepare
+    else {
+        panic!("not a prepare");
+    };
+    assert_eq!((key, time_left), (5, 0));
+    let promised = decode(&bytes("010005030280d095ffbc3101030280d095ffbc3101070007"));
+    let ReplicationMessage::Response(ReplicaResponse::Promised { accepted, .. }) =
+        promised.unwrap()
+    else {
+        panic!("not a promise");
+    };
+    let accepted = accepted.unwrap();
+    assert_eq!((accepted.age, accepted.sequence), (7, 0));
+    assert!(decode(&bytes("0000")).is_err());
+}
+
 #[test]
 fn attempt_history_keeps_its_bytes() {
     let history = AttemptHistory {
