--- a/node/src/connections/answer_receipts.rs
+++ b/node/src/connections/answer_receipts.rs
@@ -65,7 +65,7 @@
 /// closes its connection before the answer arrives acknowledges nothing of it, and one that closes without having read
 /// it resets the connection. `ended` tells whether this side has ended its sending as well, which is acknowledged like
 /// one more byte and after all others.
-pub(super) fn has_acknowledged_all(socket: &Socket, ended: bool) -> bool {
+fn has_acknowledged_all(socket: &Socket, ended: bool) -> bool {
     let allowed = usize::from(ended);
     socket
         .unacknowledged_bytes()
